--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -1,10 +1,10 @@
 // The smallest forwarder: one destination with one route, one message, one decision.
 #include <iostream>
 
-#include "otterbridge/dispatcher.h"
+#include "myrtleloft/dispatcher.h"
 
 int main() {
-  using namespace otterbridge;
+  using namespace myrtleloft;
 
   Settings settings;
   settings.seed = 42;
--- a/include/otterbridge/dispatcher.h
+++ b/include/myrtleloft/dispatcher.h
@@ -1,4 +1,4 @@
-// The interface of otterbridge: what a forwarder tells the dispatcher and what it is told to do.
+// The interface of myrtleloft: what a forwarder tells the dispatcher and what it is told to do.
 // All decisions live in src/policy.cpp; this file only names types.
 #pragma once
 
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace otterbridge {
+namespace myrtleloft {
 
 enum class Repeat { kRepeatable, kByKey, kOnce };
 enum class Group { kAll, kZone, kCell };  // which targets of a destination drop repeats of a keyed message
@@ -169,4 +169,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace otterbridge
+}  // namespace myrtleloft
--- a/simhost/wire.cpp
+++ b/simhost/wire.cpp
@@ -3,7 +3,7 @@
 #include <charconv>
 #include <cmath>
 
-namespace otterbridge::wire {
+namespace myrtleloft::wire {
 namespace {
 
 template <typename T>
@@ -362,4 +362,4 @@
   out.flush();
 }
 
-}  // namespace otterbridge::wire
+}  // namespace myrtleloft::wire
--- a/simhost/wire.h
+++ b/simhost/wire.h
@@ -1,4 +1,4 @@
-// Translates the simulator's wire to events and actions of otterbridge. Decides nothing.
+// Translates the simulator's wire to events and actions of myrtleloft. Decides nothing.
 #pragma once
 
 #include <array>
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
-#include "otterbridge/dispatcher.h"
+#include "myrtleloft/dispatcher.h"
 
-namespace otterbridge::wire {
+namespace myrtleloft::wire {
 
 struct WireError : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -62,4 +62,4 @@
   std::array<bool, 16> sheetKnown_{};
 };
 
-}  // namespace otterbridge::wire
+}  // namespace myrtleloft::wire
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,5 +1,5 @@
-// Every decision of otterbridge. The interface (settings, events, actions) is
-// include/otterbridge/dispatcher.h, what is kept state.h; the reasoning behind it is docs/design.md. No I/O,
+// Every decision of myrtleloft. The interface (settings, events, actions) is
+// include/myrtleloft/dispatcher.h, what is kept state.h; the reasoning behind it is docs/design.md. No I/O,
 // no clock, no globals: time comes with each batch.
 #include <algorithm>
 #include <cmath>
@@ -7,10 +7,10 @@
 #include <random>
 #include <tuple>
 
-#include "otterbridge/dispatcher.h"
+#include "myrtleloft/dispatcher.h"
 #include "state.h"
 
-namespace otterbridge {
+namespace myrtleloft {
 namespace {
 
 // Tries (ours, 2-3 by the source): failures after which a message is given up; refusals as full cost none.
@@ -922,4 +922,4 @@
   return impl_->onBatch(nowMs, events);
 }
 
-}  // namespace otterbridge
+}  // namespace myrtleloft
--- a/src/state.h
+++ b/src/state.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace otterbridge {
+namespace myrtleloft {
 
 inline constexpr double kNever = std::numeric_limits<double>::infinity();
 
@@ -103,4 +103,4 @@
   double restUntilMs = -kNever;
 };
 
-}  // namespace otterbridge
+}  // namespace myrtleloft
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -10,9 +10,9 @@
 #include <ostream>
 #include <random>
 
-#include "otterbridge/dispatcher.h"
+#include "myrtleloft/dispatcher.h"
 
-namespace otterbridge {
+namespace myrtleloft {
 namespace {
 
 ClassSettings classOf(Repeat repeat, Group group = Group::kAll) {
@@ -733,4 +733,4 @@
 }
 
 }  // namespace
-}  // namespace otterbridge
+}  // namespace myrtleloft
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -5,7 +5,7 @@
 
 #include <sstream>
 
-namespace otterbridge::wire {
+namespace myrtleloft::wire {
 namespace {
 
 const char kUp[] =
@@ -83,4 +83,4 @@
 }
 
 }  // namespace
-}  // namespace otterbridge::wire
+}  // namespace myrtleloft::wire
