--- a/include/myrtleloft/dispatcher.h
+++ b/include/myrtleloft/dispatcher.h
@@ -69,6 +69,10 @@
 };
 
 // ---- events ----
+struct EarlierAttempt {  // one that may have run, made before this instance began
+  int zone = 0;
+  double sentMs = 0;  // on the clock of the batches; may lie before the first of them
+};
 struct MessageEvent {
   std::string id;
   int cls = 0;
@@ -78,6 +82,8 @@
   double effortMs = 0;
   std::int64_t destination = 0;
   bool isRetry = false;
+  int attempts = 0;  // made before this instance began, harmless ones included
+  std::vector<EarlierAttempt> doubts;
 };
 struct Report {  // what a destination told of its limit, where it tells anything
   std::optional<double> allowanceLeft;
--- /dev/null
+++ b/include/myrtleloft/relay.h
@@ -0,0 +1,38 @@
+// The relay as a library: configured from the deployment's environment, run on the calling thread.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <ostream>
+#include <stdexcept>
+#include <string>
+
+namespace myrtleloft {
+
+using Environment = std::map<std::string, std::string>;
+
+struct ConfigError : std::runtime_error {  // its text names the faulty key
+  using std::runtime_error::runtime_error;
+};
+
+class Relay {
+ public:
+  enum class Phase { kStarting, kRecovering, kServing, kDraining, kStopped };
+
+  // Throws ConfigError. `log` must outlive the relay.
+  Relay(const Environment& environment, std::ostream& log);
+  ~Relay();
+
+  // Serves until it is stopped; SIGTERM and SIGINT drain, SIGUSR1 prints the counters. The exit code.
+  int run();
+  // Takes nothing more on for long, sees calls out to their end, then stops.
+  void drain();
+  Phase phase() const;
+  void printCounters() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace myrtleloft
--- a/simhost/wire.cpp
+++ b/simhost/wire.cpp
@@ -47,6 +47,16 @@
   return value;
 }
 
+// Reads one value; a complaint names the field, for whoever has to find it in a configuration.
+template <typename Read>
+auto named(std::string_view name, Read read, std::string_view text) {
+  try {
+    return read(text);
+  } catch (const WireError& error) {
+    throw WireError(std::string(name) + ": " + error.what());
+  }
+}
+
 Outcome readOutcome(std::string_view text) {
   static const std::map<std::string_view, Outcome> kNames = {
       {"GOOD", Outcome::kGood},     {"BAD", Outcome::kBad},       {"FULL", Outcome::kFull},
@@ -146,15 +156,15 @@
   return textOr(name, {});
 }
 
-double Fields::number(std::string_view name) const { return real(text(name)); }
+double Fields::number(std::string_view name) const { return named(name, real, text(name)); }
 double Fields::numberOr(std::string_view name, double fallback) const {
-  return has(name) ? real(textOr(name, {})) : fallback;
+  return has(name) ? named(name, real, textOr(name, {})) : fallback;
 }
-std::int64_t Fields::integer(std::string_view name) const { return whole(text(name)); }
+std::int64_t Fields::integer(std::string_view name) const { return named(name, whole, text(name)); }
 std::int64_t Fields::integerOr(std::string_view name, std::int64_t fallback) const {
-  return has(name) ? whole(textOr(name, {})) : fallback;
+  return has(name) ? named(name, whole, textOr(name, {})) : fallback;
 }
-bool Fields::flag(std::string_view name) const { return truth(textOr(name, "0")); }
+bool Fields::flag(std::string_view name) const { return named(name, truth, textOr(name, "0")); }
 
 Settings readSettings(const Fields& f) {
   Settings s;
@@ -198,10 +208,12 @@
   s.connIdleMs = f.numberOr("limits.connIdleMs", 0);
   s.mayCancel = f.flag("limits.cancel");
   s.mayProbe = f.flag("limits.probes");
-  for (const auto item : list(f.textOr("familyInfo.kindApart", ""))) s.kindApart.push_back(truth(item));
+  for (const auto item : list(f.textOr("familyInfo.kindApart", "")))
+    s.kindApart.push_back(named("familyInfo.kindApart", truth, item));
   for (const auto item : list(f.textOr("familyInfo.kindBatch", "")))
-    s.kindBatch.push_back(static_cast<int>(whole(item)));
-  for (const auto item : list(f.textOr("familyInfo.carriage", ""))) s.zoneFees.push_back(real(item));
+    s.kindBatch.push_back(static_cast<int>(named("familyInfo.kindBatch", whole, item)));
+  for (const auto item : list(f.textOr("familyInfo.carriage", "")))
+    s.zoneFees.push_back(named("familyInfo.carriage", real, item));
   s.refusalCost = f.numberOr("familyInfo.refusalCost", 0);
   s.crossZonePrice = f.numberOr("penalties.crossZone", 0);
   s.handshakePrice = f.numberOr("penalties.handshake", 0);
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,30 @@
+// The one place where configuration is read, checked and given defaults.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "discovery/destination_set.h"
+#include "myrtleloft/dispatcher.h"
+#include "myrtleloft/relay.h"
+#include "net/socket.h"
+
+namespace myrtleloft {
+
+struct Config {
+  std::string name, stateFolder;
+  Address listen, discovery;
+  int sockets = 1024;
+  std::size_t diskBytes = 0;
+  Settings settings;  // the decision module's, decoded as the adapter does
+  std::vector<std::string> classes, tenants, reportColumns;
+  ListNames names;
+  DestinationList known;
+};
+
+// Reads the file that BALANCER_CONFIG names; the other BALANCER_ variables go before what it says.
+Config readConfig(const Environment& environment);
+// The same from the file's text.
+Config readConfig(const Environment& environment, const std::string& text);
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/config/json.h
@@ -0,0 +1,33 @@
+// A small strict JSON reader (RFC 8259), and the one bit of writing that the relay needs.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace myrtleloft::json {
+
+struct Value {
+  enum class Type { kNull, kBool, kNumber, kString, kArray, kObject };
+  Type type = Type::kNull;
+  std::string text;  // a string's content; a number, true or false as written
+  std::vector<Value> items;
+  std::vector<std::pair<std::string, Value>> members;
+
+  // The member of that name, of that type; nullptr: none.
+  const Value* find(std::string_view name, Type wanted) const;
+  std::optional<std::string> string(std::string_view name) const;
+  std::optional<double> number(std::string_view name) const;
+  std::optional<std::int64_t> integer(std::string_view name) const;
+  std::optional<bool> boolean(std::string_view name) const;
+};
+
+// On failure nothing, and in `error` what is wrong and where.
+std::optional<Value> parse(std::string_view text, std::string& error);
+// The text as a JSON string, quotes included.
+std::string quote(std::string_view text);
+
+}  // namespace myrtleloft::json
--- /dev/null
+++ b/src/exchange/exchange.cpp
@@ -0,0 +1,289 @@
+#include "exchange/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace myrtleloft {
+namespace {
+
+// Advice of the relay's own, where the module was not asked: over maxOpen, journal full, about to end.
+constexpr double kComeBackMs = 1000;
+constexpr double kCompactAgainMs = 1000;
+// What an item of a bulk call takes beside its id, key and body.
+constexpr std::size_t kItemFrame = 40;
+
+bool provenHarmless(Outcome outcome) {
+  return outcome == Outcome::kFull || outcome == Outcome::kNoConn || outcome == Outcome::kNop;
+}
+
+template <typename... Handlers>
+struct Visitor : Handlers... {
+  using Handlers::operator()...;
+};
+
+}  // namespace
+
+Exchange::Exchange(const Parts& parts, const Settings& settings, std::function<void()> fetchList)
+    : parts_(parts), settings_(settings), fetchList_(std::move(fetchList)), dispatcher_(settings) {}
+
+// ---- events ----
+void Exchange::schedule() {
+  if (batchTimer_ != Loop::kNoTimer || quiet_) return;
+  const double wait = lastBatchMs_ + settings_.resolutionMs - parts_.loop.nowMs();
+  batchTimer_ = parts_.loop.after(wait, [this] { runBatch(); });
+}
+
+void Exchange::recover(Journal::Owed owed, ListEvent known) {
+  // The list goes first: without it every route of a request that may have run would look closed.
+  pending_.emplace_back(std::in_place_type<ListEvent>, std::move(known));
+  const double nowMs = parts_.loop.nowMs(), wallMs = parts_.clock.wallMs();
+  for (auto& [id, request] : owed) {
+    ++parts_.counters.recovered;
+    if (request.verdict != Verdict::kNone) {
+      parts_.notices.add(id, request.verdict, request.waitMs);
+    } else {
+      MessageEvent event;
+      event.id = id;
+      event.cls = request.cls;
+      event.tenant = request.tenant;
+      event.notAfterMs = nowMs + (request.notAfterWallMs - wallMs);
+      event.destination = request.destination;
+      event.isRetry = request.isRetry;
+      event.attempts = request.attempts;
+      for (const Doubt& doubt : request.doubts)
+        event.doubts.push_back({doubt.zone, nowMs + (doubt.sentWallMs - wallMs)});
+      pending_.emplace_back(std::in_place_type<MessageEvent>, std::move(event));
+      ++held_;
+    }
+    open_[id].owed = std::move(request);
+  }
+  runBatch();
+}
+
+void Exchange::onList(ListEvent event) { push(std::move(event)); }
+
+void Exchange::onRequest(IncomingRequest request, AnswerTo answer) {
+  const auto known = open_.find(request.id);
+  if (known != open_.end()) {
+    // The same request again is already taken on; another under its id would be lost between the two.
+    const OwedRequest& owed = known->second.owed;
+    const bool same = owed.verdict == Verdict::kNone && !known->second.answer && owed.cls == request.cls &&
+                      owed.destination == request.destination && owed.key == request.key;
+    return answer({same ? Answer::Kind::kTaken : Answer::Kind::kUnusable});
+  }
+  const bool full = settings_.maxOpen > 0 && held_ >= static_cast<std::size_t>(settings_.maxOpen);
+  if (full || quiet_) {
+    ++parts_.counters.failFastFull;
+    return answer({Answer::Kind::kFailFast, kComeBackMs});
+  }
+  MessageEvent event;
+  event.id = request.id;
+  event.cls = request.cls;
+  event.tenant = request.tenant;
+  event.notAfterMs = parts_.loop.nowMs() + request.leftMs;
+  event.destination = request.destination;
+  event.isRetry = request.isRetry;
+
+  Open& open = open_[request.id];
+  open.answer = std::move(answer);
+  open.owed.notAfterWallMs = parts_.clock.wallMs() + request.leftMs;
+  open.owed.id = request.id;
+  open.owed.key = std::move(request.key);
+  open.owed.body = std::move(request.body);
+  open.owed.cls = request.cls;
+  open.owed.tenant = request.tenant;
+  open.owed.destination = request.destination;
+  open.owed.isRetry = request.isRetry;
+  ++held_;
+  fresh_.push_back(request.id);
+  push(std::move(event));
+}
+
+void Exchange::onHangUp(const std::string& id) {
+  const auto at = open_.find(id);
+  if (at == open_.end() || !at->second.answer) return;
+  open_.erase(at);  // never taken on, so nothing is owed
+  --held_;
+  push(HangUpEvent{id});
+}
+
+void Exchange::onOutcomes(const std::string& uid, double tookMs, const std::vector<CallOutcome>& outcomes,
+                          const Report& report) {
+  for (const CallOutcome& outcome : outcomes) {
+    const auto at = open_.find(outcome.id);
+    if (at == open_.end()) continue;
+    OwedRequest& owed = at->second.owed;
+    push(OutcomeEvent{outcome.id, owed.attempts - 1, uid, outcome.outcome, tookMs, outcome.ended,
+                      outcome.detail, report});
+    if (outcome.ended) {
+      ++(outcome.outcome == Outcome::kGood ? parts_.counters.delivered : parts_.counters.expired);
+      if (owed.verdict == Verdict::kNone) --held_;
+      parts_.journal.ended(outcome.id);
+      open_.erase(at);
+    } else if (provenHarmless(outcome.outcome) && !owed.doubts.empty()) {
+      owed.doubts.pop_back();
+      parts_.journal.harmless(outcome.id);
+    }
+  }
+}
+
+void Exchange::onProbed(const std::string& uid, double tookMs, Outcome outcome, const Report& report) {
+  push(ProbeEvent{uid, outcome, tookMs, report});
+}
+
+void Exchange::onConfirmed(const std::string& id) {
+  parts_.journal.ended(id);
+  open_.erase(id);
+}
+
+void Exchange::quiesce() {
+  // Those not answered yet are not taken on either.
+  for (const std::string& id : std::exchange(fresh_, {})) {
+    const auto at = open_.find(id);
+    if (at == open_.end()) continue;
+    answer(at->second, {Answer::Kind::kFailFast, kComeBackMs});
+    open_.erase(at);
+    --held_;
+  }
+  quiet_ = true;
+  pending_.clear();
+  parts_.loop.cancel(batchTimer_);
+}
+
+// ---- one batch ----
+void Exchange::runBatch() {
+  batchTimer_ = Loop::kNoTimer;
+  lastBatchMs_ = std::max(lastBatchMs_, parts_.loop.nowMs());
+  ++parts_.counters.batches;
+  const std::vector<Event> events = std::exchange(pending_, {});
+  const std::vector<std::string> fresh = std::exchange(fresh_, {});
+  const std::vector<Action> actions = dispatcher_.onBatch(lastBatchMs_, events);
+
+  // Ends and calls given up come before anything is taken on or sent; the sends keep their order.
+  std::vector<const SendAction*> sends;
+  for (const Action& action : actions) {
+    std::visit(Visitor{[&](const SendAction& a) { sends.push_back(&a); },
+                       [&](const RefuseAction& a) { end(a.id, Verdict::kBounced, a.comeBackMs); },
+                       [&](const FailAction& a) { end(a.id, Verdict::kDead, 0); },
+                       [&](const CallOffAction& a) { parts_.outbound.abandon(a.id); },
+                       [&](const TimerAction& a) {
+                         parts_.loop.after(a.spanMs, [this, token = a.token] { push(TimerEvent{token}); });
+                       },
+                       [](const WatchListAction&) {},  // the watch always runs
+                       [&](const FetchListAction&) { fetchList_(); },
+                       [&](const FreeLinksAction& a) { parts_.outbound.freeIdle(a.target); },
+                       [&](const ProbeAction& a) {
+                         if (const EndpointEntry* e = parts_.destinations.find(a.target))
+                           parts_.outbound.probe(*e);
+                       }},
+               action);
+  }
+  for (const std::string& id : fresh) takeOn(id);
+  std::vector<Plan> plans;
+  for (const SendAction* send : sends) plan(*send, plans);
+  for (Plan& plan : plans) carryOut(plan);
+  compact();
+}
+
+void Exchange::answer(Open& open, const Answer& answer) {
+  if (const AnswerTo to = std::exchange(open.answer, nullptr)) to(answer);
+}
+
+// A request that the module did not end in the batch it came with is taken on: recorded first, then answered.
+void Exchange::takeOn(const std::string& id) {
+  const auto at = open_.find(id);
+  if (at == open_.end()) return;
+  if (parts_.journal.taken(at->second.owed)) {
+    ++parts_.counters.taken;
+    return answer(at->second, {Answer::Kind::kTaken});
+  }
+  // What cannot be recorded would not outlast the process: it is not taken on.
+  ++parts_.counters.journalFaults;
+  answer(at->second, {Answer::Kind::kFailFast, kComeBackMs});
+  open_.erase(at);
+  --held_;
+  push(HangUpEvent{id});
+}
+
+void Exchange::end(const std::string& id, Verdict verdict, double waitMs) {
+  const auto at = open_.find(id);
+  if (at == open_.end() || at->second.owed.verdict != Verdict::kNone) return;
+  --held_;
+  if (at->second.answer) {
+    ++parts_.counters.failFast;
+    const bool dead = verdict == Verdict::kDead;
+    answer(at->second, {dead ? Answer::Kind::kFailed : Answer::Kind::kFailFast, waitMs});
+    open_.erase(at);
+    return;
+  }
+  ++(verdict == Verdict::kDead ? parts_.counters.dead : parts_.counters.bounced);
+  at->second.owed.verdict = verdict;
+  at->second.owed.waitMs = waitMs;
+  at->second.owed.body.clear();
+  parts_.journal.verdict(id, verdict, waitMs);
+  parts_.notices.add(id, verdict, waitMs);
+}
+
+std::size_t Exchange::batchOf(int kind) const {
+  const auto k = static_cast<std::size_t>(std::max(0, kind));
+  return k < settings_.kindBatch.size() ? static_cast<std::size_t>(std::max(1, settings_.kindBatch[k])) : 1;
+}
+
+void Exchange::plan(const SendAction& action, std::vector<Plan>& plans) {
+  const auto at = open_.find(action.id);
+  if (at == open_.end()) return;  // not taken on after all
+  const EndpointEntry* endpoint = parts_.destinations.find(action.target);
+  if (!endpoint) return notSent(action.id, action.target);
+  const OwedRequest& owed = at->second.owed;
+  const double leftMs = owed.notAfterWallMs - parts_.clock.wallMs();
+  CallItem item{owed.id, owed.key, owed.body, action.capMs > 0 ? action.capMs : std::max(1.0, leftMs)};
+  const std::size_t bytes = item.id.size() + item.key.size() + (item.body.size() + 2) / 3 * 4 + kItemFrame;
+  const auto room = std::find_if(plans.begin(), plans.end(), [&](const Plan& plan) {
+    return plan.uid == action.target && plan.items.size() < batchOf(endpoint->entry.kind) &&
+           plan.bytes + bytes < kBodyLimit;  // no body may hold more, a bulk's either
+  });
+  Plan& plan = room != plans.end() ? *room : plans.emplace_back(Plan{action.target, 0, {}});
+  plan.bytes += bytes;
+  plan.items.push_back(std::move(item));
+}
+
+void Exchange::carryOut(Plan& plan) {
+  const EndpointEntry& endpoint = *parts_.destinations.find(plan.uid);
+  const Doubt doubt{plan.uid, endpoint.entry.zone, parts_.clock.wallMs()};
+  std::vector<CallItem> items;
+  for (CallItem& item : plan.items) {
+    // Recorded before the first byte: after a restart it must be known that this call may have run.
+    if (!parts_.journal.attempt(item.id, doubt)) {
+      ++parts_.counters.journalFaults;
+      notSent(item.id, plan.uid);
+      continue;
+    }
+    OwedRequest& owed = open_.at(item.id).owed;
+    ++owed.attempts;
+    owed.doubts.push_back(doubt);
+    items.push_back(std::move(item));
+  }
+  if (!items.empty()) parts_.outbound.call(endpoint, std::move(items));
+}
+
+// An attempt of the module's that never left: it counts, and is proven harmless.
+void Exchange::notSent(const std::string& id, const std::string& uid) {
+  OwedRequest& owed = open_.at(id).owed;
+  ++owed.attempts;
+  push(OutcomeEvent{id, owed.attempts - 1, uid, Outcome::kNop, 0, false, 0, {}});
+}
+
+void Exchange::compact() {
+  if (!parts_.journal.wantsCompaction() || lastBatchMs_ < compactedMs_ + kCompactAgainMs) return;
+  compactedMs_ = lastBatchMs_;
+  std::vector<const OwedRequest*> owed;
+  for (const auto& [id, open] : open_) owed.push_back(&open.owed);
+  if (parts_.journal.compact(owed)) {
+    ++parts_.counters.compactions;
+  } else {
+    ++parts_.counters.journalFaults;
+    parts_.log << "the journal could not be compacted" << std::endl;
+  }
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/exchange/exchange.h
@@ -0,0 +1,93 @@
+// Where the client side and the server side meet. Owns the open requests, feeds the decision module its
+// batches and carries out its actions; decides nothing.
+#pragma once
+
+#include <map>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "config/config.h"
+#include "discovery/destination_set.h"
+#include "exchange/request.h"
+#include "journal/journal.h"
+#include "myrtleloft/dispatcher.h"
+#include "net/loop.h"
+#include "notices/notices.h"
+#include "outbound/outbound.h"
+#include "relay/counters.h"
+
+namespace myrtleloft {
+
+class Exchange : public RequestSink, public CallListener {
+ public:
+  struct Parts {
+    Loop& loop;
+    const Clock& clock;
+    const DestinationSet& destinations;
+    Journal& journal;
+    Notices& notices;
+    Outbound& outbound;
+    Counters& counters;
+    std::ostream& log;
+  };
+  Exchange(const Parts& parts, const Settings& settings, std::function<void()> fetchList);
+
+  // Hands the module the first list and all that an earlier process took on, in one batch.
+  void recover(Journal::Owed owed, ListEvent known);
+  void onList(ListEvent event);
+  void onConfirmed(const std::string& id);
+  // From now on the module decides nothing more: calls out are seen to their end, the rest is the journal's.
+  void quiesce();
+  bool settled() const { return open_.empty(); }
+
+  void onRequest(IncomingRequest request, AnswerTo answer) override;
+  void onHangUp(const std::string& id) override;
+  void onOutcomes(const std::string& uid, double tookMs, const std::vector<CallOutcome>& outcomes,
+                  const Report& report) override;
+  void onProbed(const std::string& uid, double tookMs, Outcome outcome, const Report& report) override;
+
+ private:
+  struct Open {
+    OwedRequest owed;
+    AnswerTo answer;  // until the client has its answer
+  };
+  struct Plan {  // sends of one batch that travel as one call
+    std::string uid;
+    std::size_t bytes = 0;
+    std::vector<CallItem> items;
+  };
+
+  template <typename E>
+  void push(E event) {
+    if (quiet_) return;
+    pending_.emplace_back(std::in_place_type<E>, std::move(event));
+    schedule();
+  }
+  void schedule();
+  void runBatch();
+  void takeOn(const std::string& id);
+  void answer(Open& open, const Answer& answer);
+  void end(const std::string& id, Verdict verdict, double waitMs);
+  void plan(const SendAction& action, std::vector<Plan>& plans);
+  void carryOut(Plan& plan);
+  void notSent(const std::string& id, const std::string& uid);
+  void compact();
+  std::size_t batchOf(int kind) const;
+
+  Parts parts_;
+  Settings settings_;
+  std::function<void()> fetchList_;
+  Dispatcher dispatcher_;
+  std::map<std::string, Open, std::less<>> open_;
+  std::size_t held_ = 0;  // open requests that the module has not ended
+  std::vector<Event> pending_;
+  std::vector<std::string> fresh_;  // came in since the last batch, in their order
+  double lastBatchMs_ = -1e9, compactedMs_ = -1e9;
+  bool quiet_ = false;
+  Loop::Timer batchTimer_ = Loop::kNoTimer;
+};
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/exchange/request.h
@@ -0,0 +1,34 @@
+// What the client's side and the exchange say to each other. Nothing here knows of HTTP.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace myrtleloft {
+
+struct IncomingRequest {
+  std::string id, key, body;
+  int cls = 0, tenant = 0;
+  std::int64_t destination = 0;
+  double leftMs = 0;  // time left for its delivery
+  bool isRetry = false;
+};
+
+struct Answer {
+  enum class Kind { kTaken, kFailFast, kFailed, kUnusable };
+  Kind kind = Kind::kTaken;
+  double retryAfterMs = 0;  // of a fail-fast: when to come back; 0: no advice
+};
+
+class RequestSink {
+ public:
+  using AnswerTo = std::function<void(const Answer&)>;
+
+  virtual ~RequestSink() = default;
+  // `answer` is called once, at once or later, unless onHangUp comes first.
+  virtual void onRequest(IncomingRequest request, AnswerTo answer) = 0;
+  virtual void onHangUp(const std::string& id) = 0;
+};
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/inbound/inbound.cpp
@@ -0,0 +1,302 @@
+#include "inbound/inbound.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+namespace myrtleloft {
+namespace {
+
+// Silent peers: how long a connection may stay idle, and how long a started request or answer may take.
+constexpr double kIdleMs = 60000, kStuckMs = 10000, kLingerMs = 1000, kSweepMs = 500;
+constexpr double kAcceptAgainMs = 20;
+constexpr std::size_t kLongestId = 128, kLongestKey = 256;
+
+template <typename T>
+std::optional<T> parsed(std::string_view text) {
+  T value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+std::string_view path(std::string_view target) { return target.substr(0, target.find('?')); }
+
+// "/notice" or "/notice/more": its first part.
+std::string_view firstPart(std::string_view target) {
+  std::string_view rest = path(target);
+  if (rest.empty() || rest.front() != '/') return {};
+  rest.remove_prefix(1);
+  return rest.substr(0, rest.find('/'));
+}
+
+std::optional<int> indexOf(const std::vector<std::string>& names, std::string_view name) {
+  const auto at = std::find(names.begin(), names.end(), name);
+  if (at == names.end()) return std::nullopt;
+  return static_cast<int>(at - names.begin());
+}
+
+// "dest=7", perhaps among other pairs.
+std::optional<std::int64_t> destination(std::string_view addressing) {
+  static constexpr std::string_view kName = "dest=";
+  while (!addressing.empty()) {
+    const std::size_t end = std::min(addressing.find_first_of(",; "), addressing.size());
+    const std::string_view part = addressing.substr(0, end);
+    if (part.substr(0, kName.size()) == kName) return parsed<std::int64_t>(part.substr(kName.size()));
+    addressing.remove_prefix(std::min(end + 1, addressing.size()));
+  }
+  return std::nullopt;
+}
+
+std::string text(const HttpMessage& message, std::string_view name) {
+  const std::string* value = message.header(name);
+  return value ? *value : std::string();
+}
+
+}  // namespace
+
+std::optional<IncomingRequest> readRequest(const HttpMessage& message, const InboundNames& names) {
+  IncomingRequest request;
+  const auto cls = indexOf(names.classes, firstPart(message.target));
+  const auto to = destination(text(message, "X-Addressing"));
+  const auto seconds = parsed<double>(text(message, "X-Timeout"));
+  request.id = text(message, "X-Request-ID");
+  request.key = text(message, "Idempotency-Key");
+  if (!cls || !to || !seconds || !std::isfinite(*seconds) || *seconds < 0) return std::nullopt;
+  if (request.id.empty() || request.id.size() > kLongestId || request.key.size() > kLongestKey)
+    return std::nullopt;
+  if (const std::string* tenant = message.header("X-Tenant-Id"); tenant && !names.tenants.empty()) {
+    const auto index = indexOf(names.tenants, *tenant);
+    if (!index) return std::nullopt;
+    request.tenant = *index;
+  }
+  request.cls = *cls;
+  request.destination = *to;
+  request.leftMs = *seconds * 1000;
+  request.isRetry = text(message, "X-Retried") == "1";
+  request.body = message.body;
+  return request;
+}
+
+Inbound::Inbound(Loop& loop, RequestSink& sink, Counters& counters, InboundNames names,
+                 std::size_t mostConnections)
+    : loop_(loop),
+      sink_(sink),
+      counters_(counters),
+      names_(std::move(names)),
+      mostConnections_(mostConnections) {}
+
+Inbound::~Inbound() {
+  loop_.cancel(sweepTimer_);
+  loop_.cancel(acceptTimer_);
+  while (!connections_.empty()) drop(connections_.begin()->first);
+  if (listener_) loop_.forget(listener_.get());
+}
+
+bool Inbound::open(const Address& address, std::string& error) {
+  listener_ = listenOn(address, error);
+  if (!listener_) return false;
+  loop_.watch(listener_.get(), POLLIN, [this](short) { onAccept(); });
+  sweepTimer_ = loop_.after(kSweepMs, [this] { sweep(); });
+  return true;
+}
+
+void Inbound::onAccept() {
+  for (;;) {
+    if (connections_.size() >= mostConnections_) makeRoom();
+    int error = 0;
+    // With no room the rest waits in the backlog: closing it would leave requests unanswered.
+    const bool room = connections_.size() < mostConnections_;
+    Fd fd = room ? acceptFrom(listener_, error) : Fd();
+    if (!fd) {
+      if (room && (error == EINTR || error == ECONNABORTED)) continue;
+      if (room && (error == EAGAIN || error == EWOULDBLOCK)) return;
+      // Out of descriptors or of room. The listener stays readable: not to spin, it is left alone a moment.
+      loop_.setEvents(listener_.get(), 0);
+      acceptTimer_ = loop_.after(kAcceptAgainMs, [this] { loop_.setEvents(listener_.get(), POLLIN); });
+      return;
+    }
+    ++counters_.connectionsIn;
+    const Number number = ++lastNumber_;
+    loop_.watch(fd.get(), POLLIN, [this, number](short revents) { onEvents(number, revents); });
+    Connection& c = connections_[number];
+    c.fd = std::move(fd);
+    c.activeMs = loop_.nowMs();
+  }
+}
+
+// The connection that was idle longest gives way; a client may expect that between requests.
+void Inbound::makeRoom() {
+  const Connection* longest = nullptr;
+  Number which = 0;
+  for (const auto& [number, c] : connections_)
+    if (c.idle() && (!longest || c.activeMs < longest->activeMs)) longest = &c, which = number;
+  if (longest) drop(which);
+}
+
+void Inbound::onEvents(Number number, short revents) {
+  const auto at = connections_.find(number);
+  if (at == connections_.end()) return;
+  if (revents & POLLOUT) flush(number);
+  if (connections_.count(number) && (revents & (POLLIN | POLLHUP | POLLERR))) readAndServe(number);
+}
+
+void Inbound::readAndServe(Number number) {
+  Connection& c = connections_.at(number);
+  // What a client sends ahead of an answer waits in the socket; one piece more is enough to see it close.
+  const Io io = readSome(c.fd, c.reader.buffer());
+  if (io == Io::kWouldBlock) return;
+  if (io == Io::kProgress) {
+    c.activeMs = loop_.nowMs();
+    if (c.lingering)
+      c.reader.buffer().clear();
+    else
+      serve(number);
+    return;
+  }
+  if (!c.waiting.empty() &&
+      io == Io::kClosed) {  // only its sending may have ended: the answer still goes out
+    c.keepAlive = false;
+    loop_.setEvents(c.fd.get(), 0);
+    return;
+  }
+  if (!c.waiting.empty()) {
+    ++counters_.hangUps;
+    sink_.onHangUp(c.waiting);
+  }
+  if (io == Io::kClosed && !c.out.empty()) return loop_.setEvents(c.fd.get(), POLLOUT);
+  drop(number);
+}
+
+// Answers one request after the other; while one waits for its answer, the next stays unread.
+void Inbound::serve(Number number) {
+  for (;;) {
+    const auto at = connections_.find(number);
+    if (at == connections_.end()) return;
+    Connection& c = at->second;
+    if (!c.waiting.empty() || !c.out.empty() || c.lingering) {
+      if (c.reader.buffer().size() > kBodyLimit) loop_.setEvents(c.fd.get(), c.out.empty() ? 0 : POLLOUT);
+      return;
+    }
+    const auto state = c.reader.advance();
+    if (state == HttpReader::State::kMore) {
+      if (!c.reader.expectsContinue()) return;
+      c.reader.continued();
+      c.out = "HTTP/1.1 100 Continue\r\n\r\n";
+      return flush(number);
+    }
+    if (state == HttpReader::State::kBad) {
+      ++counters_.malformed;
+      c.keepAlive = false;
+      return reply(number, c.reader.errorStatus());
+    }
+    onMessage(number, c.reader.take());
+  }
+}
+
+void Inbound::onMessage(Number number, HttpMessage message) {
+  Connection& c = connections_.at(number);
+  c.keepAlive = message.keepAlive && !retiring_;
+  const std::string_view part = firstPart(message.target);
+  if (path(message.target) == "/up") {
+    if (message.method != "GET") return reply(number, 405, {{"Allow", "GET"}});
+    return reply(number, ready_ ? 200 : 503);
+  }
+  const bool known = indexOf(names_.classes, part).has_value();
+  if (message.method != "POST") return known ? reply(number, 405, {{"Allow", "POST"}}) : reply(number, 404);
+  if (part.empty()) return reply(number, 404);
+  auto request = readRequest(message, names_);
+  if (!request) {
+    ++counters_.malformed;
+    return reply(number, 400);
+  }
+  ++counters_.requests;
+  c.waiting = request->id;
+  sink_.onRequest(std::move(*request), [this, number](const Answer& answer) {
+    const auto at = connections_.find(number);
+    if (at == connections_.end()) return;
+    at->second.waiting.clear();
+    switch (answer.kind) {
+      case Answer::Kind::kTaken:
+        return reply(number, 202);
+      case Answer::Kind::kFailed:
+        return reply(number, 500);
+      case Answer::Kind::kUnusable:
+        return reply(number, 400);
+      case Answer::Kind::kFailFast:
+        break;
+    }
+    if (answer.retryAfterMs <= 0) return reply(number, 503);
+    char seconds[32];
+    std::snprintf(seconds, sizeof seconds, "%.3f", answer.retryAfterMs / 1000);
+    reply(number, 503, {{"Retry-After", seconds}});
+  });
+}
+
+void Inbound::reply(Number number, int status, const Headers& headers, std::string_view body) {
+  Connection& c = connections_.at(number);
+  if (retiring_) c.keepAlive = false;
+  c.out = writeAnswer(status, headers, body, c.keepAlive);
+  flush(number);
+}
+
+void Inbound::flush(Number number) {
+  Connection& c = connections_.at(number);
+  const Io io = writeSome(c.fd, c.out, c.written);
+  if (io == Io::kFailed) return drop(number);
+  if (io == Io::kWouldBlock) return loop_.setEvents(c.fd.get(), POLLOUT);
+  c.out.clear();
+  c.written = 0;
+  c.activeMs = loop_.nowMs();
+  loop_.setEvents(c.fd.get(), POLLIN);
+  if (!c.keepAlive) {
+    // Closing while the client still sends would reset the connection, and the answer with it: the sending
+    // side ends, and what still comes is read and dropped for a moment.
+    c.lingering = true;
+    c.reader.buffer().clear();
+    ::shutdown(c.fd.get(), SHUT_WR);
+    return;
+  }
+  if (!c.reader.buffer().empty()) {  // sent ahead: served from the loop, so that answers do not nest
+    loop_.after(0, [this, number] { serve(number); });
+  }
+}
+
+void Inbound::drop(Number number) {
+  const auto at = connections_.find(number);
+  loop_.forget(at->second.fd.get());
+  connections_.erase(at);
+}
+
+void Inbound::retire() {
+  retiring_ = true;
+  std::vector<Number> idle;
+  for (const auto& [number, c] : connections_)
+    if (c.idle()) idle.push_back(number);
+  for (const Number number : idle) drop(number);
+}
+
+void Inbound::sweep() {
+  const double now = loop_.nowMs();
+  std::vector<Number> old;
+  for (auto& [number, c] : connections_) {
+    const double most = c.lingering ? kLingerMs : c.idle() ? kIdleMs : kStuckMs;
+    if (now - c.activeMs > most && c.waiting.empty()) old.push_back(number);
+  }
+  for (const Number number : old) {
+    Connection& c = connections_.at(number);
+    if (c.lingering || c.idle() || !c.out.empty()) {
+      drop(number);
+    } else {
+      c.keepAlive = false;
+      reply(number, 408);
+    }
+  }
+  sweepTimer_ = loop_.after(kSweepMs, [this] { sweep(); });
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/inbound/inbound.h
@@ -0,0 +1,74 @@
+// The client side: accepts connections, reads requests, writes answers. Knows nothing of endpoints.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "exchange/request.h"
+#include "net/http.h"
+#include "net/loop.h"
+#include "net/socket.h"
+#include "relay/counters.h"
+
+namespace myrtleloft {
+
+struct InboundNames {
+  std::vector<std::string> classes, tenants;
+};
+
+// A request as HTTP carries it; nothing where it is unusable.
+std::optional<IncomingRequest> readRequest(const HttpMessage& message, const InboundNames& names);
+
+class Inbound {
+ public:
+  Inbound(Loop& loop, RequestSink& sink, Counters& counters, InboundNames names, std::size_t mostConnections);
+  ~Inbound();
+
+  bool open(const Address& address, std::string& error);
+  void setReady(bool ready) { ready_ = ready; }  // what GET /up says
+  // From now on connections are closed between requests.
+  void retire();
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  struct Connection {
+    Fd fd;
+    HttpReader reader{HttpReader::Side::kRequest};
+    std::string out;
+    std::size_t written = 0;
+    double activeMs = 0;
+    std::string waiting;  // id of the request that is not answered yet
+    bool keepAlive = true, lingering = false;
+    bool idle() const { return waiting.empty() && out.empty() && !lingering && !reader.midMessage(); }
+  };
+  using Number = std::uint64_t;
+
+  void onAccept();
+  void makeRoom();
+  void onEvents(Number number, short revents);
+  void readAndServe(Number number);
+  void serve(Number number);
+  void onMessage(Number number, HttpMessage message);
+  void reply(Number number, int status, const Headers& headers = {}, std::string_view body = {});
+  void flush(Number number);
+  void drop(Number number);
+  void sweep();
+
+  Loop& loop_;
+  RequestSink& sink_;
+  Counters& counters_;
+  InboundNames names_;
+  std::size_t mostConnections_;
+  Fd listener_;
+  bool ready_ = false, retiring_ = false;
+  std::map<Number, Connection> connections_;
+  Number lastNumber_ = 0;
+  Loop::Timer sweepTimer_ = Loop::kNoTimer;
+  Loop::Timer acceptTimer_ = Loop::kNoTimer;
+};
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/net/client_connection.cpp
@@ -0,0 +1,82 @@
+#include "net/client_connection.h"
+
+#include <utility>
+
+namespace myrtleloft {
+
+ClientConnection::ClientConnection(Loop& loop, const Address& address, std::size_t answerLimit)
+    : loop_(loop), fd_(connectTo(address)), reader_(HttpReader::Side::kAnswer, answerLimit) {
+  if (fd_) loop_.watch(fd_.get(), POLLOUT, [this](short revents) { onEvents(revents); });
+}
+
+void ClientConnection::send(std::string bytes, Done done) {
+  out_ = std::move(bytes);
+  written_ = 0;
+  done_ = std::move(done);
+  loop_.setEvents(fd_.get(), POLLIN | POLLOUT);
+}
+
+bool ClientConnection::reusable() const { return fd_ && connected_ && !done_ && !idleBroken(fd_); }
+
+void ClientConnection::close() {
+  if (!fd_) return;
+  loop_.forget(fd_.get());
+  fd_.reset();
+  done_ = nullptr;
+}
+
+void ClientConnection::onEvents(short revents) {
+  if (!connected_) {
+    if (pendingError(fd_) != 0 || !(revents & POLLOUT)) return finish(End::kNotSent);
+    connected_ = true;
+  }
+  if (!done_) {  // idle: whatever comes, it is not the answer to a call
+    if (revents & (POLLIN | POLLHUP | POLLERR))
+      close();
+    else
+      loop_.setEvents(fd_.get(), POLLIN);
+    return;
+  }
+  // Reading comes first: an endpoint may answer and close before it has read the whole call.
+  if (revents & (POLLIN | POLLHUP | POLLERR)) {
+    read();
+  } else if (revents & POLLOUT) {
+    write();
+  }
+}
+
+void ClientConnection::write() {
+  const Io io = writeSome(fd_, out_, written_);
+  if (io == Io::kFailed) return finish(End::kNotSent);
+  if (io == Io::kProgress) loop_.setEvents(fd_.get(), POLLIN);
+}
+
+void ClientConnection::read() {
+  for (;;) {
+    const Io io = readSome(fd_, reader_.buffer());
+    if (io == Io::kWouldBlock) {
+      if (!lastByteWritten()) write();
+      return;
+    }
+    auto state = io == Io::kProgress ? reader_.advance() : HttpReader::State::kBad;
+    if (io == Io::kClosed) state = reader_.finish();
+    if (state == HttpReader::State::kMore) continue;
+    if (state == HttpReader::State::kDone) return finish(End::kAnswered, reader_.take());
+    if (const int status = reader_.status(); status != 0) {
+      // The first line decides; an answer cut short after it has still been given.
+      HttpMessage answer = reader_.take();
+      answer.keepAlive = false;
+      return finish(End::kAnswered, std::move(answer));
+    }
+    return finish(lastByteWritten() ? End::kBroken : End::kNotSent);
+  }
+}
+
+void ClientConnection::finish(End end, HttpMessage answer) {
+  const Done done = std::exchange(done_, nullptr);
+  // An answer before the whole call was read, or bytes after it, leave a connection that nobody can trust.
+  if (end != End::kAnswered || !answer.keepAlive || !lastByteWritten() || !reader_.buffer().empty()) close();
+  if (done) done({end, std::move(answer)});  // may destroy this connection
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/net/client_connection.h
@@ -0,0 +1,57 @@
+// One connection that the relay opened, carrying one call at a time.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "net/http.h"
+#include "net/loop.h"
+#include "net/socket.h"
+
+namespace myrtleloft {
+
+class ClientConnection {
+ public:
+  enum class End {
+    kAnswered,  // a whole answer, or all that was needed of one
+    kNotSent,   // it never came up, or broke before the last byte was written: the peer cannot have acted
+    kBroken,    // it broke after that
+  };
+  struct Result {
+    End end = End::kBroken;
+    HttpMessage answer;
+  };
+  using Done = std::function<void(Result)>;
+
+  ClientConnection(Loop& loop, const Address& address, std::size_t answerLimit = kBodyLimit);
+  ~ClientConnection() { close(); }
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
+
+  bool open() const { return static_cast<bool>(fd_); }  // false also where no descriptor could be had
+  // Starts a call; `done` comes once, unless close() comes first. It may destroy this connection.
+  void send(std::string bytes, Done done);
+  // Idle, and the peer has not closed it.
+  bool reusable() const;
+  bool connected() const { return connected_; }
+  bool lastByteWritten() const { return connected_ && written_ == out_.size(); }
+  // The status of an answer that has only begun; 0: none yet.
+  int statusSoFar() const { return reader_.status(); }
+  void close();
+
+ private:
+  void onEvents(short revents);
+  void write();
+  void read();
+  void finish(End end, HttpMessage answer = {});
+
+  Loop& loop_;
+  Fd fd_;
+  HttpReader reader_;
+  std::string out_;
+  std::size_t written_ = 0;
+  bool connected_ = false;
+  Done done_;
+};
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/net/http.h
@@ -0,0 +1,73 @@
+// HTTP/1.1 messages: an incremental reader for both directions, and writers. Knows nothing of sockets.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace myrtleloft {
+
+inline constexpr std::size_t kHeadLimit = 16 * 1024;
+inline constexpr std::size_t kBodyLimit = 64 * 1024;
+
+struct HttpMessage {
+  std::string method, target;  // of a request
+  int status = 0;              // of an answer
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  bool keepAlive = true;
+
+  // The first header of that name, whatever its case; nullptr: none.
+  const std::string* header(std::string_view name) const;
+};
+
+class HttpReader {
+ public:
+  enum class Side { kRequest, kAnswer };
+  enum class State { kMore, kDone, kBad };
+
+  explicit HttpReader(Side side, std::size_t bodyLimit = kBodyLimit) : side_(side), bodyLimit_(bodyLimit) {}
+
+  // Bytes may come in any pieces. After kDone the message can be taken, and what follows it stays.
+  std::string& buffer() { return buffer_; }
+  State advance();
+  // The peer closed: ends an answer whose body runs until then.
+  State finish();
+  HttpMessage take();
+
+  int errorStatus() const { return errorStatus_; }  // after kBad: 400, 413 or 431
+  bool midMessage() const { return !buffer_.empty() || step_ != Step::kHead; }
+  int status() const { return message_.status; }  // of an answer, as soon as its first line is in
+  bool expectsContinue() const { return expectsContinue_ && step_ != Step::kHead && step_ != Step::kDone; }
+  void continued() { expectsContinue_ = false; }
+
+ private:
+  enum class Step { kHead, kLength, kChunkSize, kChunk, kChunkEnd, kTrailer, kUntilClose, kDone, kBad };
+
+  State fail(int status);
+  bool readHead();  // false: more needed, or failed
+  bool firstLine(std::string_view line);
+  bool headerLine(std::string_view line);
+  bool framing();
+  bool takeLine(std::string& line);  // false: more needed, or failed
+  State readBody();
+
+  Side side_;
+  std::size_t bodyLimit_;
+  std::string buffer_;
+  std::size_t scanned_ = 0, headBytes_ = 0;
+  std::uint64_t left_ = 0;
+  Step step_ = Step::kHead;
+  HttpMessage message_;
+  bool firstLineRead_ = false, expectsContinue_ = false;
+  int errorStatus_ = 0;
+};
+
+using Headers = std::vector<std::pair<std::string_view, std::string>>;
+std::string writeRequest(std::string_view method, std::string_view target, std::string_view host,
+                         const Headers& headers, std::string_view body);
+std::string writeAnswer(int status, const Headers& headers, std::string_view body, bool keepAlive);
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,108 @@
+#include "net/socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+
+namespace myrtleloft {
+namespace {
+
+void sendAtOnce(const Fd& fd) {
+  const int on = 1;
+  ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+const sockaddr* generic(const Address& address) { return reinterpret_cast<const sockaddr*>(&address.raw); }
+
+}  // namespace
+
+std::optional<Address> parseAddress(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  const std::string host(text.substr(0, colon));
+  const std::string_view portText = text.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto [end, error] = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+  if (error != std::errc() || end != portText.data() + portText.size()) return std::nullopt;
+  Address address;
+  address.text = text;
+  address.raw.sin_family = AF_INET;
+  address.raw.sin_port = htons(port);
+  if (::inet_pton(AF_INET, host.c_str(), &address.raw.sin_addr) != 1) return std::nullopt;
+  return address;
+}
+
+Fd listenOn(const Address& address, std::string& error) {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (!fd || ::bind(fd.get(), generic(address), sizeof address.raw) != 0 ||
+      ::listen(fd.get(), SOMAXCONN) != 0) {
+    error = "cannot listen on " + address.text + ": " + std::strerror(errno);
+    return Fd();
+  }
+  return fd;
+}
+
+Fd acceptFrom(const Fd& listener, int& error) {
+  Fd fd(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  error = fd ? 0 : errno;
+  if (fd) sendAtOnce(fd);
+  return fd;
+}
+
+Fd connectTo(const Address& address) {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) return fd;
+  sendAtOnce(fd);
+  // Any other error than "in progress" stays pending on the socket or shows as a failed first write.
+  ::connect(fd.get(), generic(address), sizeof address.raw);
+  return fd;
+}
+
+int pendingError(const Fd& fd) {
+  int error = 0;
+  socklen_t size = sizeof error;
+  return ::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 ? error : errno;
+}
+
+Io readSome(const Fd& fd, std::string& into) {
+  std::array<char, 16384> chunk;
+  for (;;) {
+    const ssize_t got = ::recv(fd.get(), chunk.data(), chunk.size(), 0);
+    if (got > 0) {
+      into.append(chunk.data(), static_cast<std::size_t>(got));
+      return Io::kProgress;
+    }
+    if (got == 0) return Io::kClosed;
+    if (errno == EINTR) continue;
+    return errno == EAGAIN || errno == EWOULDBLOCK ? Io::kWouldBlock : Io::kFailed;
+  }
+}
+
+Io writeSome(const Fd& fd, std::string_view bytes, std::size_t& offset) {
+  while (offset < bytes.size()) {
+    // No SIGPIPE: a peer that has gone must not end the program.
+    const ssize_t put = ::send(fd.get(), bytes.data() + offset, bytes.size() - offset, MSG_NOSIGNAL);
+    if (put >= 0) {
+      offset += static_cast<std::size_t>(put);
+      continue;
+    }
+    if (errno == EINTR) continue;
+    return errno == EAGAIN || errno == EWOULDBLOCK ? Io::kWouldBlock : Io::kFailed;
+  }
+  return Io::kProgress;
+}
+
+bool idleBroken(const Fd& fd) {
+  char byte = 0;
+  const ssize_t got = ::recv(fd.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/net/socket.h
@@ -0,0 +1,61 @@
+// Descriptors and addresses: IPv4 over TCP, never blocking.
+#pragma once
+
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace myrtleloft {
+
+class Fd {  // owns one descriptor
+ public:
+  Fd() = default;
+  explicit Fd(int fd) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept {
+    if (this != &other) {
+      reset();
+      fd_ = std::exchange(other.fd_, -1);
+    }
+    return *this;
+  }
+  ~Fd() { reset(); }
+
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+  void reset() {
+    if (fd_ >= 0) ::close(fd_);
+    fd_ = -1;
+  }
+
+ private:
+  int fd_ = -1;
+};
+
+struct Address {
+  sockaddr_in raw{};
+  std::string text;
+};
+
+// "127.0.0.1:3000"; nothing where the text is not an IPv4 address and a port.
+std::optional<Address> parseAddress(std::string_view text);
+
+// What one non-blocking read or write came to.
+enum class Io { kProgress, kWouldBlock, kClosed, kFailed };
+
+Fd listenOn(const Address& address, std::string& error);
+Fd acceptFrom(const Fd& listener, int& error);
+// An empty Fd: no descriptor could be had. A refused connection shows when the descriptor becomes writable.
+Fd connectTo(const Address& address);
+int pendingError(const Fd& fd);
+Io readSome(const Fd& fd, std::string& into);
+// Writes from `bytes` at `offset`, and moves `offset`.
+Io writeSome(const Fd& fd, std::string_view bytes, std::size_t& offset);
+// Whether the peer has closed, or sent something unasked, on a connection that should be idle.
+bool idleBroken(const Fd& fd);
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/notices/notices.cpp
@@ -0,0 +1,75 @@
+#include "notices/notices.h"
+
+#include <algorithm>
+#include <cmath>
+#include <ostream>
+
+#include "config/json.h"
+
+namespace myrtleloft {
+namespace {
+
+constexpr double kAnswerMs = 500, kRetryMs = 100;
+constexpr std::size_t kMostAtOnce = 200;
+
+}  // namespace
+
+void Notices::add(const std::string& id, Verdict verdict, double waitMs) {
+  std::string line = "{\"ref\":" + json::quote(id);
+  line += verdict == Verdict::kDead ? ",\"result\":\"dead\"" : ",\"result\":\"bounced\"";
+  if (verdict == Verdict::kBounced && waitMs > 0)
+    line += ",\"wait_ms\":" + std::to_string(static_cast<std::int64_t>(std::ceil(waitMs)));
+  waiting_.push_back({id, line + "}\n"});
+  if (posted_ == 0 && timer_ == Loop::kNoTimer) again(0);  // those of one batch go together
+}
+
+void Notices::again(double delayMs) {
+  timer_ = loop_.after(delayMs, [this] { post(); });
+}
+
+void Notices::post() {
+  timer_ = Loop::kNoTimer;
+  if (waiting_.empty()) return;
+  posted_ = std::min(waiting_.size(), oneByOne_ ? 1 : kMostAtOnce);
+  std::string body;
+  for (std::size_t i = 0; i < posted_; ++i) body += waiting_[i].line;
+  if (!connection_ || !connection_->reusable())
+    connection_ = std::make_unique<ClientConnection>(loop_, platform_);
+  if (!connection_->open()) {
+    posted_ = 0;
+    return again(kRetryMs);
+  }
+  const Headers headers = {{"Content-Type", "application/x-ndjson"}};
+  connection_->send(writeRequest("POST", "/v1/outcomes", platform_.text, headers, body),
+                    [this](const ClientConnection::Result& result) { onResult(result); });
+  timer_ = loop_.after(kAnswerMs, [this] {
+    connection_->close();
+    onResult({});
+  });
+}
+
+void Notices::onResult(const ClientConnection::Result& result) {
+  loop_.cancel(timer_);
+  const std::size_t posted = std::exchange(posted_, 0);
+  const int status = result.end == ClientConnection::End::kAnswered ? result.answer.status : 0;
+  const bool confirmed = status == 204 || status == 200;
+  // One notice that cannot be read must not hold back the others: alone it is set aside.
+  const bool unreadable = status == 400 && posted == 1;
+  if (confirmed || unreadable) {
+    if (unreadable) log_ << "notice not accepted: " << waiting_.front().line << std::flush;
+    if (confirmed) counters_.notices += posted;
+    oneByOne_ = unreadable || (oneByOne_ && waiting_.size() > posted);
+    for (std::size_t i = 0; i < posted; ++i) {
+      const std::string id = waiting_.front().id;
+      waiting_.pop_front();
+      confirmed_(id);
+    }
+    if (!waiting_.empty() && timer_ == Loop::kNoTimer) again(0);
+    return;
+  }
+  oneByOne_ = oneByOne_ || status == 400;
+  ++counters_.noticeRetries;
+  again(kRetryMs);
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/notices/notices.h
@@ -0,0 +1,49 @@
+// Notices to the platform: what was taken on and will not be delivered. Kept until they are confirmed.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "journal/journal.h"
+#include "net/client_connection.h"
+#include "net/loop.h"
+#include "relay/counters.h"
+
+namespace myrtleloft {
+
+class Notices {
+ public:
+  using Confirmed = std::function<void(const std::string& id)>;
+
+  Notices(Loop& loop, const Address& platform, Counters& counters, std::ostream& log)
+      : loop_(loop), platform_(platform), counters_(counters), log_(log) {}
+
+  void onConfirmed(Confirmed confirmed) { confirmed_ = std::move(confirmed); }
+  void add(const std::string& id, Verdict verdict, double waitMs);
+  bool empty() const { return waiting_.empty(); }
+
+ private:
+  struct Notice {
+    std::string id, line;
+  };
+
+  void post();
+  void onResult(const ClientConnection::Result& result);
+  void again(double delayMs);
+
+  Loop& loop_;
+  Address platform_;
+  Counters& counters_;
+  std::ostream& log_;
+  Confirmed confirmed_;
+  std::deque<Notice> waiting_;  // those posted first, then those that came since
+  std::size_t posted_ = 0;      // 0: no call is out
+  bool oneByOne_ = false;
+  std::unique_ptr<ClientConnection> connection_;
+  Loop::Timer timer_ = Loop::kNoTimer;
+};
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/outbound/answers.cpp
@@ -0,0 +1,123 @@
+#include "outbound/answers.h"
+
+#include <charconv>
+#include <cmath>
+#include <optional>
+
+#include "config/json.h"
+
+namespace myrtleloft {
+namespace {
+
+std::optional<double> decimal(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+// Seconds on the socket, whole milliseconds in the module: rounded up, or the wait would end early.
+std::int64_t waitMs(const HttpMessage& answer) {
+  const std::string* text = answer.header("Retry-After");
+  const auto seconds = text ? decimal(*text) : std::nullopt;
+  return seconds && *seconds > 0 && *seconds < 1e6 ? static_cast<std::int64_t>(std::ceil(*seconds * 1000))
+                                                   : 0;
+}
+
+CallOutcome outcomeOfState(const std::string& id, const std::string& state, std::int64_t wait) {
+  if (state == "accepted") return {id, Outcome::kGood, true, wait};
+  if (state == "deferred") return {id, Outcome::kFull, false, wait};
+  if (state == "expired") return {id, Outcome::kNop, true, 0};
+  if (state == "no_more") return {id, Outcome::kNop, false, 0};
+  return {id, Outcome::kBad, false, wait};  // "fault", and whatever cannot be read: it may have run
+}
+
+}  // namespace
+
+std::string base64(std::string_view bytes) {
+  static constexpr std::string_view kDigits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string out;
+  for (std::size_t i = 0; i < bytes.size(); i += 3) {
+    std::uint32_t three = 0;
+    for (std::size_t k = 0; k < 3; ++k)
+      three = three << 8 | (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k]) : 0);
+    for (std::size_t k = 0; k < 4; ++k)
+      out += i + k > bytes.size() ? '=' : kDigits[three >> (18 - 6 * k) & 63];
+  }
+  return out;
+}
+
+std::string writeBulk(const std::vector<CallItem>& items) {
+  std::string out = "[";
+  for (const CallItem& item : items) {
+    if (out.size() > 1) out += ',';
+    out += "{\"id\":" + json::quote(item.id);
+    if (!item.key.empty()) out += ",\"key\":" + json::quote(item.key);
+    out += ",\"body\":\"" + base64(item.body) + "\"}";
+  }
+  return out += ']';
+}
+
+CallOutcome readAnswer(const HttpMessage& answer) {
+  const std::int64_t wait = waitMs(answer);
+  switch (answer.status) {
+    case 200:
+      return {"", Outcome::kGood, true, wait};
+    case 429:
+      return {"", Outcome::kFull, false, wait};
+    case 503:
+      if (const std::string* over = answer.header("X-Over-Slots"); over && *over == "1")
+        return {"", Outcome::kNop, false, 1};
+      return {"", Outcome::kFull, false, wait};
+    case 410:
+      return {"", Outcome::kNop, true, 0};
+    case 400:  // unreadable, or more than one call may hold: nothing of it has run
+    case 413:
+    case 504:
+      return {"", Outcome::kNop, false, 0};
+    default:
+      return {"", Outcome::kBad, false, wait};
+  }
+}
+
+std::vector<CallOutcome> readBulkAnswer(const HttpMessage& answer, const std::vector<CallItem>& items) {
+  std::vector<CallOutcome> outcomes;
+  std::string error;
+  const auto ends = json::parse(answer.body, error);
+  const std::int64_t wait = waitMs(answer);
+  for (const CallItem& item : items) {
+    std::string state;
+    if (ends)
+      for (const json::Value& end : ends->items)
+        if (end.string("id") == item.id) state = end.string("state").value_or("");
+    outcomes.push_back(outcomeOfState(item.id, state, wait));
+  }
+  return outcomes;
+}
+
+Report readReport(const HttpMessage& answer, const std::vector<std::string>& columns) {
+  Report report;
+  const std::string* header = answer.header("X-Server-Load");
+  std::string_view rest = header ? *header : answer.body;
+  if (columns.empty() || rest.substr(0, 5) != "TEXT ") return report;
+  rest.remove_prefix(5);
+  while (!rest.empty()) {
+    const std::size_t end = std::min(rest.find(','), rest.size());
+    std::string_view part = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    while (!part.empty() && part.front() == ' ') part.remove_prefix(1);
+    const std::size_t equals = part.find('=');
+    if (equals == std::string_view::npos) continue;
+    const std::string_view name = part.substr(0, equals);
+    const auto value = decimal(part.substr(equals + 1));
+    for (const std::string& column : columns) {
+      if (column != name || !value) continue;
+      if (name == "x0") report.allowanceLeft = value;
+      if (name == "x1") report.limitPerS = value;
+    }
+  }
+  return report;
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/outbound/answers.h
@@ -0,0 +1,23 @@
+// What an endpoint's answer means: PROTOCOL's table in one place. No sockets, no state.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "myrtleloft/dispatcher.h"
+#include "net/http.h"
+#include "outbound/outbound.h"
+
+namespace myrtleloft {
+
+// Body of a bulk call.
+std::string writeBulk(const std::vector<CallItem>& items);
+// The common outcome of an answer to a whole call; its id is empty.
+CallOutcome readAnswer(const HttpMessage& answer);
+// The outcomes of a bulk call that was answered 200, one for each item.
+std::vector<CallOutcome> readBulkAnswer(const HttpMessage& answer, const std::vector<CallItem>& items);
+// What the answer tells of the endpoint's limit.
+Report readReport(const HttpMessage& answer, const std::vector<std::string>& columns);
+std::string base64(std::string_view bytes);
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/outbound/outbound.cpp
@@ -0,0 +1,211 @@
+#include "outbound/outbound.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "outbound/answers.h"
+
+namespace myrtleloft {
+namespace {
+
+// An endpoint closes idle connections itself at the told age; a call must not cross that close on its way.
+constexpr double kRetireEarlyMs = 500, kIdleFallbackMs = 10000;
+
+std::string seconds(double ms) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", ms / 1000);
+  return text;
+}
+
+}  // namespace
+
+void Outbound::call(const EndpointEntry& endpoint, std::vector<CallItem> items) {
+  Call call;
+  call.bulk = items.size() > 1;
+  double longest = 0;
+  for (const CallItem& item : items) longest = std::max(longest, item.capMs);
+  std::string bytes;
+  if (call.bulk) {
+    const Headers headers = {{"Content-Type", "application/json"}, {"X-Timeout", seconds(longest)}};
+    bytes = writeRequest("POST", "/inbox/bulk", endpoint.address.text, headers, writeBulk(items));
+  } else {
+    const CallItem& item = items.front();
+    Headers headers = {{"X-Request-ID", item.id}};
+    if (!item.key.empty()) headers.emplace_back("Idempotency-Key", item.key);
+    headers.emplace_back("X-Timeout", seconds(item.capMs));
+    bytes = writeRequest("POST", "/inbox", endpoint.address.text, headers, item.body);
+  }
+  ++counters_.calls;
+  counters_.sends += items.size();
+  call.items = std::move(items);
+  start(std::move(call), endpoint, std::move(bytes));
+}
+
+void Outbound::probe(const EndpointEntry& endpoint) {
+  Call call;
+  call.probe = true;
+  call.items.push_back({"", "", "", limits_.connectTimeoutMs});
+  ++counters_.probes;
+  start(std::move(call), endpoint, writeRequest("GET", "/alive", endpoint.address.text, {}, ""));
+}
+
+void Outbound::start(Call call, const EndpointEntry& endpoint, std::string bytes) {
+  const std::uint64_t number = ++lastCall_;
+  call.uid = endpoint.entry.target;
+  call.address = endpoint.address.text;
+  call.startedMs = loop_.nowMs();
+  call.connection = connectionTo(endpoint);
+  ClientConnection& connection = *call.connection;
+  const bool fresh = !connection.connected();
+  calls_.emplace(number, std::move(call));
+  armCap(number);
+  if (!connection.open()) {  // out of descriptors: nothing was sent, and it says nothing of the endpoint
+    calls_.at(number).connectTimer = loop_.after(0, [this, number] { giveUp(number, Outcome::kNop); });
+    return;
+  }
+  connection.send(std::move(bytes),
+                  [this, number](ClientConnection::Result r) { onResult(number, std::move(r)); });
+  if (!fresh || limits_.connectTimeoutMs <= 0) return;
+  calls_.at(number).connectTimer = loop_.after(limits_.connectTimeoutMs, [this, number] {
+    if (!calls_.at(number).connection->connected()) giveUp(number, Outcome::kNoConn);
+  });
+}
+
+Outbound::Connection Outbound::connectionTo(const EndpointEntry& endpoint) {
+  trimIdle();
+  std::vector<Idle>& idle = idle_[endpoint.entry.target];
+  while (!idle.empty()) {  // the newest first: the others may then grow old and go
+    Idle last = std::move(idle.back());
+    idle.pop_back();
+    if (last.address == endpoint.address.text && last.connection->reusable())
+      return std::move(last.connection);
+  }
+  ++counters_.connectionsOut;
+  return std::make_unique<ClientConnection>(loop_, endpoint.address);
+}
+
+void Outbound::keep(Call& call) {
+  if (!call.connection->reusable()) return;
+  idle_[call.uid].push_back({std::move(call.connection), call.address, loop_.nowMs()});
+  trimIdle();
+}
+
+void Outbound::trimIdle() {
+  const double told = limits_.connIdleMs > 0 ? limits_.connIdleMs : kIdleFallbackMs;
+  const double since = loop_.nowMs() - std::max(told / 2, told - kRetireEarlyMs);
+  std::size_t count = 0;
+  for (auto at = idle_.begin(); at != idle_.end();) {
+    std::erase_if(at->second,
+                  [since](const Idle& idle) { return idle.sinceMs < since || !idle.connection->open(); });
+    count += at->second.size();
+    at = at->second.empty() ? idle_.erase(at) : std::next(at);
+  }
+  for (; count > limits_.idleConnections; --count) {
+    const auto longest = std::min_element(idle_.begin(), idle_.end(), [](const auto& a, const auto& b) {
+      return a.second.front().sinceMs < b.second.front().sinceMs;
+    });
+    longest->second.erase(longest->second.begin());
+    if (longest->second.empty()) idle_.erase(longest);
+  }
+}
+
+void Outbound::freeIdle(const std::string& uid) { idle_.erase(uid); }
+
+void Outbound::armCap(std::uint64_t number) {
+  Call& call = calls_.at(number);
+  double longest = 0;
+  for (const CallItem& item : call.items) longest = std::max(longest, item.capMs);
+  const double left = call.startedMs + longest - loop_.nowMs();
+  call.capTimer = loop_.after(left, [this, number] { giveUp(number, Outcome::kLate); });
+}
+
+void Outbound::abandon(const std::string& id) {
+  for (const auto& [number, call] : calls_) {
+    const auto carries = [&id](const CallItem& item) { return item.id == id; };
+    if (std::none_of(call.items.begin(), call.items.end(), carries)) continue;
+    return giveUp(number, Outcome::kCancelled);
+  }
+}
+
+void Outbound::giveUp(std::uint64_t number, Outcome outcome) {
+  Call call = std::move(calls_.at(number));
+  calls_.erase(number);
+  loop_.cancel(call.connectTimer);
+  loop_.cancel(call.capTimer);
+  // An answer whose first line is in counts, however slowly the rest comes.
+  if (const int status = call.connection->statusSoFar(); status != 0 && !call.bulk) {
+    HttpMessage answer;
+    answer.status = status;
+    reportAll(call, readAnswer(answer), {});
+    return;
+  }
+  const bool neverRan = outcome == Outcome::kNop || !call.connection->lastByteWritten();
+  reportAll(call,
+            {"",
+             outcome == Outcome::kNop ? outcome
+             : neverRan               ? Outcome::kNoConn
+                                      : outcome,
+             false, 0},
+            {});
+}
+
+void Outbound::onResult(std::uint64_t number, ClientConnection::Result result) {
+  Call call = std::move(calls_.at(number));
+  calls_.erase(number);
+  loop_.cancel(call.connectTimer);
+  loop_.cancel(call.capTimer);
+  if (result.end != ClientConnection::End::kAnswered) {
+    const bool neverRan = result.end == ClientConnection::End::kNotSent;
+    reportAll(call, {"", neverRan ? Outcome::kNoConn : Outcome::kReset, false, 0}, {});
+    return;
+  }
+  keep(call);
+  const Report told = readReport(result.answer, limits_.reportColumns);
+  if (call.bulk && result.answer.status == 200)
+    report(call, readBulkAnswer(result.answer, call.items), told);
+  else
+    reportAll(call, readAnswer(result.answer), told);
+}
+
+void Outbound::reportAll(const Call& call, const CallOutcome& like, const Report& told) {
+  std::vector<CallOutcome> outcomes;
+  for (const CallItem& item : call.items)
+    outcomes.push_back({item.id, like.outcome, like.ended, like.detail});
+  report(call, std::move(outcomes), told);
+}
+
+void Outbound::report(const Call& call, std::vector<CallOutcome> outcomes, const Report& told) {
+  const double tookMs = loop_.nowMs() - call.startedMs;
+  if (call.probe) return listener_->onProbed(call.uid, tookMs, outcomes.front().outcome, told);
+  for (const CallOutcome& o : outcomes) {
+    switch (o.outcome) {
+      case Outcome::kGood:
+        ++counters_.good;
+        break;
+      case Outcome::kBad:
+        ++counters_.bad;
+        break;
+      case Outcome::kFull:
+        ++counters_.full;
+        break;
+      case Outcome::kLate:
+        ++counters_.late;
+        break;
+      case Outcome::kNoConn:
+        ++counters_.noConn;
+        break;
+      case Outcome::kReset:
+        ++counters_.reset;
+        break;
+      case Outcome::kCancelled:
+        ++counters_.cancelled;
+        break;
+      case Outcome::kNop:
+        ++counters_.nop;
+        break;
+    }
+  }
+  listener_->onOutcomes(call.uid, tookMs, outcomes, told);
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/outbound/outbound.h
@@ -0,0 +1,95 @@
+// The server side: calls to endpoints, their connections, and probes. Knows nothing of clients.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "discovery/destination_set.h"
+#include "myrtleloft/dispatcher.h"
+#include "net/client_connection.h"
+#include "net/loop.h"
+#include "relay/counters.h"
+
+namespace myrtleloft {
+
+struct CallItem {
+  std::string id, key, body;
+  double capMs = 0;  // how long the relay waits for this one
+};
+
+struct CallOutcome {
+  std::string id;
+  Outcome outcome = Outcome::kBad;
+  bool ended = false;
+  std::int64_t detail = 0;
+};
+
+class CallListener {
+ public:
+  virtual ~CallListener() = default;
+  // Outcomes of one call; each of its requests is named once, over one or more such calls.
+  virtual void onOutcomes(const std::string& uid, double tookMs, const std::vector<CallOutcome>& outcomes,
+                          const Report& report) = 0;
+  virtual void onProbed(const std::string& uid, double tookMs, Outcome outcome, const Report& report) = 0;
+};
+
+struct OutboundLimits {
+  double connectTimeoutMs = 0, connIdleMs = 0;
+  std::size_t idleConnections = 0;
+  std::vector<std::string> reportColumns;
+};
+
+class Outbound {
+ public:
+  Outbound(Loop& loop, Counters& counters, OutboundLimits limits)
+      : loop_(loop), counters_(counters), limits_(std::move(limits)) {}
+
+  void listen(CallListener& listener) { listener_ = &listener; }
+  // One call; several items go as one bulk. Never reports before it returns.
+  void call(const EndpointEntry& endpoint, std::vector<CallItem> items);
+  // Gives up the call that carries this request, with all its items.
+  void abandon(const std::string& id);
+  void probe(const EndpointEntry& endpoint);
+  void freeIdle(const std::string& uid);
+  std::size_t callsOut() const { return calls_.size(); }
+
+ private:
+  using Connection = std::unique_ptr<ClientConnection>;
+  struct Idle {
+    Connection connection;
+    std::string address;
+    double sinceMs = 0;
+  };
+  struct Call {
+    std::string uid, address;
+    std::vector<CallItem> items;  // those without an outcome yet
+    bool bulk = false, probe = false;
+    double startedMs = 0;
+    Connection connection;
+    Loop::Timer connectTimer, capTimer;
+  };
+
+  void start(Call call, const EndpointEntry& endpoint, std::string bytes);
+  Connection connectionTo(const EndpointEntry& endpoint);
+  void keep(Call& call);
+  void trimIdle();
+  void armCap(std::uint64_t number);
+  void onResult(std::uint64_t number, ClientConnection::Result result);
+  // Ends a call that had no answer; where its last byte was not written it cannot have run.
+  void giveUp(std::uint64_t number, Outcome outcome);
+  void report(const Call& call, std::vector<CallOutcome> outcomes, const Report& report);
+  void reportAll(const Call& call, const CallOutcome& like, const Report& report);
+
+  Loop& loop_;
+  Counters& counters_;
+  OutboundLimits limits_;
+  CallListener* listener_ = nullptr;
+  std::map<std::uint64_t, Call> calls_;
+  std::map<std::string, std::vector<Idle>> idle_;  // by uid, the longest idle first
+  std::uint64_t lastCall_ = 0;
+};
+
+}  // namespace myrtleloft
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -185,7 +185,24 @@
     ++open_;
     mayPass(*m.dest);
     m.dest->arrived.add(now_, coldMs_);
+    m.attempts = e.attempts;
+    for (const EarlierAttempt& earlier : e.doubts) doubt(m, earlier.sentMs, earlier.zone);
+    m.failures = static_cast<int>(e.doubts.size());
     hold(m);
+    // Taken on before a restart: what its earlier attempts forbid is as if they had been made here.
+    if (m.attempts > 0) giveUpIfSpent(m);
+  }
+  // An attempt that may have run.
+  void doubt(Message& m, double sentMs, int zone) {
+    if (!m.mayHaveRun) m.firstDoubtMs = sentMs;
+    m.mayHaveRun = true;
+    if (classOf(m).repeat == Repeat::kByKey)
+      windows_.emplace(m.firstDoubtMs + classOf(m).memorySpanMs * kWindowShare, m.id);
+    m.doubtZones.push_back(zone);
+  }
+  void giveUpIfSpent(Message& m) {
+    if (m.failures >= kTries || (s_.sendCap > 0 && m.attempts >= s_.sendCap) || !anyRouteAllowed(m))
+      giveUp(m, 0);
   }
 
   void take(const HangUpEvent& e) {
@@ -219,11 +236,7 @@
     const bool ran = e.outcome == Outcome::kBad || e.outcome == Outcome::kLate ||
                      e.outcome == Outcome::kReset || e.outcome == Outcome::kCancelled;
     if (ran) {
-      if (!m.mayHaveRun) m.firstDoubtMs = call.sentMs;
-      m.mayHaveRun = true;
-      if (classOf(m).repeat == Repeat::kByKey)
-        windows_.emplace(m.firstDoubtMs + classOf(m).memorySpanMs * kWindowShare, m.id);
-      m.doubtZones.push_back(r.zone);
+      doubt(m, call.sentMs, r.zone);
       if (e.outcome != Outcome::kBad && !m.orderKey.empty())
         keys_[m.orderKey].restUntilMs = now_ + s_.settleAfterDoubtMs;
     }
@@ -235,8 +248,7 @@
     if (ran) ++m.failures;
     if (e.outcome == Outcome::kLate) ++m.lates;
     hold(m);
-    if (m.failures >= kTries || (s_.sendCap > 0 && m.attempts >= s_.sendCap) || !anyRouteAllowed(m))
-      giveUp(m, 0);
+    giveUpIfSpent(m);
   }
 
   // ---- harm: the one place that says what a message's attempts so far still permit ----
--- /dev/null
+++ b/src/relay/relay.cpp
@@ -0,0 +1,171 @@
+#include "myrtleloft/relay.h"
+
+#include <sys/signalfd.h>
+
+#include <algorithm>
+#include <csignal>
+
+#include "config/config.h"
+#include "discovery/watch.h"
+#include "exchange/exchange.h"
+#include "inbound/inbound.h"
+#include "journal/journal.h"
+#include "notices/notices.h"
+#include "outbound/outbound.h"
+#include "relay/counters.h"
+
+namespace myrtleloft {
+namespace {
+
+// Draining, from SIGTERM on. New clients keep coming for up to 0.4 s, and SIGKILL comes after 3.7 s.
+constexpr double kRetireMs = 450;    // then connections are closed between requests
+constexpr double kQuiesceMs = 2600;  // then nothing new is sent
+constexpr double kStopMs = 3300;     // then what is still out is left to the journal
+constexpr double kLookMs = 25;
+// Descriptors that neither clients nor idle connections get: the listener, journal, discovery, calls out.
+constexpr int kReserve = 48;
+
+const char* nameOf(Relay::Phase phase) {
+  switch (phase) {
+    case Relay::Phase::kStarting:
+      return "starting";
+    case Relay::Phase::kRecovering:
+      return "recovering";
+    case Relay::Phase::kServing:
+      return "serving";
+    case Relay::Phase::kDraining:
+      return "draining";
+    case Relay::Phase::kStopped:
+      return "stopped";
+  }
+  return "";
+}
+
+std::size_t idleConnections(const Config& config) { return static_cast<std::size_t>(config.sockets / 8); }
+
+std::size_t clientConnections(const Config& config) {
+  const int rest = config.sockets - kReserve - config.sockets / 8 - config.settings.callSlots;
+  return static_cast<std::size_t>(std::max(rest, 8));
+}
+
+}  // namespace
+
+class Relay::Impl {
+ public:
+  Impl(const Environment& environment, std::ostream& log)
+      : log_(log),
+        config_(readConfig(environment)),
+        loop_(clock_),
+        journal_(config_.stateFolder, config_.diskBytes),
+        notices_(loop_, config_.discovery, counters_, log_),
+        outbound_(loop_, counters_,
+                  {config_.settings.connectTimeoutMs, config_.settings.connIdleMs, idleConnections(config_),
+                   config_.reportColumns}),
+        watch_(loop_, config_.discovery, config_.names, destinations_, counters_, log_),
+        exchange_({loop_, clock_, destinations_, journal_, notices_, outbound_, counters_, log_},
+                  config_.settings, [this] { watch_.fetch(); }),
+        inbound_(loop_, exchange_, counters_, {config_.classes, config_.tenants},
+                 clientConnections(config_)) {
+    outbound_.listen(exchange_);
+    notices_.onConfirmed([this](const std::string& id) { exchange_.onConfirmed(id); });
+  }
+
+  int run() {
+    std::string error;
+    if (!takeSignals() || !inbound_.open(config_.listen, error) || !recover(error)) {
+      log_ << config_.name << ": " << (error.empty() ? "signals cannot be taken" : error) << std::endl;
+      enter(Phase::kStopped);
+      return 1;
+    }
+    enter(Phase::kServing);
+    inbound_.setReady(true);
+    while (phase_ != Phase::kStopped) loop_.runOnce();
+    printCounters();
+    return 0;
+  }
+
+  void drain() {
+    if (phase_ != Phase::kServing) return;
+    enter(Phase::kDraining);
+    inbound_.setReady(false);
+    drainingMs_ = loop_.nowMs();
+    loop_.after(kRetireMs, [this] { inbound_.retire(); });
+    loop_.after(kQuiesceMs, [this] { exchange_.quiesce(); });
+    loop_.after(kRetireMs + kLookMs, [this] { look(); });
+  }
+
+  Phase phase() const { return phase_; }
+  void printCounters() const { counters_.print(log_); }
+
+ private:
+  void enter(Phase phase) {
+    phase_ = phase;
+    log_ << config_.name << ": " << nameOf(phase) << std::endl;
+  }
+
+  bool recover(std::string& error) {
+    enter(Phase::kRecovering);
+    Journal::Owed owed;
+    if (!journal_.open(owed, error)) return false;
+    log_ << config_.name << ": " << owed.size() << " requests owed from before" << std::endl;
+    exchange_.recover(std::move(owed), destinations_.apply(config_.known, ListKind::kDisk));
+    watch_.start([this](ListEvent event) { exchange_.onList(std::move(event)); });
+    return true;
+  }
+
+  // Whether draining is over.
+  void look() {
+    const double passed = loop_.nowMs() - drainingMs_;
+    const bool quiet = passed >= kQuiesceMs && outbound_.callsOut() == 0 && notices_.empty();
+    const bool done = exchange_.settled() && inbound_.connections() == 0;
+    if (done || quiet || passed >= kStopMs) return enter(Phase::kStopped);
+    loop_.after(kLookMs, [this] { look(); });
+  }
+
+  bool takeSignals() {
+    sigset_t wanted;
+    sigemptyset(&wanted);
+    for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&wanted, signal);
+    if (::pthread_sigmask(SIG_BLOCK, &wanted, nullptr) != 0) return false;
+    signals_ = Fd(::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
+    if (!signals_) return false;
+    loop_.watch(signals_.get(), POLLIN, [this](short) { onSignal(); });
+    return true;
+  }
+
+  void onSignal() {
+    signalfd_siginfo info;
+    while (::read(signals_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
+      if (info.ssi_signo == SIGUSR1)
+        printCounters();
+      else
+        drain();
+    }
+  }
+
+  std::ostream& log_;
+  Clock clock_;
+  Config config_;
+  Counters counters_;
+  Loop loop_;
+  Fd signals_;
+  DestinationSet destinations_;
+  Journal journal_;
+  Notices notices_;
+  Outbound outbound_;
+  DiscoveryWatch watch_;
+  Exchange exchange_;
+  Inbound inbound_;
+  Phase phase_ = Phase::kStarting;
+  double drainingMs_ = 0;
+};
+
+Relay::Relay(const Environment& environment, std::ostream& log)
+    : impl_(std::make_unique<Impl>(environment, log)) {}
+Relay::~Relay() = default;
+int Relay::run() { return impl_->run(); }
+void Relay::drain() { impl_->drain(); }
+Relay::Phase Relay::phase() const { return impl_->phase(); }
+void Relay::printCounters() const { impl_->printCounters(); }
+
+}  // namespace myrtleloft
