Hold what few forwarders were refused as full, instead of handing it back

Lines at fault: handBack in src/policy.cpp, which takes a route for hopeless as soon as its turns are rare, although a limit has room again within seconds. So it is spared among up to 4 forwarders only.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -61,6 +61,8 @@
 // Busy scopes go on unbounded for a while after a first failure, until the odds speak: such that of an outage
 // of kShortOutage cold spans or more at most e^-kGraceCalls of the calls find a forwarder still in it.
 constexpr double kShortOutage = 0.4, kGraceCalls = 2.5;
+// Up to so many forwarders hold what was refused as full, rather than hand it back to one another.
+constexpr int kHoldPeers = 4;
 // Successes in a row before a scope that comes back gets messages that an error would lose.
 constexpr int kProven = 2;
 // What is kept of an older healthy rate.
@@ -861,6 +863,12 @@
     }
   }
 
+  // Refused as full, and not shut by the odds: a limit has room again within seconds. (Messages that had 15 s
+  // left were handed back, each after one refusal by each of its routes, because nothing had been delivered
+  // there yet in the first seconds of a day.) Only among few: what hundreds hold is a burst for a cold
+  // return.
+  bool merelyFull(const Scope& s) const { return peers_ <= kHoldPeers && s.fulls > 0 && !s.cold; }
+
   // Held for a scope whose turns here are so rare that none is likely in its time, a message is handed back
   // at once: its client may come to a forwarder that was told nothing. It holds against any outage and any
   // long refusal, where hundreds of forwarders hold a message each; it hurts where clients do not come again.
@@ -875,7 +883,7 @@
         const double left = (m->notAfterMs - now_) / 1000;
         const auto none = [&, m = m](Route* r) {
           return !r->open || !allowed(*m, *r) || !maySend(*m, *r) ||
-                 (r->scope->rare && !r->scope->earned && !busy(*r->scope) &&
+                 (r->scope->rare && !merelyFull(*r->scope) && !r->scope->earned && !busy(*r->scope) &&
                   ratePerS(*r->scope) * left < held * again);
         };
         if (mayRefuse(*m) && std::all_of(dest->routes.begin(), dest->routes.end(), none))
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -187,6 +187,24 @@
   }
 }
 
+// In the first seconds of a day each route refuses once as full: its limit has room again soon, so the
+// message is held. (It was handed back with 20 s left, where the same refusal later in the day would have
+// held it.)
+TEST(Scarce, AmongFewAMessageRefusedAsFullByEachRouteIsHeld) {
+  Settings s = plain();
+  s.balancers = 3;
+  Rig rig(s);
+  rig.at(0, {snapshot({entry("a"), entry("b")}), rig.message("m")});
+  rig.at(50, {rig.outcome("m", Outcome::kFull, 300)});
+  rig.at(100, {rig.outcome("m", Outcome::kFull, 300)});
+  ASSERT_EQ(rig.sendsOf("m"), 2);
+  std::vector<Event> more;
+  for (int i = 0; i < 20; ++i) more.push_back(rig.message(numbered(i)));
+  rig.at(110, more);
+  rig.pass(1000);
+  EXPECT_TRUE(rig.refused.empty());
+}
+
 // ---- ordinary path ----
 TEST(Chain, LeadServesThenNextAfterRefusedConnection) {
   Rig rig(plain(Repeat::kOnce));
