--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -62,9 +62,11 @@
   const auto list = value ? readList(*value, names_, error) : std::nullopt;
   if (!list) {  // the last list stays
     ++counters_.listFaults;
-    log_ << "discovery's list not taken: " << error << std::endl;
+    if (error != lastError_) log_ << "discovery's list not taken: " << error << std::endl;
+    lastError_ = error;  // it is asked for ten times a second: said once is enough
     return false;
   }
+  lastError_.clear();
   ListEvent event = set_.apply(*list);
   if (!list->all && event.entries.empty()) return true;
   ++counters_.lists;
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -37,6 +37,7 @@
   std::ostream& log_;
   Changed changed_;
   bool whole_ = false;
+  std::string lastError_;
   std::unique_ptr<ClientConnection> connection_;
   Loop::Timer timer_ = Loop::kNoTimer;
 };
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -8,7 +8,7 @@
 
 // Advice of the relay's own, where the module was not asked: over maxOpen, journal full, about to end.
 constexpr double kComeBackMs = 1000;
-constexpr double kCompactAgainMs = 1000;
+constexpr double kCompactAgainMs = 1000;  // after a failure
 // What an item of a bulk call takes beside its id, key and body.
 constexpr std::size_t kItemFrame = 40;
 
@@ -276,14 +276,14 @@
 }
 
 void Exchange::compact() {
-  if (!parts_.journal.wantsCompaction() || lastBatchMs_ < compactedMs_ + kCompactAgainMs) return;
-  compactedMs_ = lastBatchMs_;
+  if (!parts_.journal.wantsCompaction() || lastBatchMs_ < compactAgainMs_) return;
   std::vector<const OwedRequest*> owed;
   for (const auto& [id, open] : open_) owed.push_back(&open.owed);
   if (parts_.journal.compact(owed)) {
     ++parts_.counters.compactions;
   } else {
     ++parts_.counters.journalFaults;
+    compactAgainMs_ = lastBatchMs_ + kCompactAgainMs;
     parts_.log << "the journal could not be compacted" << std::endl;
   }
 }
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -85,7 +85,7 @@
   std::size_t held_ = 0;  // open requests that the module has not ended
   std::vector<Event> pending_;
   std::vector<std::string> fresh_;  // came in since the last batch, in their order
-  double lastBatchMs_ = -1e9, compactedMs_ = -1e9;
+  double lastBatchMs_ = -1e9, compactAgainMs_ = 0;
   bool quiet_ = false;
   Loop::Timer batchTimer_ = Loop::kNoTimer;
 };
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -277,7 +277,8 @@
 
 bool Journal::append(const std::string& payload) {
   const std::string record = framed(payload);
-  if (broken_ || !file_ || blocks(size_ + record.size()) > diskBytes_) return false;
+  // What is owed must always fit beside the file, or it could never be compacted again and would stay full.
+  if (broken_ || !file_ || blocks(size_ + record.size()) + blocks(owedBytes_) > diskBytes_) return false;
   if (writeAll(file_, record)) {
     size_ += record.size();
     return true;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -62,7 +62,7 @@
     if (io == Io::kClosed) state = reader_.finish();
     if (state == HttpReader::State::kMore) continue;
     if (state == HttpReader::State::kDone) return finish(End::kAnswered, reader_.take());
-    if (const int status = reader_.status(); status != 0) {
+    if (reader_.partial().status != 0) {
       // The first line decides; an answer cut short after it has still been given.
       HttpMessage answer = reader_.take();
       answer.keepAlive = false;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -35,8 +35,8 @@
   bool reusable() const;
   bool connected() const { return connected_; }
   bool lastByteWritten() const { return connected_ && written_ == out_.size(); }
-  // The status of an answer that has only begun; 0: none yet.
-  int statusSoFar() const { return reader_.status(); }
+  // An answer that has only begun; its status is 0 until its first line is in.
+  const HttpMessage& answerSoFar() const { return reader_.partial(); }
   void close();
 
  private:
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -39,7 +39,8 @@
 
   int errorStatus() const { return errorStatus_; }  // after kBad: 400, 413 or 431
   bool midMessage() const { return !buffer_.empty() || step_ != Step::kHead; }
-  int status() const { return message_.status; }  // of an answer, as soon as its first line is in
+  // What is in so far; the status of an answer as soon as its first line is.
+  const HttpMessage& partial() const { return message_; }
   bool expectsContinue() const { return expectsContinue_ && step_ != Step::kHead && step_ != Step::kDone; }
   void continued() { expectsContinue_ = false; }
 
--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -161,11 +161,9 @@
   calls_.erase(number);
   loop_.cancel(call.connectTimer);
   loop_.cancel(call.capTimer);
-  // An answer whose first line is in counts, however slowly the rest comes.
-  if (const int status = call.connection->statusSoFar(); status != 0 && !call.bulk) {
-    HttpMessage answer;
-    answer.status = status;
-    reportAll(call, readAnswer(answer), {});
+  // An answer whose first line is in counts, however slowly the rest comes, and so does a wait told in it.
+  if (const HttpMessage& begun = call.connection->answerSoFar(); begun.status != 0 && !call.bulk) {
+    reportAll(call, readAnswer(begun), {});
     return;
   }
   const bool neverRan = outcome == Outcome::kNop || !call.connection->lastByteWritten();
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -49,7 +49,7 @@
   HttpReader reader(HttpReader::Side::kAnswer);
   reader.buffer() = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nab";
   CHECK(reader.advance() == HttpReader::State::kMore);
-  CHECK_EQ(reader.status(), 200);
+  CHECK_EQ(reader.partial().status, 200);
   reader.buffer() += "c";
   CHECK(reader.advance() == HttpReader::State::kMore);
   CHECK(reader.finish() == HttpReader::State::kDone);
@@ -176,6 +176,25 @@
   CHECK(reopened(folder.path).empty());
 }
 
+// A burst of large requests once filled the file so far that the next compaction had no room beside it.
+TEST_CASE("a journal filled by a burst can still be compacted") {
+  Folder folder;
+  Journal journal(folder.path.string(), 64 * 1024);
+  Journal::Owed none;
+  std::string error;
+  REQUIRE(journal.open(none, error));
+  std::vector<OwedRequest> kept;
+  for (int i = 0; i < 20; ++i)
+    if (journal.taken(owed(std::to_string(i), 2000))) kept.push_back(owed(std::to_string(i), 2000));
+  REQUIRE(kept.size() > 5);
+  while (journal.attempt("1", {"E1", 0, 1}) && journal.harmless("1")) {
+  }
+  std::vector<const OwedRequest*> all;
+  for (const OwedRequest& r : kept) all.push_back(&r);
+  REQUIRE(journal.compact(all));
+  CHECK(journal.attempt("1", {"E1", 0, 1}));
+}
+
 TEST_CASE("the journal stays under its limit, compaction included, and keeps what it took") {
   Folder folder;
   constexpr std::size_t kLimit = 64 * 1024;
