Tell clients when to come back from what is given up with time left

Seen: giveUpIfSpent and the closing of a keyed window refused with no advice, although the operator asks that a client be told when to come back. The advice is when the first route that is not in doubt rests and waits no more, a fall window where none is. Checked: the new test fails without it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -204,7 +204,15 @@
   }
   void giveUpIfSpent(Message& m) {
     if (m.failures >= kTries || (s_.sendCap > 0 && m.attempts >= s_.sendCap) || !anyRouteAllowed(m))
-      giveUp(m, 0);
+      giveUp(m, adviceMs(*m.dest));
+  }
+  // When a client that hands a message in again may find room: once a route rests and waits no more.
+  double adviceMs(const Destination& d) const {
+    double at = now_ + fallMs_;
+    for (const Route* r : d.routes)
+      if (r->open && !doubtful(*r))
+        at = std::min(at, std::max({r->restUntilMs, r->scope->waitUntilMs, r->scope->restUntilMs}));
+    return std::max(at - now_, usualOfAll());
   }
 
   void take(const HangUpEvent& e) {
@@ -574,10 +582,8 @@
     s.turn = std::exponential_distribution<double>(1)(random_);
   }
 
-  double usual(const Route& r) const {
-    if (r.usualMs > 0) return r.usualMs;
-    return usualOfAllMs_ > 0 ? usualOfAllMs_ : 250;
-  }
+  double usual(const Route& r) const { return r.usualMs > 0 ? r.usualMs : usualOfAll(); }
+  double usualOfAll() const { return usualOfAllMs_ > 0 ? usualOfAllMs_ : 250; }
   bool silent(const Route& r) const {
     if (r.calls.empty()) return false;
     const double since = std::max(calls_.at(*r.calls.begin()).sentMs, r.lastGoodMs);
@@ -842,7 +848,8 @@
     while (!windows_.empty() && windows_.begin()->first < now_) {
       const auto at = messages_.find(windows_.begin()->second);
       windows_.erase(windows_.begin());
-      if (at != messages_.end() && at->second.held && windowClosed(at->second)) giveUp(at->second, 0);
+      if (at != messages_.end() && at->second.held && windowClosed(at->second))
+        giveUp(at->second, adviceMs(*at->second.dest));
     }
     while (!due_.empty() && due_.begin()->first.first <= now_ + 2 * s_.resolutionMs)
       giveUp(*due_.begin()->second, 0);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -205,6 +205,22 @@
   EXPECT_TRUE(rig.refused.empty());
 }
 
+// What is given up with time left tells its client when to come back.
+TEST(OneAnswer, GivenUpAfterItsTriesItSaysWhenToComeBack) {
+  Rig rig(plain());
+  rig.at(0, {snapshot({entry("a")}), rig.message("m")});
+  double advice = -1, t = 0;
+  for (std::size_t answered = 0; advice < 0 && t < 15000; t += 50) {
+    std::vector<Event> events;
+    if (rig.sends.size() > answered) events.push_back(rig.outcome("m", Outcome::kBad)), ++answered;
+    for (const auto& a : rig.at(t + 50, events))
+      if (const auto* r = std::get_if<RefuseAction>(&a)) advice = r->comeBackMs;
+  }
+  EXPECT_EQ(rig.sendsOf("m"), 3);
+  EXPECT_GT(advice, 0);
+  EXPECT_LE(advice, 3000);
+}
+
 // ---- ordinary path ----
 TEST(Chain, LeadServesThenNextAfterRefusedConnection) {
   Rig rig(plain(Repeat::kOnce));
