Tell the module of a send that was let go because its request was not taken on

The module kept a call out for good: a slot, and a place at the endpoint, lost with each such request. Lines at fault: Exchange::plan in src/exchange/exchange.cpp. Caps now come from the steady clock, so that setting the wall clock changes none.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -46,7 +46,7 @@
       event.id = id;
       event.cls = request.cls;
       event.tenant = request.tenant;
-      event.notAfterMs = nowMs + (request.notAfterWallMs - wallMs);
+      event.notAfterMs = open_[id].notAfterMs = nowMs + (request.notAfterWallMs - wallMs);
       event.destination = request.destination;
       event.isRetry = request.isRetry;
       event.attempts = request.attempts;
@@ -86,6 +86,7 @@
 
   Open& open = open_[request.id];
   open.answer = std::move(answer);
+  open.notAfterMs = event.notAfterMs;
   open.owed.notAfterWallMs = parts_.clock.wallMs() + request.leftMs;
   open.owed.id = request.id;
   open.owed.key = std::move(request.key);
@@ -231,11 +232,12 @@
 
 void Exchange::plan(const SendAction& action, std::vector<Plan>& plans) {
   const auto at = open_.find(action.id);
-  if (at == open_.end()) return;  // not taken on after all
   const EndpointEntry* endpoint = parts_.destinations.find(action.target);
-  if (!endpoint) return notSent(action.id, action.target);
+  // Not taken on after all, or gone from the list. The module must hear of it, or the slot that it set aside
+  // for the call would stay taken for good.
+  if (at == open_.end() || !endpoint) return notSent(action.id, action.target);
   const OwedRequest& owed = at->second.owed;
-  const double leftMs = std::max(1.0, owed.notAfterWallMs - parts_.clock.wallMs());
+  const double leftMs = std::max(1.0, at->second.notAfterMs - parts_.loop.nowMs());
   const double capMs = action.capMs > 0 ? std::min(action.capMs, leftMs) : leftMs;
   const bool toItsEnd = capMs > leftMs - 2 * std::max(1.0, settings_.resolutionMs);
   CallItem item{owed.id, owed.key, owed.body, capMs, toItsEnd};
@@ -270,9 +272,9 @@
 
 // An attempt of the module's that never left: it counts, and is proven harmless.
 void Exchange::notSent(const std::string& id, const std::string& uid) {
-  OwedRequest& owed = open_.at(id).owed;
-  ++owed.attempts;
-  push(OutcomeEvent{id, owed.attempts - 1, uid, Outcome::kNop, 0, false, 0, {}});
+  const auto at = open_.find(id);
+  const int attempt = at == open_.end() ? 0 : at->second.owed.attempts++;  // only first attempts are let go
+  push(OutcomeEvent{id, attempt, uid, Outcome::kNop, 0, at == open_.end(), 0, {}});
 }
 
 void Exchange::compact() {
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -52,7 +52,8 @@
  private:
   struct Open {
     OwedRequest owed;
-    AnswerTo answer;  // until the client has its answer
+    AnswerTo answer;        // until the client has its answer
+    double notAfterMs = 0;  // the steady clock's: the wall clock may be set while the request is held
   };
   struct Plan {  // sends of one batch that travel as one call
     std::string uid;
