Refuse ids and keys that are no text, and time a request from its first bytes

Seen in review: an id with bytes that are no text made its notice unreadable for the platform, so the end would never be told; and a client trickling a byte now and then held its connection for ever, since each byte renewed its ten seconds. Lines at fault: readRequest and Inbound::readAndServe.

--- a/src/inbound/inbound.cpp
+++ b/src/inbound/inbound.cpp
@@ -52,6 +52,10 @@
   return std::nullopt;
 }
 
+bool printable(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) { return c >= 0x20 && c < 0x7f; });
+}
+
 std::string text(const HttpMessage& message, std::string_view name) {
   const std::string* value = message.header(name);
   return value ? *value : std::string();
@@ -69,6 +73,8 @@
   if (!cls || !to || !seconds || !std::isfinite(*seconds) || *seconds < 0) return std::nullopt;
   if (request.id.empty() || request.id.size() > kLongestId || request.key.size() > kLongestKey)
     return std::nullopt;
+  // Both travel on inside JSON: bytes that are no text would make a notice unreadable, and the end untold.
+  if (!printable(request.id) || !printable(request.key)) return std::nullopt;
   if (const std::string* tenant = message.header("X-Tenant-Id"); tenant && !names.tenants.empty()) {
     const auto index = indexOf(names.tenants, *tenant);
     if (!index) return std::nullopt;
@@ -147,11 +153,12 @@
 
 void Inbound::readAndServe(Number number) {
   Connection& c = connections_.at(number);
+  // A request's time runs from its first bytes: a client that trickles must not hold a connection for ever.
+  if (c.idle()) c.activeMs = loop_.nowMs();
   // What a client sends ahead of an answer waits in the socket; one piece more is enough to see it close.
   const Io io = readSome(c.fd, c.reader.buffer());
   if (io == Io::kWouldBlock) return;
   if (io == Io::kProgress) {
-    c.activeMs = loop_.nowMs();
     if (c.lingering)
       c.reader.buffer().clear();
     else
