Heed a wait that a bulk answer tells beside what it delivered

Seen in review of the protocol: a bulk answer of 200 may carry a wait, which binds like any other; the outcome handler in src/policy.cpp heeded waits of refusals only, so a call of which all messages were accepted left it unheard, against the rule on waits. Checked: Waits.BindBesideADelivery fails on the old line and passes on the new one.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -241,7 +241,9 @@
     if (e.report.limitPerS) r.scope->limitPerS = *e.report.limitPerS;
     if (!call.judged) judge(r, call, e);
     if (e.outcome == Outcome::kFull && e.detail > fallMs_) r.scope->earned = false;
-    if (e.outcome == Outcome::kFull && e.detail > 0)
+    // A bulk call may tell a wait beside messages that it delivered; only "not sent" uses the field
+    // otherwise.
+    if (e.outcome != Outcome::kNop && e.detail > 0)
       r.scope->waitUntilMs = std::max(r.scope->waitUntilMs, now_ + static_cast<double>(e.detail));
     const bool ran = e.outcome == Outcome::kBad || e.outcome == Outcome::kLate ||
                      e.outcome == Outcome::kReset || e.outcome == Outcome::kCancelled;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -672,6 +672,17 @@
 }
 
 // ---- rule 5 ----
+// One answer to several messages may deliver some and tell a wait as well.
+TEST(Waits, BindBesideADelivery) {
+  Rig rig(plain());
+  rig.at(0, {snapshot({entry("a")}), rig.message("m")});
+  rig.at(100, {rig.outcome("m", Outcome::kGood, 500), rig.message("n")});
+  rig.pass(595, 5);
+  EXPECT_EQ(rig.sendsOf("n"), 0);
+  rig.pass(700, 5);
+  EXPECT_EQ(rig.sendsOf("n"), 1);
+}
+
 TEST(Waits, BindTheRouteOrTheDestination) {
   for (const bool apart : {true, false}) {
     Rig rig(plain(Repeat::kRepeatable, apart));
