--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -55,7 +55,8 @@
   call.probe = true;
   call.items.push_back({"", "", "", limits_.connectTimeoutMs, true});
   ++counters_.probes;
-  start(std::move(call), endpoint, writeRequest("GET", "/alive", endpoint.address.text, {}, ""));
+  const char* path = limits_.reportColumns.empty() ? "/alive" : "/metrics/load";  // the latter also reports
+  start(std::move(call), endpoint, writeRequest("GET", path, endpoint.address.text, {}, ""));
 }
 
 void Outbound::start(Call call, const EndpointEntry& endpoint, std::string bytes) {
@@ -204,34 +205,7 @@
 void Outbound::report(const Call& call, std::vector<CallOutcome> outcomes, const Report& told) {
   const double tookMs = loop_.nowMs() - call.startedMs;
   if (call.probe) return listener_->onProbed(call.uid, tookMs, outcomes.front().outcome, told);
-  for (const CallOutcome& o : outcomes) {
-    switch (o.outcome) {
-      case Outcome::kGood:
-        ++counters_.good;
-        break;
-      case Outcome::kBad:
-        ++counters_.bad;
-        break;
-      case Outcome::kFull:
-        ++counters_.full;
-        break;
-      case Outcome::kLate:
-        ++counters_.late;
-        break;
-      case Outcome::kNoConn:
-        ++counters_.noConn;
-        break;
-      case Outcome::kReset:
-        ++counters_.reset;
-        break;
-      case Outcome::kCancelled:
-        ++counters_.cancelled;
-        break;
-      case Outcome::kNop:
-        ++counters_.nop;
-        break;
-    }
-  }
+  for (const CallOutcome& o : outcomes) ++counters_.outcomes.at(static_cast<std::size_t>(o.outcome));
   listener_->onOutcomes(call.uid, tookMs, outcomes, told);
 }
 
--- a/src/relay/counters.cpp
+++ b/src/relay/counters.cpp
@@ -7,9 +7,11 @@
       << " malformed=" << malformed << " taken=" << taken << " fail-fast=" << failFast
       << " fail-fast-full=" << failFastFull << " hang-ups=" << hangUps << " recovered=" << recovered << '\n'
       << "counters out: connections=" << connectionsOut << " calls=" << calls << " sends=" << sends
-      << " probes=" << probes << " good=" << good << " bad=" << bad << " full=" << full << " late=" << late
-      << " no-connection=" << noConn << " reset=" << reset << " cancelled=" << cancelled
-      << " not-sent=" << nop << '\n'
+      << " probes=" << probes;
+  static constexpr std::array kNames = {"good",          "bad",   "full",      "late",
+                                        "no-connection", "reset", "cancelled", "not-sent"};
+  for (std::size_t i = 0; i < outcomes.size(); ++i) out << ' ' << kNames[i] << '=' << outcomes[i];
+  out << '\n'
       << "counters ends: delivered=" << delivered << " expired=" << expired << " dead=" << dead
       << " bounced=" << bounced << " notices=" << notices << " notice-retries=" << noticeRetries << '\n'
       << "counters rest: batches=" << batches << " lists=" << lists << " list-faults=" << listFaults
--- a/src/relay/counters.h
+++ b/src/relay/counters.h
@@ -1,6 +1,7 @@
 // What the relay has taken in, sent and answered since its start.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <ostream>
 
@@ -12,7 +13,7 @@
   std::uint64_t hangUps = 0, recovered = 0;
   // outbound
   std::uint64_t connectionsOut = 0, calls = 0, sends = 0, probes = 0;
-  std::uint64_t good = 0, bad = 0, full = 0, late = 0, noConn = 0, reset = 0, cancelled = 0, nop = 0;
+  std::array<std::uint64_t, 8> outcomes{};  // in the order of Outcome
   // ends
   std::uint64_t delivered = 0, expired = 0, dead = 0, bounced = 0, notices = 0, noticeRetries = 0;
   // the rest
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -71,6 +71,7 @@
   }
 
   int run() {
+    enter(Phase::kStarting);
     std::string error;
     if (!takeSignals() || !inbound_.open(config_.listen, error) || !recover(error)) {
       log_ << config_.name << ": " << (error.empty() ? "signals cannot be taken" : error) << std::endl;
--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -103,6 +103,8 @@
     if (verb == "log") return expectLog(line.substr(line.find(' ') + 1));
     if (verb == "connect") return connect(name);
     if (verb == "accept") return accept(name, rest);
+    if (verb == "shut") return void(::shutdown(peers_.at(name).fd.get(), SHUT_WR));
+    if (verb == "refuse") return void(listeners_.erase(name));
     if (verb == "close") return void(peers_.erase(name));
     if (arrow == std::string::npos || !peers_.count(line.substr(0, arrow))) throw Failure("unknown step");
     speak(peers_.at(line.substr(0, arrow)), line.substr(arrow));
