Close a client's connection only when nothing of it waits to be read

The client may send it once more, but the close is ours to avoid. Not covered by a test of its own: the window is one turn of the loop, and a test would have to hit it by timing.

--- a/src/inbound/inbound.cpp
+++ b/src/inbound/inbound.cpp
@@ -140,7 +140,7 @@
   const Connection* longest = nullptr;
   Number which = 0;
   for (const auto& [number, c] : connections_)
-    if (c.idle() && (!longest || c.activeMs < longest->activeMs)) longest = &c, which = number;
+    if ((!longest || c.activeMs < longest->activeMs) && c.closable()) longest = &c, which = number;
   if (longest) drop(which);
 }
 
@@ -283,7 +283,7 @@
   retiring_ = true;
   std::vector<Number> idle;
   for (const auto& [number, c] : connections_)
-    if (c.idle()) idle.push_back(number);
+    if (c.closable()) idle.push_back(number);
   for (const Number number : idle) drop(number);
 }
 
@@ -296,9 +296,9 @@
   }
   for (const Number number : old) {
     Connection& c = connections_.at(number);
-    if (c.lingering || c.idle() || !c.out.empty()) {
+    if (c.lingering || !c.out.empty() || c.closable()) {
       drop(number);
-    } else {
+    } else if (!c.idle()) {
       c.keepAlive = false;
       reply(number, 408);
     }
--- a/src/inbound/inbound.h
+++ b/src/inbound/inbound.h
@@ -45,6 +45,8 @@
     std::string waiting;  // id of the request that is not answered yet
     bool keepAlive = true, lingering = false;
     bool idle() const { return waiting.empty() && out.empty() && !lingering && !reader.midMessage(); }
+    // May be closed: no request is on it, not even one that has come and was not read yet.
+    bool closable() const { return idle() && !hasInput(fd); }
   };
   using Number = std::uint64_t;
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -16,7 +16,7 @@
   loop_.setEvents(fd_.get(), POLLIN | POLLOUT);
 }
 
-bool ClientConnection::reusable() const { return fd_ && connected_ && !done_ && !idleBroken(fd_); }
+bool ClientConnection::reusable() const { return fd_ && connected_ && !done_ && !hasInput(fd_); }
 
 void ClientConnection::close() {
   if (!fd_) return;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -108,7 +108,7 @@
   return Io::kProgress;
 }
 
-bool idleBroken(const Fd& fd) {
+bool hasInput(const Fd& fd) {
   char byte = 0;
   const ssize_t got = ::recv(fd.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -57,7 +57,7 @@
 Io readSome(const Fd& fd, std::string& into);
 // Writes from `bytes` at `offset`, and moves `offset`.
 Io writeSome(const Fd& fd, std::string_view bytes, std::size_t& offset);
-// Whether the peer has closed, or sent something unasked, on a connection that should be idle.
-bool idleBroken(const Fd& fd);
+// Whether anything waits to be read: bytes, or the peer's close.
+bool hasInput(const Fd& fd);
 
 }  // namespace myrtleloft
