Reload on SIGHUP; doubt spoilt answers; bound the time and room of bad clients

Now LiveConfig owns the configuration, both hold a reference to it, the file's discovery goes before the variable of the start, the watch asks the new address for the whole list and a notice cut off goes there. Ruled out: a crash of another kind (the log ends with "serving").

Spoilt answers. Found by reading, then by playing spoilt_answers.txt against the former program: a 503 that promises more than comes held its call until its cap, and ClientConnection::read and Outbound::giveUp took a broken answer's status from its first line, so a charge that had run could have gone again. Only 200 to a single message stands now; the rest may have run, the connection is closed, and an answer that began has 0.5 s to end.

Bad clients. bad_clients.txt against the former program: a half request was held for 10 s, against 3 s owed, a silent connection for 60 s, and half requests gave no room to others. Now 2 s, and room is made from whoever does least. A request with bytes behind it, or of a destination that no list named, is not taken on, and none is held for longer than its class allows. Buffers of idle connections go with their content.

--- a/include/myrtleloft/relay.h
+++ b/include/myrtleloft/relay.h
@@ -23,7 +23,8 @@
   Relay(const Environment& environment, std::ostream& log);
   ~Relay();
 
-  // Serves until it is stopped; SIGTERM and SIGINT drain, SIGUSR1 prints the counters. The exit code.
+  // Serves until it is stopped; SIGTERM and SIGINT drain, SIGHUP reads the configuration
+  // again, SIGUSR1 prints the counters. The exit code.
   int run();
   // Takes nothing more on for long, sees calls out to their end, then stops.
   void drain();
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -126,6 +126,21 @@
 
 }  // namespace
 
+LiveConfig::LiveConfig(Environment environment)
+    : environment_(std::move(environment)), config_(readConfig(environment_)) {}
+
+std::string LiveConfig::reload() {
+  // The variable told where discovery was at the start. A file that was replaced since is the newer word:
+  // left in force, the variable would hold the relay to an address that answers no more.
+  environment_.erase("BALANCER_DISCOVERY");
+  try {
+    config_.discovery = readConfig(environment_).discovery;
+    return "";
+  } catch (const ConfigError& fault) {
+    return fault.what();
+  }
+}
+
 Config readConfig(const Environment& environment) {
   const std::string path = variable(environment, "BALANCER_CONFIG");
   if (path.empty()) refuse("BALANCER_CONFIG", "not set");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -22,6 +22,23 @@
   DestinationList known;
 };
 
+// The one owner of the configuration. Of what the file says, `discovery` may change while the relay runs:
+// those who use it keep a reference to it, never a copy.
+class LiveConfig {
+ public:
+  // Throws ConfigError.
+  explicit LiveConfig(Environment environment);
+
+  const Config& get() const { return config_; }
+  // Reads the file again. On a fault everything stays as it was, and the text names the faulty key; empty:
+  // none.
+  std::string reload();
+
+ private:
+  Environment environment_;
+  Config config_;
+};
+
 // Reads the file that BALANCER_CONFIG names; the other BALANCER_ variables go before what it says.
 Config readConfig(const Environment& environment);
 // The same from the file's text.
--- a/src/discovery/destination_set.cpp
+++ b/src/discovery/destination_set.cpp
@@ -77,6 +77,7 @@
     const auto known = endpoints_.find(endpoint.entry.target);
     if (endpoint.entry.state != RouteState::kDeleted) {
       event.entries.push_back(endpoint.entry);
+      destinations_.insert(endpoint.entry.destination);
       endpoints_.insert_or_assign(endpoint.entry.target, endpoint);
     } else if (known != endpoints_.end()) {
       // The module is told where it stood: a change may name nothing but the uid.
--- a/src/discovery/destination_set.h
+++ b/src/discovery/destination_set.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,11 +40,14 @@
   ListEvent apply(const DestinationList& list, ListKind wholeKind = ListKind::kSnapshot);
   // nullptr: unknown, or gone from the list.
   const EndpointEntry* find(std::string_view uid) const;
+  // Whether any list so far named an endpoint for it: one that has none just now may get another.
+  bool knows(std::int64_t destination) const { return destinations_.count(destination) != 0; }
   std::int64_t rev() const { return rev_; }
   bool empty() const { return endpoints_.empty(); }
 
  private:
   std::map<std::string, EndpointEntry, std::less<>> endpoints_;
+  std::set<std::int64_t> destinations_;
   std::int64_t rev_ = 0;
 };
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -10,7 +10,7 @@
 // A change that a silent discovery could not tell counts as told 2 s after the call's wait at the latest.
 constexpr int kWaitMs = 10000;
 constexpr double kSilenceMs = kWaitMs + 1000.0;
-constexpr std::size_t kListLimit = 4 * 1024 * 1024;
+constexpr ClientConnection::AnswerLimits kListLimits{4 * 1024 * 1024, 5000};
 
 }  // namespace
 
@@ -29,7 +29,7 @@
 void DiscoveryWatch::ask() {
   loop_.cancel(timer_);
   if (!connection_ || !connection_->reusable())
-    connection_ = std::make_unique<ClientConnection>(loop_, discovery_, kListLimit);
+    connection_ = std::make_unique<ClientConnection>(loop_, discovery_, kListLimits);
   if (!connection_->open()) {
     timer_ = loop_.after(kAgainMs, [this] { ask(); });
     return;
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -21,7 +21,8 @@
       : loop_(loop), discovery_(discovery), names_(names), set_(set), counters_(counters), log_(log) {}
 
   void start(Changed changed);
-  // Asks for the whole list with the next call, which starts at once.
+  // Asks for the whole list with the next call, which starts at once on a connection of its own: also what is
+  // to be done when discovery's address has changed.
   void fetch();
 
  private:
@@ -30,7 +31,7 @@
   bool accept(const ClientConnection::Result& result);
 
   Loop& loop_;
-  Address discovery_;
+  const Address& discovery_;  // the configuration's, which may change
   ListNames names_;
   DestinationSet& set_;
   Counters& counters_;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -76,18 +76,26 @@
     ++parts_.counters.failFastFull;
     return answer({Answer::Kind::kFailFast, kComeBackMs});
   }
+  // No list ever named it: held until its time is up, it would only take the room of others.
+  if (!parts_.destinations.knows(request.destination)) {
+    ++parts_.counters.failFastUnknown;
+    return answer({Answer::Kind::kFailFast, kComeBackMs});
+  }
+  // None may be held for longer than its class allows, whatever its client says.
+  const double leftMs =
+      std::min(request.leftMs, settings_.classes.at(static_cast<std::size_t>(request.cls)).hardLimitMs);
   MessageEvent event;
   event.id = request.id;
   event.cls = request.cls;
   event.tenant = request.tenant;
-  event.notAfterMs = parts_.loop.nowMs() + request.leftMs;
+  event.notAfterMs = parts_.loop.nowMs() + leftMs;
   event.destination = request.destination;
   event.isRetry = request.isRetry;
 
   Open& open = open_[request.id];
   open.answer = std::move(answer);
   open.notAfterMs = event.notAfterMs;
-  open.owed.notAfterWallMs = parts_.clock.wallMs() + request.leftMs;
+  open.owed.notAfterWallMs = parts_.clock.wallMs() + leftMs;
   open.owed.id = request.id;
   open.owed.key = std::move(request.key);
   open.owed.body = std::move(request.body);
--- a/src/inbound/inbound.cpp
+++ b/src/inbound/inbound.cpp
@@ -11,9 +11,17 @@
 namespace myrtleloft {
 namespace {
 
-// Silent peers: how long a connection may stay idle, and how long a started request or answer may take.
-constexpr double kIdleMs = 60000, kStuckMs = 10000, kLingerMs = 1000, kSweepMs = 500;
-constexpr double kAcceptAgainMs = 20;
+// How long a connection may take for its first whole request from its start, for a later one from its first
+// byte, and to read an answer; how long it may be idle between requests; how long it stays after an error,
+// and how much more is read of it then.
+constexpr double kRequestMs = 2000, kIdleMs = 5000, kLingerMs = 500, kSweepMs = 200;
+constexpr std::size_t kLingerBytes = 256 * 1024;
+// With no room left: how long one may have said nothing, or stood still half-way, before it gives way. A
+// client sends as soon as it is connected, so its first bytes wait here before the connection is even
+// accepted.
+constexpr double kSilentMs = 50, kHalfWayMs = 250;
+constexpr double kAcceptAgainMs = 10;
+constexpr int kAcceptsAtOnce = 64;  // so that connections without end do not keep the loop from the others
 constexpr std::size_t kLongestId = 128, kLongestKey = 256;
 
 template <typename T>
@@ -112,7 +120,7 @@
 }
 
 void Inbound::onAccept() {
-  for (;;) {
+  for (int i = 0; i < kAcceptsAtOnce; ++i) {
     if (connections_.size() >= mostConnections_) makeRoom();
     int error = 0;
     // With no room the rest waits in the backlog: closing it would leave requests unanswered.
@@ -131,17 +139,38 @@
     loop_.watch(fd.get(), POLLIN, [this, number](short revents) { onEvents(number, revents); });
     Connection& c = connections_[number];
     c.fd = std::move(fd);
-    c.activeMs = loop_.nowMs();
+    c.sinceMs = loop_.nowMs();
   }
 }
 
-// The connection that was idle longest gives way; a client may expect that between requests.
+Inbound::Stage Inbound::Connection::stage() const {
+  if (lingering) return Stage::kLingering;
+  if (!waiting.empty()) return Stage::kAsked;
+  if (!out.empty()) return Stage::kAnswering;
+  if (reader.midMessage()) return Stage::kBegun;
+  return answered ? Stage::kIdle : Stage::kSilent;
+}
+
+// The connection that does least gives way: hundreds that say nothing must not keep out those that have
+// something to say. None with an open request is closed, nor one whose request has come and was not read yet.
 void Inbound::makeRoom() {
-  const Connection* longest = nullptr;
-  Number which = 0;
-  for (const auto& [number, c] : connections_)
-    if ((!longest || c.activeMs < longest->activeMs) && c.closable()) longest = &c, which = number;
-  if (longest) drop(which);
+  std::optional<Number> which;
+  std::pair<int, double> least;
+  const double now = loop_.nowMs();
+  for (const auto& [number, c] : connections_) {
+    const Stage stage = c.stage();
+    const double patience = stage == Stage::kSilent                                ? kSilentMs
+                            : stage == Stage::kBegun || stage == Stage::kAnswering ? kHalfWayMs
+                                                                                   : 0;
+    const std::pair rank{static_cast<int>(stage), c.sinceMs};
+    if (stage == Stage::kAsked || now - c.sinceMs < patience || (which && least <= rank)) continue;
+    if ((stage == Stage::kSilent || stage == Stage::kIdle) && hasInput(c.fd)) continue;
+    which = number;
+    least = rank;
+  }
+  if (!which) return;
+  ++counters_.evicted;
+  drop(*which);
 }
 
 void Inbound::onEvents(Number number, short revents) {
@@ -154,15 +183,22 @@
 void Inbound::readAndServe(Number number) {
   Connection& c = connections_.at(number);
   // A request's time runs from its first bytes: a client that trickles must not hold a connection for ever.
-  if (c.idle()) c.activeMs = loop_.nowMs();
-  // What a client sends ahead of an answer waits in the socket; one piece more is enough to see it close.
+  if (c.stage() == Stage::kIdle) c.sinceMs = loop_.nowMs();
   const Io io = readSome(c.fd, c.reader.buffer());
   if (io == Io::kWouldBlock) return;
   if (io == Io::kProgress) {
-    if (c.lingering)
+    if (c.lingering) {
+      c.dropped += c.reader.buffer().size();
       c.reader.buffer().clear();
-    else
+      if (c.dropped > kLingerBytes) drop(number);
+    } else if (!c.waiting.empty()) {
+      ++counters_.hangUps;
+      sink_.onHangUp(c.waiting);
+      c.waiting.clear();
+      refuse(number, 400);  // see onMessage
+    } else {
       serve(number);
+    }
     return;
   }
   if (!c.waiting.empty() &&
@@ -185,10 +221,9 @@
     const auto at = connections_.find(number);
     if (at == connections_.end()) return;
     Connection& c = at->second;
-    if (!c.waiting.empty() || !c.out.empty() || c.lingering) {
-      if (c.reader.buffer().size() > kBodyLimit) loop_.setEvents(c.fd.get(), c.out.empty() ? 0 : POLLOUT);
-      return;
-    }
+    if (c.stage() == Stage::kAnswering && c.reader.buffer().size() > kBodyLimit)
+      return loop_.setEvents(c.fd.get(), POLLOUT);
+    if (!c.waiting.empty() || !c.out.empty() || c.lingering) return;
     const auto state = c.reader.advance();
     if (state == HttpReader::State::kMore) {
       if (!c.reader.expectsContinue()) return;
@@ -196,11 +231,7 @@
       c.out = "HTTP/1.1 100 Continue\r\n\r\n";
       return flush(number);
     }
-    if (state == HttpReader::State::kBad) {
-      ++counters_.malformed;
-      c.keepAlive = false;
-      return reply(number, c.reader.errorStatus());
-    }
+    if (state == HttpReader::State::kBad) return refuse(number, c.reader.errorStatus());
     onMessage(number, c.reader.take());
   }
 }
@@ -221,6 +252,10 @@
     ++counters_.malformed;
     return reply(number, 400);
   }
+  // Clients send one request at a time. Bytes behind one say that its length was wrong, so that its body is
+  // not what was meant, or that nobody waits for the answers: it is not taken on. What comes a little later,
+  // but before the answer, says the same.
+  if (!c.reader.buffer().empty()) return refuse(number, 400);
   ++counters_.requests;
   c.waiting = request->id;
   sink_.onRequest(std::move(*request), [this, number](const Answer& answer) {
@@ -244,6 +279,14 @@
   });
 }
 
+// What cannot be used, and nothing more of its connection: where the next message would begin is not to be
+// trusted.
+void Inbound::refuse(Number number, int status) {
+  ++counters_.malformed;
+  connections_.at(number).keepAlive = false;
+  reply(number, status);
+}
+
 void Inbound::reply(Number number, int status, const Headers& headers, std::string_view body) {
   Connection& c = connections_.at(number);
   if (retiring_) c.keepAlive = false;
@@ -256,15 +299,16 @@
   const Io io = writeSome(c.fd, c.out, c.written);
   if (io == Io::kFailed) return drop(number);
   if (io == Io::kWouldBlock) return loop_.setEvents(c.fd.get(), POLLOUT);
-  c.out.clear();
+  c.out = std::string();  // with its memory, as the reader does: an idle connection holds none
   c.written = 0;
-  c.activeMs = loop_.nowMs();
+  c.answered = true;
+  c.sinceMs = loop_.nowMs();
   loop_.setEvents(c.fd.get(), POLLIN);
   if (!c.keepAlive) {
     // Closing while the client still sends would reset the connection, and the answer with it: the sending
     // side ends, and what still comes is read and dropped for a moment.
     c.lingering = true;
-    c.reader.buffer().clear();
+    c.reader = HttpReader(HttpReader::Side::kRequest);
     ::shutdown(c.fd.get(), SHUT_WR);
     return;
   }
@@ -290,18 +334,17 @@
 void Inbound::sweep() {
   const double now = loop_.nowMs();
   std::vector<Number> old;
-  for (auto& [number, c] : connections_) {
-    const double most = c.lingering ? kLingerMs : c.idle() ? kIdleMs : kStuckMs;
-    if (now - c.activeMs > most && c.waiting.empty()) old.push_back(number);
+  for (const auto& [number, c] : connections_) {
+    const Stage stage = c.stage();
+    const double most = stage == Stage::kLingering ? kLingerMs : stage == Stage::kIdle ? kIdleMs : kRequestMs;
+    if (stage != Stage::kAsked && now - c.sinceMs > most) old.push_back(number);
   }
   for (const Number number : old) {
-    Connection& c = connections_.at(number);
-    if (c.lingering || !c.out.empty() || c.closable()) {
+    const Connection& c = connections_.at(number);
+    if (c.stage() == Stage::kBegun)
+      refuse(number, 408);
+    else if (c.closable() || c.lingering || !c.out.empty())
       drop(number);
-    } else if (!c.idle()) {
-      c.keepAlive = false;
-      reply(number, 408);
-    }
   }
   sweepTimer_ = loop_.after(kSweepMs, [this] { sweep(); });
 }
--- a/src/inbound/inbound.h
+++ b/src/inbound/inbound.h
@@ -36,17 +36,27 @@
   std::size_t connections() const { return connections_.size(); }
 
  private:
+  // What a connection is at, in the order in which they give way where there is no more room.
+  enum class Stage {
+    kLingering,  // its last answer is written, and what still comes is not read as requests
+    kSilent,     // nothing came yet
+    kIdle,       // between requests
+    kBegun,      // a request is half in
+    kAnswering,  // an answer is half out
+    kAsked,      // a request is open
+  };
   struct Connection {
     Fd fd;
     HttpReader reader{HttpReader::Side::kRequest};
     std::string out;
     std::size_t written = 0;
-    double activeMs = 0;
-    std::string waiting;  // id of the request that is not answered yet
-    bool keepAlive = true, lingering = false;
-    bool idle() const { return waiting.empty() && out.empty() && !lingering && !reader.midMessage(); }
+    std::size_t dropped = 0;  // bytes, while lingering
+    double sinceMs = 0;       // when its present patience began
+    std::string waiting;      // id of the request that is not answered yet
+    bool keepAlive = true, answered = false, lingering = false;
+    Stage stage() const;
     // May be closed: no request is on it, not even one that has come and was not read yet.
-    bool closable() const { return idle() && !hasInput(fd); }
+    bool closable() const { return (stage() == Stage::kIdle || stage() == Stage::kSilent) && !hasInput(fd); }
   };
   using Number = std::uint64_t;
 
@@ -56,6 +66,7 @@
   void readAndServe(Number number);
   void serve(Number number);
   void onMessage(Number number, HttpMessage message);
+  void refuse(Number number, int status);
   void reply(Number number, int status, const Headers& headers = {}, std::string_view body = {});
   void flush(Number number);
   void drop(Number number);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -4,8 +4,11 @@
 
 namespace myrtleloft {
 
-ClientConnection::ClientConnection(Loop& loop, const Address& address, std::size_t answerLimit)
-    : loop_(loop), fd_(connectTo(address)), reader_(HttpReader::Side::kAnswer, answerLimit) {
+ClientConnection::ClientConnection(Loop& loop, const Address& address, const AnswerLimits& limits)
+    : loop_(loop),
+      fd_(connectTo(address)),
+      reader_(HttpReader::Side::kAnswer, limits.bytes),
+      restMs_(limits.restMs) {
   if (fd_) loop_.watch(fd_.get(), POLLOUT, [this](short revents) { onEvents(revents); });
 }
 
@@ -20,6 +23,7 @@
 
 void ClientConnection::close() {
   if (!fd_) return;
+  loop_.cancel(restTimer_);
   loop_.forget(fd_.get());
   fd_.reset();
   done_ = nullptr;
@@ -60,22 +64,36 @@
     }
     auto state = io == Io::kProgress ? reader_.advance() : HttpReader::State::kBad;
     if (io == Io::kClosed) state = reader_.finish();
-    if (state == HttpReader::State::kMore) continue;
-    if (state == HttpReader::State::kDone) return finish(End::kAnswered, reader_.take());
-    if (reader_.partial().status != 0) {
-      // The first line decides; an answer cut short after it has still been given.
-      HttpMessage answer = reader_.take();
-      answer.keepAlive = false;
-      return finish(End::kAnswered, std::move(answer));
+    if (state == HttpReader::State::kMore) {
+      armRest();
+      continue;
     }
-    return finish(lastByteWritten() ? End::kBroken : End::kNotSent);
+    if (state == HttpReader::State::kDone) return finish(End::kAnswered, reader_.take());
+    if (reader_.partial().status == 0 && !lastByteWritten()) return finish(End::kNotSent);
+    return finish(answerBegun() ? End::kSpoilt : End::kBroken, reader_.take());
   }
 }
 
+// An answer that began and does not go on holds a slot of the endpoint and one of ours, up to 28 s for a
+// request that is never called off: a length that promises more than comes was seen to shut a route for so
+// long.
+void ClientConnection::armRest() {
+  if (!answerBegun())
+    return loop_.cancel(restTimer_);  // an interim answer at most: the real one may take long
+  if (restTimer_ != Loop::kNoTimer) return;
+  restTimer_ = loop_.after(restMs_, [this] {
+    restTimer_ = Loop::kNoTimer;
+    finish(End::kSpoilt, reader_.take());
+  });
+}
+
 void ClientConnection::finish(End end, HttpMessage answer) {
   const Done done = std::exchange(done_, nullptr);
+  loop_.cancel(restTimer_);
   // An answer before the whole call was read, or bytes after it, leave a connection that nobody can trust.
   if (end != End::kAnswered || !answer.keepAlive || !lastByteWritten() || !reader_.buffer().empty()) close();
+  out_ = std::string();
+  written_ = 0;
   if (done) done({end, std::move(answer)});  // may destroy this connection
 }
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -13,17 +13,23 @@
 class ClientConnection {
  public:
   enum class End {
-    kAnswered,  // a whole answer, or all that was needed of one
+    kAnswered,  // a whole answer
+    kSpoilt,    // one that cannot be read, or did not go on: `answer` holds what could be made out
     kNotSent,   // it never came up, or broke before the last byte was written: the peer cannot have acted
     kBroken,    // it broke after that
   };
+  struct AnswerLimits {
+    std::size_t bytes = kBodyLimit;
+    double restMs = 500;  // from its first byte to its last
+  };
   struct Result {
     End end = End::kBroken;
     HttpMessage answer;
   };
   using Done = std::function<void(Result)>;
 
-  ClientConnection(Loop& loop, const Address& address, std::size_t answerLimit = kBodyLimit);
+  ClientConnection(Loop& loop, const Address& address) : ClientConnection(loop, address, AnswerLimits()) {}
+  ClientConnection(Loop& loop, const Address& address, const AnswerLimits& limits);
   ~ClientConnection() { close(); }
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
@@ -35,7 +41,8 @@
   bool reusable() const;
   bool connected() const { return connected_; }
   bool lastByteWritten() const { return connected_ && written_ == out_.size(); }
-  // An answer that has only begun; its status is 0 until its first line is in.
+  bool answerBegun() const { return reader_.midMessage(); }
+  // Of an answer that has only begun; its status is 0 until its first line is in.
   const HttpMessage& answerSoFar() const { return reader_.partial(); }
   void close();
 
@@ -43,11 +50,14 @@
   void onEvents(short revents);
   void write();
   void read();
+  void armRest();
   void finish(End end, HttpMessage answer = {});
 
   Loop& loop_;
   Fd fd_;
   HttpReader reader_;
+  double restMs_;
+  Loop::Timer restTimer_ = Loop::kNoTimer;
   std::string out_;
   std::size_t written_ = 0;
   bool connected_ = false;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -111,6 +111,8 @@
   step_ = Step::kHead;
   firstLineRead_ = expectsContinue_ = false;
   headBytes_ = scanned_ = 0;
+  if (buffer_.empty())
+    buffer_ = std::string();  // with its memory: a connection must not keep its largest size
   return message;
 }
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -38,7 +38,7 @@
   HttpMessage take();
 
   int errorStatus() const { return errorStatus_; }  // after kBad: 400, 413 or 431
-  bool midMessage() const { return !buffer_.empty() || step_ != Step::kHead; }
+  bool midMessage() const { return !buffer_.empty() || firstLineRead_ || step_ != Step::kHead; }
   // What is in so far; the status of an answer as soon as its first line is.
   const HttpMessage& partial() const { return message_; }
   bool expectsContinue() const { return expectsContinue_ && step_ != Step::kHead && step_ != Step::kDone; }
--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -23,6 +23,16 @@
   if (posted_ == 0 && timer_ == Loop::kNoTimer) again(0);  // those of one batch go together
 }
 
+void Notices::moved() {
+  connection_.reset();
+  if (posted_ == 0) return;
+  // Cut off half-way: whether the old address took them on is not known, and twice does no harm.
+  posted_ = 0;
+  ++counters_.noticeRetries;
+  loop_.cancel(timer_);
+  again(0);
+}
+
 void Notices::again(double delayMs) {
   timer_ = loop_.after(delayMs, [this] { post(); });
 }
--- a/src/notices/notices.h
+++ b/src/notices/notices.h
@@ -24,6 +24,8 @@
   void onConfirmed(Confirmed confirmed) { confirmed_ = std::move(confirmed); }
   void add(const std::string& id, Verdict verdict, double waitMs);
   bool empty() const { return waiting_.empty(); }
+  // The platform's address has changed: what is not confirmed goes there.
+  void moved();
 
  private:
   struct Notice {
@@ -35,7 +37,7 @@
   void again(double delayMs);
 
   Loop& loop_;
-  Address platform_;
+  const Address& platform_;  // the configuration's, which may change
   Counters& counters_;
   std::ostream& log_;
   Confirmed confirmed_;
--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -162,11 +162,9 @@
   calls_.erase(number);
   loop_.cancel(call.connectTimer);
   loop_.cancel(call.capTimer);
-  // An answer whose first line is in counts, however slowly the rest comes, and so does a wait told in it.
-  if (const HttpMessage& begun = call.connection->answerSoFar(); begun.status != 0 && !call.bulk) {
-    reportAll(call, readAnswer(begun), {});
-    return;
-  }
+  // An answer that has begun has something to say, though its time is up before its end.
+  if (call.connection->answerBegun())
+    return reportAll(call, readSpoiltAnswer(call.connection->answerSoFar(), call.bulk), {});
   const bool neverRan = outcome == Outcome::kNop || !call.connection->lastByteWritten();
   reportAll(call,
             {"",
@@ -182,6 +180,10 @@
   calls_.erase(number);
   loop_.cancel(call.connectTimer);
   loop_.cancel(call.capTimer);
+  if (result.end == ClientConnection::End::kSpoilt) {
+    ++counters_.spoilt;
+    return reportAll(call, readSpoiltAnswer(result.answer, call.bulk), {});
+  }
   if (result.end != ClientConnection::End::kAnswered) {
     const bool neverRan = result.end == ClientConnection::End::kNotSent;
     reportAll(call, {"", neverRan ? Outcome::kNoConn : Outcome::kReset, false, 0}, {});
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -54,7 +54,7 @@
  public:
   Impl(const Environment& environment, std::ostream& log)
       : log_(log),
-        config_(readConfig(environment)),
+        live_(environment),
         loop_(clock_),
         journal_(config_.stateFolder, config_.diskBytes),
         notices_(loop_, config_.discovery, counters_, log_),
@@ -127,7 +127,7 @@
   bool takeSignals() {
     sigset_t wanted;
     sigemptyset(&wanted);
-    for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&wanted, signal);
+    for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&wanted, signal);
     if (::pthread_sigmask(SIG_BLOCK, &wanted, nullptr) != 0) return false;
     signals_ = Fd(::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
     if (!signals_) return false;
@@ -138,16 +138,39 @@
   void onSignal() {
     signalfd_siginfo info;
     while (::read(signals_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
-      if (info.ssi_signo == SIGUSR1)
-        printCounters();
-      else
-        drain();
+      switch (info.ssi_signo) {
+        case SIGUSR1:
+          printCounters();
+          break;
+        case SIGHUP:
+          reload();
+          break;
+        default:
+          drain();
+      }
     }
   }
 
+  // In any phase: what is still owed while draining has to reach the new address too.
+  void reload() {
+    const std::string before = config_.discovery.text, fault = live_.reload();
+    if (!fault.empty()) {
+      ++counters_.reloadFaults;
+      log_ << config_.name << ": the configuration stays as it was: " << fault << std::endl;
+      return;
+    }
+    ++counters_.reloads;
+    log_ << config_.name << ": configuration read again, discovery at " << config_.discovery.text
+         << std::endl;
+    if (config_.discovery.text == before) return;
+    watch_.fetch();
+    notices_.moved();
+  }
+
   std::ostream& log_;
   Clock clock_;
-  Config config_;
+  LiveConfig live_;
+  const Config& config_ = live_.get();
   Counters counters_;
   Loop loop_;
   Fd signals_;
--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -22,7 +22,7 @@
 namespace fs = std::filesystem;
 using Failure = std::runtime_error;
 
-constexpr int kPatienceMs = 15000;  // a step that takes longer has failed
+constexpr int kPatienceMs = 7000;  // a step that takes longer has failed
 
 // The site's settings, with what a script replaces in them.
 constexpr const char* kSettings =
@@ -96,11 +96,14 @@
     const std::size_t arrow = line.find_first_of("<>");
     if (verb == "endpoint") return endpoint(name, rest);
     if (verb == "config") return change(line.substr(line.find(' ') + 1));
+    if (verb == "variable") return variables_.push_back(filled(name));
+    if (verb == "listener") return listen(name);
     if (verb == "start") return start();
+    if (verb == "reload") return reload();
     if (verb == "stop") return expectStop(name, rest);
     if (verb == "signal") return void(::kill(child_, SIGUSR1));
     if (verb == "terminate") return void(::kill(child_, SIGTERM));
-    if (verb == "log") return expectLog(line.substr(line.find(' ') + 1));
+    if (verb == "log") return expectLog(filled(line.substr(line.find(' ') + 1)));
     if (verb == "connect") return connect(name);
     if (verb == "accept") return accept(name, rest);
     if (verb == "shut") return void(::shutdown(peers_.at(name).fd.get(), SHUT_WR));
@@ -142,27 +145,36 @@
   // "config WHAT -> WITH"
   void change(const std::string& rest) {
     const std::size_t arrow = rest.find(" -> ");
-    changes_.emplace_back(rest.substr(0, arrow), rest.substr(arrow + 4));
+    changes_.emplace_back(filled(rest.substr(0, arrow)), filled(rest.substr(arrow + 4)));
   }
-
-  void start() {
+  void writeConfig() {
     std::string config = "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + addresses_["D"] +
                          "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":256,\"disk_mb\":1},"
                          "\"known\":{\"rev\":1,\"all\":true,\"targets\":[" +
                          known_ + "]},\"settings\":" + kSettings + "}";
     for (const auto& [what, with] : changes_) replaceAll(config, what, with);
     std::ofstream(folder_ / "config.json") << config;
+  }
+  void reload() {
+    writeConfig();
+    ::kill(child_, SIGHUP);
+  }
+
+  void start() {
+    writeConfig();
     int out[2];
     if (::pipe2(out, O_CLOEXEC) != 0) throw Failure("no pipe");
-    const std::string configVariable = "BALANCER_CONFIG=" + (folder_ / "config.json").string();
-    const std::string stateVariable = "BALANCER_STATE=" + (folder_ / "state").string();
+    std::vector<std::string> variables = variables_;
+    variables.push_back("BALANCER_CONFIG=" + (folder_ / "config.json").string());
+    variables.push_back("BALANCER_STATE=" + (folder_ / "state").string());
+    std::vector<char*> environment;
+    for (std::string& variable : variables) environment.push_back(variable.data());
+    environment.push_back(nullptr);
     child_ = ::fork();
     if (child_ == 0) {
       ::dup2(out[1], STDERR_FILENO);
       char* arguments[] = {program_.data(), nullptr};
-      char* environment[] = {const_cast<char*>(configVariable.c_str()),
-                             const_cast<char*>(stateVariable.c_str()), nullptr};
-      ::execve(program_.c_str(), arguments, environment);
+      ::execve(program_.c_str(), arguments, environment.data());
       ::_exit(127);
     }
     ::close(out[1]);
@@ -273,6 +285,7 @@
   std::map<std::string, Fd> listeners_;
   std::map<std::string, std::string> addresses_;
   std::vector<std::pair<std::string, std::string>> changes_;
+  std::vector<std::string> variables_;
   std::map<std::string, Peer> peers_;
   Fd output_;
   pid_t child_ = -1;
