Refuse a request that gives itself more time than its class has

A trace of the heads that passed the checks showed them all with 10^23 s of time, which is a number, and finite, and was clamped to the class's (exchange.cpp, onRequest). Usual clients say 12.008 s at most where the class has 12: a second more is allowed and cut, more is 400. Ruled out by the trace: unknown destinations, repeated ids, bodies and tenants.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -8,6 +8,7 @@
 
 // Advice of the relay's own, where the module was not asked: over maxOpen, journal full, about to end.
 constexpr double kComeBackMs = 1000;
+constexpr double kClocksApartMs = 1000;
 constexpr double kCompactAgainMs = 1000;  // after a failure
 // What an item of a bulk call takes beside its id, key and body.
 constexpr std::size_t kItemFrame = 40;
@@ -81,9 +82,11 @@
     ++parts_.counters.failFastUnknown;
     return answer({Answer::Kind::kFailFast, kComeBackMs});
   }
-  // None may be held for longer than its class allows, whatever its client says.
-  const double leftMs =
-      std::min(request.leftMs, settings_.classes.at(static_cast<std::size_t>(request.cls)).hardLimitMs);
+  // None may be held for longer than its class allows. A little more is a clock's; much more is no time at
+  // all. (One that gave itself 10^23 s was taken on, and would have been owed its end for good.)
+  const double mostMs = settings_.classes.at(static_cast<std::size_t>(request.cls)).hardLimitMs;
+  if (request.leftMs > mostMs + kClocksApartMs) return answer({Answer::Kind::kUnusable});
+  const double leftMs = std::min(request.leftMs, mostMs);
   MessageEvent event;
   event.id = request.id;
   event.cls = request.cls;
--- a/src/inbound/inbound.cpp
+++ b/src/inbound/inbound.cpp
@@ -268,6 +268,7 @@
       case Answer::Kind::kFailed:
         return reply(number, 500);
       case Answer::Kind::kUnusable:
+        ++counters_.malformed;
         return reply(number, 400);
       case Answer::Kind::kFailFast:
         break;
