Forget endpoints that left the list once nothing binds them any more

A route closed for two cold spans, with no call out and its told wait over, is forgotten now, and messages' memory of having tried it with it.

--- a/include/myrtleloft/dispatcher.h
+++ b/include/myrtleloft/dispatcher.h
@@ -170,6 +170,9 @@
   // Takes all events of one moment, then decides once. `nowMs` must not run backwards.
   std::vector<Action> onBatch(double nowMs, const std::vector<Event>& events);
 
+  // How many endpoints it remembers, those lately gone included.
+  std::size_t routesKnown() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -122,6 +122,8 @@
     return std::move(actions_);
   }
 
+  std::size_t routesKnown() const { return routes_.size(); }
+
  private:
   double perS(const Rate& r, double tauMs) const { return r.perS(now_, tauMs, tauMs * kLeastSeen); }
 
@@ -141,8 +143,9 @@
       return;
     }
     if (e.kind != ListKind::kDisk) askFailures_ = 0;
+    forgetGone();
     if (e.kind != ListKind::kDiff)
-      for (auto& [id, route] : routes_) route.open = false;
+      for (auto& [id, route] : routes_) close(route);
     for (const ListEntry& entry : e.entries) {
       auto [at, fresh] = routes_.try_emplace(entry.target);
       Route& r = at->second;
@@ -162,7 +165,32 @@
       r.zone = entry.zone;
       r.rating = s_.ratings == RatingKind::kNone ? 0 : entry.rating;
       r.scope->ratingPerS = r.rating;
-      r.open = entry.state == RouteState::kRunning;
+      if (entry.state == RouteState::kRunning)
+        r.open = true;
+      else
+        close(r);
+    }
+  }
+  void close(Route& r) {
+    if (r.open) r.closedMs = now_;
+    r.open = false;
+  }
+  // Endpoints come and go for months, mostly under new ids. A route closed for so long that none of its
+  // failures bounds a pace any more is forgotten with its wait over and nothing out there; one of its id
+  // would start anew.
+  void forgetGone() {
+    for (auto at = routes_.begin(); at != routes_.end();) {
+      Route& r = at->second;
+      if (r.open || !r.calls.empty() || now_ - r.closedMs <= kForgetSpans * coldMs_ ||
+          now_ < r.scope->waitUntilMs) {
+        ++at;
+        continue;
+      }
+      std::erase(r.scope->dest->routes, &r);
+      for (auto& [id, m] : messages_) std::erase(m.tried, &r);
+      if (r.usualMs > 0) --usualKnown_;
+      usualSumMs_ -= r.usualMs;
+      at = routes_.erase(at);
     }
   }
 
@@ -951,4 +979,6 @@
   return impl_->onBatch(nowMs, events);
 }
 
+std::size_t Dispatcher::routesKnown() const { return impl_->routesKnown(); }
+
 }  // namespace myrtleloft
--- a/src/state.h
+++ b/src/state.h
@@ -64,6 +64,7 @@
   std::string id;
   int zone = 0, kind = 0;
   bool apart = false, open = false;
+  double closedMs = 0;  // when it left the list, or began to
   double rating = 0;
   Scope own;
   Scope* scope = nullptr;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -372,6 +372,33 @@
 }
 
 // ---- rule 4 ----
+// On a day on which endpoints came under ever new ids, all those gone stayed in memory.
+TEST(List, EndpointsGoneAreForgottenOnceNothingBindsThem) {
+  Rig r(plain());
+  const auto gone = [](const std::string& id, std::int64_t dest = 1) {
+    return entry(id, dest, 0, RouteState::kDeleted);
+  };
+  r.at(0, {ListEvent{ListKind::kDisk, {entry("a"), entry("b", 2)}}});
+  r.at(1, {r.message("m1", 1), r.message("m2", 2)});
+  ASSERT_EQ(r.sends.size(), 2u);
+  // One route is told a long wait, the other's call stays out.
+  r.at(2, {r.outcome("m1", Outcome::kFull, 60000)});
+  r.at(3, {ListEvent{ListKind::kDiff, {gone("a"), gone("b", 2)}}});
+  for (int i = 0; i < 500; ++i) {
+    const std::int64_t dest = 3 + i % 3;
+    r.at(100 + i * 100.0,
+         {ListEvent{ListKind::kDiff, {entry(numbered(i), dest), gone(numbered(i - 3), dest)}}});
+  }
+  // Of those gone, the last two cold spans' (20 s, at ten a second), and the two that something still binds.
+  EXPECT_GT(r.d.routesKnown(), 200u);
+  EXPECT_LT(r.d.routesKnown(), 210u);
+  // The wait outlasts its route's leave.
+  r.at(r.now + 1, {ListEvent{ListKind::kDiff, {entry("a")}}, r.message("m3")});
+  EXPECT_EQ(r.sendsOf("m3"), 0);
+  r.at(60003, {r.message("m4")});
+  EXPECT_EQ(r.sendsOf("m3") + r.sendsOf("m4"), 1);
+}
+
 TEST(ColdReturn, BudgetHoldsOverAnyWindowAfterAnOutage) {
   Settings s = plain(Repeat::kRepeatable);
   Rig rig(s);
