Let lead routes serve what their told rate keeps busy; gather messages for bulk calls

At destinations of single calls the third call out went down the chain, though the lead was told 36 a second (policy.cpp, chainOf: level = calls / 2). At the one that takes ten in a call, 25 messages a second went one by one, 14.6 of them by the dearest route, for each call counts against a limit of 4 to 5 calls a second. Ruled out: outages and waits (none there in that time), and slots (14 of 15 at most).

Now a route counts as taken at 2.5 times the calls that its told share keeps busy, two at least, and messages gather for the lead route's next call at its told pace, none for more than 15% of its aim.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -67,6 +67,12 @@
 constexpr int kProven = 2;
 // What is kept of an older healthy rate.
 constexpr double kFade = 0.8;
+// Calls out at which a route apart counts as taken, and the next of the chain has its turn: as a multiple of
+// what its told share of the limit keeps busy, and at least.
+constexpr double kAtOnce = 2.5, kLeastAtOnce = 2;
+// For a lead route that takes several messages in a call, they gather from one call to the next at its told
+// pace, so long as none has waited for this share of its aim.
+constexpr double kGather = 0.15;
 // Slots that one scope may hold, and that all doubtful scopes together may hold, as shares of all.
 constexpr double kScopeSlots = 0.6, kDoubtSlots = 0.3;
 // With more than a share kShortSlots of the slots taken, a call out kHopelessFactor usual times is called
@@ -669,7 +675,7 @@
       Route* r = d.routes[i];
       if (!routeHasRoom(*r)) continue;
       const bool slow = r->usualMs > 0 && effective(*r) > kSlowFactor * best && now_ - r->sampledMs < fallMs_;
-      const double level = std::floor(static_cast<double>(r->calls.size()) / (r->apart ? 2 : 1));
+      const double level = std::floor(static_cast<double>(r->calls.size()) / (r->apart ? levelCalls(*r) : 1));
       const double less = top > 0 && r->apart ? 0.02 * (1 - r->rating / top) : 0;
       ranked.push_back({slow || doubtful(*r), level, price(*r) + less,
                         (i + n - static_cast<std::size_t>(s_.me) % n) % n, r});
@@ -681,6 +687,11 @@
     for (const Ranked& r : ranked) chain.push_back(r.route);
     return chain;
   }
+  // Calls that a route apart serves at a time at its told share of the limit, two at least: fewer out, and
+  // its price decides; more, and the next of the chain takes some.
+  double levelCalls(const Route& r) const {
+    return std::max(kLeastAtOnce, kAtOnce * r.rating / peers_ * usual(r) / 1000);
+  }
   double effective(const Route& r) const {
     double ms = r.usualMs;
     if (!r.calls.empty()) ms = std::max(ms, (now_ - calls_.at(*r.calls.begin()).sentMs) * 0.5);
@@ -736,6 +747,7 @@
     for (const auto& [id, call] : calls_) doubtOut_ += doubtful(*call.route);
     std::vector<Lane> lanes;
     for (const auto& [id, dest] : waiting_) {
+      if (gathers(*dest)) continue;
       Lane lane{dest, chainOf(*dest), {}};
       if (lane.chain.empty()) continue;
       for (auto& [seq, m] : dest->queue)
@@ -759,8 +771,7 @@
       Route* r = pick(m, best->chain);
       if (!r) continue;
       const int call = ++lastCall_;
-      const auto kind = static_cast<std::size_t>(std::max(0, r->kind));
-      const int batch = kind < s_.kindBatch.size() ? std::max(1, s_.kindBatch[kind]) : 1;
+      const int batch = batchOf(*r);
       Call& c = calls_[call];
       c.route = r;
       c.sentMs = now_;
@@ -784,6 +795,29 @@
     }
   }
 
+  // Messages sent one by one use up a limit on calls and run over onto dearer routes: of 25 a second most
+  // went the dearest way, past a lead route that could have carried them all, nine to a call.
+  bool gathers(const Destination& d) {
+    const Route* lead = nullptr;
+    for (const Route* r : d.routes)
+      if (r->open && (!lead || price(*r) < price(*lead))) lead = r;
+    const double tellsPerS = lead ? lead->rating * kToldShare / peers_ : 0;
+    if (tellsPerS <= 0 || batchOf(*lead) == 1 || doubtful(*lead) || bounded(*lead->scope)) return false;
+    const Scope& s = *lead->scope;
+    const double next = s.sent.lastMs + 1000 / tellsPerS;
+    const Message& oldest = *d.queue.begin()->second;
+    const double until = std::min(next, oldest.aimMs - oldest.aimSpanMs * (1 - kGather));
+    if (s.sent.sinceMs < 0 || now_ >= until || now_ < std::max(s.waitUntilMs, s.restUntilMs) ||
+        d.queue.size() >= static_cast<std::size_t>(batchOf(*lead)))
+      return false;
+    wakeMs_ = std::min(wakeMs_, until);
+    return true;
+  }
+  int batchOf(const Route& r) const {
+    const auto kind = static_cast<std::size_t>(std::max(0, r.kind));
+    return kind < s_.kindBatch.size() ? std::max(1, s_.kindBatch[kind]) : 1;
+  }
+
   // Slots, or those for doubtful scopes, are short while messages are held: the call longest out past all
   // likelihood is called off. It protects healthy destinations from receivers that hang, fall silent or
   // crawl, whatever the cause. It hurts where such a call would have been answered after all, most of all an
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -750,6 +750,56 @@
 }
 
 // ---- batches, list, odd input ----
+Settings priced(int batch) {
+  Settings s = plain();
+  s.kindBatch = {batch};
+  s.zoneFees = {0, 0.06};
+  s.ratings = RatingKind::kNominal;
+  return s;
+}
+std::vector<ListEntry> leadAndDear(double leadPerS) {
+  std::vector<ListEntry> entries = {entry("a", 1, 0), entry("b", 1, 1)};
+  entries[0].rating = entries[1].rating = leadPerS;
+  return entries;
+}
+
+// Sent one by one, messages used up the lead route's limit on calls, and most went the dearest way.
+TEST(Batch, MessagesGatherForTheNextCallOfTheLeadRoute) {
+  Rig rig(priced(10));
+  rig.at(0, {snapshot(leadAndDear(10)), rig.message("m0")});
+  rig.at(50, {rig.outcome("m0", Outcome::kGood)});
+  rig.at(60, {rig.message("m1")});
+  rig.at(90, {rig.message("m2")});
+  ASSERT_EQ(rig.sends.size(), 1u);
+  rig.at(126, {rig.message("m3")});  // 0.8 of ten a second: a call each 125 ms
+  ASSERT_EQ(rig.sends.size(), 4u);
+  for (const auto& s : rig.sends) EXPECT_EQ(s.target, "a");
+  // A full call goes at once.
+  std::vector<Event> ten;
+  for (int i = 10; i < 20; ++i) ten.push_back(rig.message(numbered(i)));
+  rig.at(140, ten);
+  EXPECT_EQ(rig.sends.size(), 14u);
+}
+TEST(Batch, NoMessageGathersForLong) {
+  Rig rig(priced(10));
+  rig.at(0, {snapshot(leadAndDear(0.1)), rig.message("m0")});
+  rig.at(50, {rig.outcome("m0", Outcome::kGood)});
+  rig.at(60, {rig.message("m1")});
+  rig.pass(340, 10);
+  EXPECT_EQ(rig.sendsOf("m1"), 0);
+  rig.pass(400, 10);
+  EXPECT_EQ(rig.sendsOf("m1"), 1);
+}
+// Two calls out once sent the third the dear way, though the lead route took forty a second.
+TEST(Chain, TheLeadRouteServesWhatItsToldRateKeepsBusy) {
+  Rig rig(priced(1));
+  std::vector<Event> events = {snapshot(leadAndDear(40))};
+  for (int i = 0; i < 8; ++i) events.push_back(rig.message(numbered(i)));
+  rig.at(0, events);
+  EXPECT_EQ(rig.sends.size(), 8u);
+  for (const auto& s : rig.sends) EXPECT_EQ(s.target, "a");
+}
+
 TEST(Batch, SendsOfOneTurnShareACallAndASlot) {
   Settings s = plain();
   s.callSlots = 1;
