--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -9,7 +9,10 @@
 // Advice of the relay's own, where the module was not asked: over maxOpen, journal full, about to end.
 constexpr double kComeBackMs = 1000;
 constexpr double kClocksApartMs = 1000;
-constexpr double kCompactAgainMs = 1000;  // after a failure
+constexpr double kSliceMs = 2;  // between two slices of the journal's compaction, where no batch comes sooner
+// A wall clock that was set back makes attempts look as if they were still to come. A step of this much is
+// the clocks' own; past it nothing is known of when the attempt was made.
+constexpr double kWallStepMs = 1000, kLongAgoMs = 1e12;
 // What an item of a bulk call takes beside its id, key and body.
 constexpr std::size_t kItemFrame = 40;
 
@@ -34,33 +37,52 @@
   batchTimer_ = parts_.loop.after(wait, [this] { runBatch(); });
 }
 
-void Exchange::recover(Journal::Owed owed, ListEvent known) {
+void Exchange::recover(Recovered found, ListEvent known) {
   // The list goes first: without it every route of a request that may have run would look closed.
   pending_.emplace_back(std::in_place_type<ListEvent>, std::move(known));
   const double nowMs = parts_.loop.nowMs(), wallMs = parts_.clock.wallMs();
-  for (auto& [id, request] : owed) {
+  const auto onOurClock = [&](double sentWallMs) {
+    const double agoMs = wallMs - sentWallMs;
+    if (agoMs < -kWallStepMs) return nowMs - kLongAgoMs;
+    return nowMs - std::max(0.0, agoMs);
+  };
+  while (!found.owed.empty()) {
+    auto node = found.owed.extract(found.owed.begin());
+    OwedRequest& request = node.mapped().owed;
     ++parts_.counters.recovered;
-    if (request.verdict != Verdict::kNone) {
-      parts_.notices.add(id, request.verdict, request.waitMs);
+    Open& open = open_[request.id];
+    open.owed = std::move(request);
+    parts_.journal.settle(open.owed);
+    OwedRequest& owed = open.owed;
+    // Of a class that the configuration has no more: it cannot be sent, but still has its end.
+    const bool known = static_cast<std::size_t>(owed.cls) < settings_.classes.size();
+    if (!known && owed.verdict == Verdict::kNone) parts_.journal.verdict(owed, Verdict::kDead, 0);
+    if (owed.verdict != Verdict::kNone) {
+      parts_.notices.add(owed.id, owed.verdict, owed.waitMs);
     } else {
       MessageEvent event;
-      event.id = id;
-      event.cls = request.cls;
-      event.tenant = request.tenant;
-      event.notAfterMs = open_[id].notAfterMs = nowMs + (request.notAfterWallMs - wallMs);
-      event.destination = request.destination;
-      event.isRetry = request.isRetry;
-      event.attempts = request.attempts;
-      for (const Doubt& doubt : request.doubts)
-        event.doubts.push_back({doubt.zone, nowMs + (doubt.sentWallMs - wallMs)});
+      event.id = owed.id;
+      event.cls = owed.cls;
+      event.tenant = owed.tenant;
+      // None is held for longer than its class allows, whatever became of the wall clock meanwhile.
+      event.notAfterMs = open.notAfterMs =
+          nowMs + std::min(owed.notAfterWallMs - wallMs, hardLimitMs(owed.cls));
+      event.destination = owed.destination;
+      event.isRetry = owed.isRetry;
+      event.attempts = owed.attempts;
+      for (const Doubt& doubt : owed.doubts)
+        event.doubts.push_back({doubt.zone, onOurClock(doubt.sentWallMs)});
       pending_.emplace_back(std::in_place_type<MessageEvent>, std::move(event));
       ++held_;
     }
-    open_[id].owed = std::move(request);
   }
   runBatch();
 }
 
+double Exchange::hardLimitMs(int cls) const {
+  return settings_.classes.at(static_cast<std::size_t>(cls)).hardLimitMs;
+}
+
 void Exchange::onList(ListEvent event) { push(std::move(event)); }
 
 void Exchange::onRequest(IncomingRequest request, AnswerTo answer) {
@@ -84,7 +106,7 @@
   }
   // None may be held for longer than its class allows. A little more is a clock's; much more is no time at
   // all. (One that gave itself 10^23 s was taken on, and would have been owed its end for good.)
-  const double mostMs = settings_.classes.at(static_cast<std::size_t>(request.cls)).hardLimitMs;
+  const double mostMs = hardLimitMs(request.cls);
   if (request.leftMs > mostMs + kClocksApartMs) return answer({Answer::Kind::kUnusable});
   const double leftMs = std::min(request.leftMs, mostMs);
   MessageEvent event;
@@ -98,7 +120,8 @@
   Open& open = open_[request.id];
   open.answer = std::move(answer);
   open.notAfterMs = event.notAfterMs;
-  open.owed.notAfterWallMs = parts_.clock.wallMs() + leftMs;
+  open.owed.takenWallMs = parts_.clock.wallMs();
+  open.owed.notAfterWallMs = open.owed.takenWallMs + leftMs;
   open.owed.id = request.id;
   open.owed.key = std::move(request.key);
   open.owed.body = std::move(request.body);
@@ -130,11 +153,10 @@
     if (outcome.ended) {
       ++(outcome.outcome == Outcome::kGood ? parts_.counters.delivered : parts_.counters.expired);
       if (owed.verdict == Verdict::kNone) --held_;
-      parts_.journal.ended(outcome.id);
+      parts_.journal.ended(owed);
       open_.erase(at);
-    } else if (provenHarmless(outcome.outcome) && !owed.doubts.empty()) {
-      owed.doubts.pop_back();
-      parts_.journal.harmless(outcome.id);
+    } else if (provenHarmless(outcome.outcome)) {
+      parts_.journal.harmless(owed);
     }
   }
 }
@@ -144,8 +166,10 @@
 }
 
 void Exchange::onConfirmed(const std::string& id) {
-  parts_.journal.ended(id);
-  open_.erase(id);
+  const auto at = open_.find(id);
+  if (at == open_.end()) return;
+  parts_.journal.ended(at->second.owed);
+  open_.erase(at);
 }
 
 void Exchange::quiesce() {
@@ -229,10 +253,7 @@
     return;
   }
   ++(verdict == Verdict::kDead ? parts_.counters.dead : parts_.counters.bounced);
-  at->second.owed.verdict = verdict;
-  at->second.owed.waitMs = waitMs;
-  at->second.owed.body.clear();
-  parts_.journal.verdict(id, verdict, waitMs);
+  parts_.journal.verdict(at->second.owed, verdict, waitMs);
   parts_.notices.add(id, verdict, waitMs);
 }
 
@@ -264,18 +285,15 @@
 
 void Exchange::carryOut(Plan& plan) {
   const EndpointEntry& endpoint = *parts_.destinations.find(plan.uid);
-  const Doubt doubt{plan.uid, endpoint.entry.zone, parts_.clock.wallMs()};
+  const Doubt doubt{plan.uid, endpoint.entry.zone, parts_.clock.wallMs(), 0};
   std::vector<CallItem> items;
   for (CallItem& item : plan.items) {
     // Recorded before the first byte: after a restart it must be known that this call may have run.
-    if (!parts_.journal.attempt(item.id, doubt)) {
+    if (!parts_.journal.attempt(open_.at(item.id).owed, doubt)) {
       ++parts_.counters.journalFaults;
       notSent(item.id, plan.uid);
       continue;
     }
-    OwedRequest& owed = open_.at(item.id).owed;
-    ++owed.attempts;
-    owed.doubts.push_back(doubt);
     items.push_back(std::move(item));
   }
   if (!items.empty()) parts_.outbound.call(endpoint, std::move(items));
@@ -288,17 +306,14 @@
   push(OutcomeEvent{id, attempt, uid, Outcome::kNop, 0, at == open_.end(), 0, {}});
 }
 
+// Also while nothing comes in: a full journal must find room without any traffic.
 void Exchange::compact() {
-  if (!parts_.journal.wantsCompaction() || lastBatchMs_ < compactAgainMs_) return;
-  std::vector<const OwedRequest*> owed;
-  for (const auto& [id, open] : open_) owed.push_back(&open.owed);
-  if (parts_.journal.compact(owed)) {
-    ++parts_.counters.compactions;
-  } else {
-    ++parts_.counters.journalFaults;
-    compactAgainMs_ = lastBatchMs_ + kCompactAgainMs;
-    parts_.log << "the journal could not be compacted" << std::endl;
-  }
+  parts_.loop.cancel(sliceTimer_);
+  if (!parts_.journal.wantsSlice()) return;
+  const std::uint64_t released = parts_.journal.figures().released;
+  parts_.journal.slice();
+  parts_.counters.compactions += parts_.journal.figures().released - released;
+  if (parts_.journal.wantsSlice()) sliceTimer_ = parts_.loop.after(kSliceMs, [this] { compact(); });
 }
 
 }  // namespace myrtleloft
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -36,7 +36,7 @@
   Exchange(const Parts& parts, const Settings& settings, std::function<void()> fetchList);
 
   // Hands the module the first list and all that an earlier process took on, in one batch.
-  void recover(Journal::Owed owed, ListEvent known);
+  void recover(Recovered found, ListEvent known);
   void onList(ListEvent event);
   void onConfirmed(const std::string& id);
   // From now on the module decides nothing more: calls out are seen to their end, the rest is the journal's.
@@ -77,6 +77,7 @@
   void notSent(const std::string& id, const std::string& uid);
   void compact();
   std::size_t batchOf(int kind) const;
+  double hardLimitMs(int cls) const;
 
   Parts parts_;
   Settings settings_;
@@ -86,9 +87,9 @@
   std::size_t held_ = 0;  // open requests that the module has not ended
   std::vector<Event> pending_;
   std::vector<std::string> fresh_;  // came in since the last batch, in their order
-  double lastBatchMs_ = -1e9, compactAgainMs_ = 0;
+  double lastBatchMs_ = -1e9;
   bool quiet_ = false;
-  Loop::Timer batchTimer_ = Loop::kNoTimer;
+  Loop::Timer batchTimer_ = Loop::kNoTimer, sliceTimer_ = Loop::kNoTimer;
 };
 
 }  // namespace myrtleloft
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -1,291 +1,592 @@
 #include "journal/journal.h"
 
-#include <fcntl.h>
-#include <sys/stat.h>
-#include <zlib.h>
-
 #include <algorithm>
-#include <array>
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <utility>
 
+#include "journal/segment.h"
+
 namespace myrtleloft {
 namespace {
 
-constexpr std::size_t kBlock = 512, kFrame = 8;     // a record's length and checksum come first
-constexpr std::size_t kLongestRecord = 256 * 1024;  // a longer one cannot be ours
-// While compaction runs the old and the new file are both there. The new one holds what is owed, so with
-// requests taken up to the first share and compaction from the second on, both stay under the limit together.
-constexpr double kOwedShare = 0.35, kCompactShare = 0.5;
-// What the further records of a request may come to, kept free for it from the start.
-constexpr std::size_t kPerRequestReserve = 512;
-
-enum class Type : char { kTaken = 'T', kAttempt = 'A', kHarmless = 'H', kVerdict = 'V', kEnded = 'E' };
-
-class Writer {
- public:
-  explicit Writer(Type type) { out_ += static_cast<char>(type); }
-  template <typename T>
-  Writer& put(T value) {
-    std::array<char, sizeof value> raw;
-    std::memcpy(raw.data(), &value, sizeof value);
-    out_.append(raw.data(), raw.size());
-    return *this;
+constexpr const char* kTakeOver = "journal.takeover";
+constexpr const char* kOldLeftover = "journal.new";  // of a version 1 process that ended while compacting
+// After a failure of the disk, new requests are refused and compaction rests for so long: each try would cost
+// calls into a file system in trouble. What is held goes on trying.
+constexpr double kRestMs = 250;
+constexpr double kTellMs = 1000;          // at most one line about faults in so long
+constexpr std::size_t kMostReleased = 4;  // segments removed in one slice
+constexpr std::size_t kEndsAtOnce = 64;
+constexpr std::size_t kDamageShare = 32;  // of the disk, one part may hold damaged bytes
+constexpr std::size_t kMostDamaged = 16;  // files of them
+
+std::string hex(std::uint64_t value, std::size_t digits) {
+  std::string text(digits, '0');
+  for (std::size_t i = digits; i-- > 0; value >>= 4) text[i] = "0123456789abcdef"[value & 15];
+  return text;
+}
+
+std::size_t recordBytes(const OwedRequest& owed) { return kFrameBytes + encodedSize(owed); }
+
+}  // namespace
+
+Journal::Journal(const Parts& parts, JournalOptions options)
+    : parts_(parts), options_(std::move(options)), planner_(options_.tuning) {
+  if (options_.segmentBytes == 0) options_.segmentBytes = planner_.segmentBytes(options_.diskBytes);
+}
+
+Journal::~Journal() = default;
+
+bool Journal::fault(const char* what, const std::string& name, int error) {
+  ++figures_.faults;
+  const double now = parts_.clock.steadyMs();
+  restUntilMs_ = now + kRestMs;
+  if (now < toldMs_ + kTellMs) {
+    ++untold_;
+    return false;
   }
-  Writer& text(std::string_view value) {
-    put(static_cast<std::uint32_t>(value.size()));
-    out_.append(value);
-    return *this;
+  parts_.log << "journal: cannot " << what << ' ' << name << ": " << std::strerror(error);
+  if (untold_ > 0) parts_.log << " (and " << untold_ << " faults before)";
+  parts_.log << std::endl;
+  toldMs_ = now;
+  untold_ = 0;
+  return false;
+}
+
+bool Journal::resting() const { return parts_.clock.steadyMs() < restUntilMs_; }
+
+// ---- opening ----
+bool Journal::open(Recovered& found, std::string& error) {
+  std::string owner = options_.owner + "\n";
+  if (const int fault = parts_.files.lock(path(kLockName), owner, lock_)) {
+    while (!owner.empty() && owner.back() == '\n') owner.pop_back();
+    error = fault == EWOULDBLOCK
+                ? "the journal in " + options_.folder + " is held by another process: " + owner
+                : "cannot lock the journal in " + options_.folder + ": " + std::strerror(fault);
+    return false;
   }
-  std::string take() { return std::move(out_); }
-
- private:
-  std::string out_;
-};
-
-class Reader {
- public:
-  explicit Reader(std::string_view in) : in_(in) {}
-  template <typename T>
-  T get() {
-    T value{};
-    if (in_.size() < sizeof value) {
-      good_ = false;
-      return value;
+  if (const RecoveryFault fault = recover(parts_.files, options_.folder, found)) {
+    error = "the journal cannot be read: " + fault.text;
+    return false;
+  }
+  for (const Damage& d : found.damage)
+    parts_.log << "journal: " << d.file << " is " << d.what << " at byte " << d.offset << ", " << d.bytes
+               << " bytes" << std::endl;
+  if (!found.damage.empty())
+    parts_.log << "journal: damage put " << found.doubted << " requests in doubt, and left only the name of "
+               << found.bodiesLost << std::endl;
+  const std::vector<Spoilt> spoilt = readDamage(found);
+  adopt(found);
+  if (found.versionOne && !takeOver(found, error)) return false;
+  for (const FileSeen& other : found.others) {
+    const bool old = other.name == kJournalV1, leftover = other.name == kOldLeftover;
+    if (!old && !leftover) continue;
+    if (const int fault = parts_.files.remove(path(other.name))) {
+      this->fault("remove", other.name, fault);
+      continue;
     }
-    std::memcpy(&value, in_.data(), sizeof value);
-    in_.remove_prefix(sizeof value);
-    return value;
+    if (old) tookOver_ = 0;
+    used_ -= inBlocks(other.bytes);
   }
-  std::string text() {
-    const std::size_t size = get<std::uint32_t>();
-    good_ = good_ && size <= in_.size();
-    if (!good_) return {};
-    std::string value(in_.substr(0, size));
-    in_.remove_prefix(size);
-    return value;
+  if (!active_) {
+    if (const int fault = begin()) {
+      error = "cannot write the journal in " + options_.folder + ": " + std::strerror(fault);
+      return false;
+    }
   }
-  bool good() const { return good_; }
-
- private:
-  std::string_view in_;
-  bool good_ = true;
-};
-
-std::uint32_t checksum(std::string_view bytes) {
-  return static_cast<std::uint32_t>(
-      ::crc32(0, reinterpret_cast<const Bytef*>(bytes.data()), static_cast<uInt>(bytes.size())));
-}
-
-std::string framed(const std::string& payload) {
-  std::string out(kFrame, '\0');
-  const std::uint32_t size = static_cast<std::uint32_t>(payload.size()), sum = checksum(payload);
-  std::memcpy(out.data(), &size, sizeof size);
-  std::memcpy(out.data() + sizeof size, &sum, sizeof sum);
-  return out + payload;
-}
-
-std::size_t blocks(std::size_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
-
-std::string takenRecord(const OwedRequest& r) {
-  Writer w(Type::kTaken);
-  w.text(r.id).text(r.key).put(r.cls).put(r.tenant).put(r.destination).put(r.notAfterWallMs);
-  w.put(r.isRetry).put(r.attempts).put(r.verdict).put(r.waitMs);
-  w.put(static_cast<std::uint32_t>(r.doubts.size()));
-  for (const Doubt& d : r.doubts) w.text(d.endpoint).put(d.zone).put(d.sentWallMs);
-  return w.text(r.body).take();
-}
-
-OwedRequest readTaken(Reader& in) {
-  OwedRequest r;
-  r.id = in.text();
-  r.key = in.text();
-  r.cls = in.get<int>();
-  r.tenant = in.get<int>();
-  r.destination = in.get<std::int64_t>();
-  r.notAfterWallMs = in.get<double>();
-  r.isRetry = in.get<bool>();
-  r.attempts = in.get<int>();
-  r.verdict = in.get<Verdict>();
-  r.waitMs = in.get<double>();
-  for (std::uint32_t left = in.get<std::uint32_t>(); left > 0 && in.good(); --left) {
-    Doubt& d = r.doubts.emplace_back();
-    d.endpoint = in.text();
-    d.zone = in.get<int>();
-    d.sentWallMs = in.get<double>();
+  writeNameless(found);
+  keepDamage(found, spoilt);
+  measureCarry();
+  return true;
+}
+
+// Takes what was read as the state of the folder.
+void Journal::adopt(Recovered& found) {
+  salt_ = found.salt != 0 ? found.salt : std::max<std::uint64_t>(1, options_.salt);
+  tookOver_ = found.tookOver;
+  releasedTold_ = found.firstSegment;
+  for (const FileSeen& other : found.others) {
+    if (other.name == kTakeOver && parts_.files.remove(path(other.name)) == 0) continue;
+    used_ += inBlocks(other.bytes);
   }
-  r.body = in.text();
-  return r;
-}
-
-// Applies one record; false: it is none of ours.
-bool replay(std::string_view payload, Journal::Owed& owed) {
-  Reader in(payload);
-  const Type type = in.get<Type>();
-  if (type == Type::kTaken) {
-    OwedRequest request = readTaken(in);
-    if (in.good()) owed.insert_or_assign(request.id, std::move(request));
-    return in.good();
+  for (const SegmentSeen& seen : found.segments) {
+    const bool last = seen.sequence == found.segments.back().sequence;
+    // Nothing stands in it: its number is given again. Otherwise each restart would leave a segment.
+    const bool empty =
+        seen.stale || (seen.headerGood && seen.validBytes == seen.fileBytes && seen.records == 0);
+    if (last && empty && parts_.files.remove(path(segmentName(seen.sequence))) == 0) break;
+    Segment& segment = segments_.emplace_back();
+    segment.sequence = seen.sequence;
+    segment.bytes = seen.validBytes;
+    segment.fileBytes = seen.fileBytes;
+    used_ += inBlocks(seen.fileBytes);
   }
-  const std::string id = in.text();
-  const auto at = owed.find(id);
-  const bool known = at != owed.end();
-  switch (type) {
-    case Type::kAttempt: {
-      Doubt doubt;
-      doubt.endpoint = in.text();
-      doubt.zone = in.get<int>();
-      doubt.sentWallMs = in.get<double>();
-      if (!known || !in.good()) return in.good();
-      ++at->second.attempts;
-      at->second.doubts.push_back(std::move(doubt));
-      return true;
-    }
-    case Type::kHarmless:
-      if (known && !at->second.doubts.empty()) at->second.doubts.pop_back();
-      return in.good();
-    case Type::kVerdict: {
-      const Verdict verdict = in.get<Verdict>();
-      const double waitMs = in.get<double>();
-      if (known && in.good()) at->second.verdict = verdict, at->second.waitMs = waitMs;
-      return in.good();
+  for (auto& [id, request] : found.owed) {
+    const std::uint32_t ticket = request.owed.ticket = newEntry();
+    Entry& entry = entries_[ticket];
+    entry.owed = &request.owed;
+    // How much of its reserve it has used is not known; its end is always kept.
+    entry.reserve = static_cast<std::uint32_t>(planner_.tuning().lastReserve);
+    reserved_ += entry.reserve;
+    ++unsettled_;
+    if (Segment* segment = segmentOf(request.segment)) {
+      link(ticket, *segment);
+      setLive(entry, recordBytes(request.owed));
     }
-    case Type::kEnded:
-      if (known) owed.erase(at);
-      return in.good();
-    case Type::kTaken:
-      break;
   }
-  return false;
 }
 
-void replayAll(const std::string& bytes, Journal::Owed& owed) {
-  std::string_view rest = bytes;
-  while (rest.size() > kFrame) {
-    std::uint32_t size = 0, sum = 0;
-    std::memcpy(&size, rest.data(), sizeof size);
-    std::memcpy(&sum, rest.data() + sizeof size, sizeof sum);
-    if (size > kLongestRecord || rest.size() - kFrame < size) return;  // torn by the end of the process
-    const std::string_view payload = rest.substr(kFrame, size);
-    if (checksum(payload) != sum || !replay(payload, owed)) return;
-    rest.remove_prefix(kFrame + size);
+// The requests of a version 1 file, into a segment of their own. It gets its name only when it is whole, and
+// names the old file by its fingerprint: a process that ends before the old file is gone does not read it
+// again.
+bool Journal::takeOver(Recovered& found, std::string& error) {
+  tookOver_ = found.versionOneFingerprint;
+  const SegmentHeader header = nextHeader();
+  std::string bytes = encodeHeader(header);
+  for (const auto& [id, request] : found.owed) {
+    if (request.segment != 0) continue;
+    const std::size_t at = openFrame(bytes);
+    encode(request.owed, bytes);
+    closeFrame(bytes, at, header.salt, header.sequence);
+  }
+  const auto refuse = [&](int fault) {
+    error = "cannot take over the journal of version 1 in " + options_.folder + ": " + std::strerror(fault);
+    return false;
+  };
+  if (used_ + inBlocks(bytes.size()) > options_.diskBytes) return refuse(ENOSPC);
+  std::shared_ptr<OutFile> out;
+  int fault = parts_.files.create(path(kTakeOver), out);
+  if (!fault) fault = out->append(bytes).fault;
+  if (!fault) fault = out->sync();
+  if (!fault) fault = parts_.files.rename(path(kTakeOver), path(segmentName(header.sequence)));
+  if (fault) {
+    parts_.files.remove(path(kTakeOver));
+    return refuse(fault);
+  }
+  Segment& segment = segments_.emplace_back();
+  segment.sequence = header.sequence;
+  segment.bytes = segment.fileBytes = bytes.size();
+  used_ += inBlocks(bytes.size());
+  active_ = std::move(out);
+  for (auto& [id, request] : found.owed) {
+    if (request.segment != 0) continue;
+    request.segment = header.sequence;
+    link(request.owed.ticket, segment);
+    setLive(entries_[request.owed.ticket], recordBytes(request.owed));
   }
+  parts_.log << "journal: taken over from version 1, " << found.owed.size() << " requests owed" << std::endl;
+  return true;
 }
 
-bool readFile(const std::string& path, std::string& bytes) {
-  const Fd fd(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
-  if (!fd) return errno == ENOENT;
-  std::array<char, 65536> chunk;
-  for (;;) {
-    const ssize_t got = ::read(fd.get(), chunk.data(), chunk.size());
-    if (got == 0) return true;
-    if (got < 0 && errno != EINTR) return false;
-    if (got > 0) bytes.append(chunk.data(), static_cast<std::size_t>(got));
+// Those of which only the name is left stand in no record of their own yet.
+void Journal::writeNameless(Recovered& found) {
+  for (auto& [id, request] : found.owed) {
+    if (request.segment != 0) continue;
+    Entry& entry = entries_[request.owed.ticket];
+    const std::size_t bytes = recordBytes(request.owed);
+    if (!ready(bytes)) return;
+    scratch_.clear();
+    frame(request.owed);
+    if (!write(scratch_)) return;
+    request.segment = segments_.back().sequence;
+    link(request.owed.ticket, segments_.back());
+    setLive(entry, bytes);
   }
 }
 
-bool writeAll(const Fd& fd, const std::string& bytes) {
-  for (std::size_t at = 0; at < bytes.size();) {
-    const ssize_t put = ::write(fd.get(), bytes.data() + at, bytes.size() - at);
-    if (put < 0 && errno == EINTR) continue;
-    if (put <= 0) return false;
-    at += static_cast<std::size_t>(put);
+// The damaged bytes themselves, as far as they may be kept. Read before anything is removed.
+std::vector<Journal::Spoilt> Journal::readDamage(const Recovered& found) {
+  const std::size_t most = options_.diskBytes / kDamageShare;
+  std::vector<Spoilt> all;
+  for (const Damage& d : found.damage) {
+    if (d.bytes == 0 || all.size() >= kMostDamaged) continue;
+    std::string bytes;
+    if (parts_.files.read(path(d.file), bytes) != 0 || d.offset >= bytes.size()) continue;
+    const auto sequence = segmentSequence(d.file);
+    all.push_back(
+        {kDamagedPrefix + (sequence ? hex(*sequence, 16) : std::string("v1")) + "-" + hex(d.offset, 8),
+         bytes.substr(d.offset, std::min(d.bytes, most / 2))});
   }
-  return true;
+  return all;
 }
 
-}  // namespace
+void Journal::keepDamage(const Recovered& found, const std::vector<Spoilt>& all) {
+  const std::size_t most = options_.diskBytes / kDamageShare;
+  std::vector<FileSeen> kept;
+  std::size_t total = 0;
+  for (const FileSeen& other : found.others) {
+    if (!other.name.starts_with(kDamagedPrefix)) continue;
+    kept.push_back(other);
+    total += inBlocks(other.bytes);
+  }
+  for (const auto& [name, bytes] : all) {
+    if (std::any_of(kept.begin(), kept.end(), [&](const FileSeen& k) { return k.name == name; })) continue;
+    while (!kept.empty() && (total + inBlocks(bytes.size()) > most || kept.size() >= kMostDamaged)) {
+      if (parts_.files.remove(path(kept.front().name)) != 0) return;
+      total -= inBlocks(kept.front().bytes);
+      used_ -= inBlocks(kept.front().bytes);
+      kept.erase(kept.begin());
+    }
+    if (total + inBlocks(bytes.size()) > most || !planner_.permits(room(), bytes.size(), 0)) return;
+    std::shared_ptr<OutFile> out;
+    if (const int error = parts_.files.create(path(name), out)) {
+      fault("create", name, error);
+      return;
+    }
+    const auto [put, error] = out->append(bytes);
+    used_ += inBlocks(put);
+    total += inBlocks(put);
+    kept.push_back({name, put});
+    if (error) {
+      fault("write", name, error);
+      return;
+    }
+    parts_.log << "journal: kept the damaged bytes in " << name << std::endl;
+  }
+}
 
-Journal::Journal(std::string folder, std::size_t diskBytes)
-    : folder_(std::move(folder)), diskBytes_(diskBytes) {}
+SegmentHeader Journal::nextHeader() const {
+  SegmentHeader header;
+  header.sequence = segments_.empty() ? releasedTold_ : segments_.back().sequence + 1;
+  header.salt = salt_;
+  header.createdWallMs = parts_.clock.wallMs();
+  header.firstSegment = segments_.empty() ? header.sequence : segments_.front().sequence;
+  header.firstSegment = std::max(header.firstSegment, releasedTold_);
+  header.previousBytes = segments_.empty() ? 0 : segments_.back().bytes;
+  header.tookOver = tookOver_;
+  return header;
+}
 
-bool Journal::open(Owed& owed, std::string& error) {
-  std::string bytes;
-  ::unlink((folder_ + "/journal.new").c_str());  // left by a process that ended while compacting
-  if (!readFile(folder_ + "/journal", bytes)) {
-    error = "cannot read the journal in " + folder_ + ": " + std::strerror(errno);
-    return false;
+int Journal::begin() {
+  const SegmentHeader header = nextHeader();
+  const std::string name = segmentName(header.sequence), bytes = encodeHeader(header);
+  if (!planner_.fits(room(), inBlocks(bytes.size()))) return ENOSPC;
+  std::shared_ptr<OutFile> out;
+  int error = parts_.files.create(path(name), out);
+  // Left by an earlier try; nothing stands in it.
+  if (error == EEXIST && parts_.files.remove(path(name)) == 0) error = parts_.files.create(path(name), out);
+  if (!error) error = out->append(bytes).fault;
+  if (error) {
+    fault("begin", name, error);
+    if (out) parts_.files.remove(path(name));
+    return error;
   }
-  replayAll(bytes, owed);
-  size_ = bytes.size();
-  std::vector<const OwedRequest*> all;
-  for (const auto& [id, request] : owed) all.push_back(&request);
-  if (compact(all)) return true;
-  error = "cannot write the journal in " + folder_ + ": " + std::strerror(errno);
-  return false;
+  Segment& segment = segments_.emplace_back();
+  segment.sequence = header.sequence;
+  segment.bytes = segment.fileBytes = bytes.size();
+  used_ += inBlocks(bytes.size());
+  figures_.writtenBytes += bytes.size();
+  active_ = std::move(out);
+  broken_ = false;
+  return 0;
 }
 
-bool Journal::taken(const OwedRequest& request) {
-  const std::string payload = takenRecord(request);
-  const std::size_t cost = kFrame + payload.size() + kPerRequestReserve;
-  if (owedBytes_ + cost > static_cast<std::size_t>(static_cast<double>(diskBytes_) * kOwedShare))
-    return false;
-  if (!append(payload)) return false;
-  owedBytes_ += cost;
-  owedSizes_[request.id] = cost;
+void Journal::settle(OwedRequest& owed) {
+  entries_[owed.ticket].owed = &owed;
+  --unsettled_;
+}
+
+// ---- records ----
+bool Journal::taken(OwedRequest& owed) {
+  const std::size_t bytes = recordBytes(owed);
+  if (resting() || bytes > kLongestRecord) return false;
+  writeEnds();
+  if (!planner_.admits(room(), bytes)) {
+    // The bound on what is to carry may be an old one.
+    measureCarry();
+    if (!planner_.admits(room(), bytes)) return false;
+  }
+  if (!ready(bytes)) return false;
+  scratch_.clear();
+  frame(owed);
+  if (!write(scratch_)) return false;
+  figures_.takenBytes += bytes;
+  owed.ticket = newEntry();
+  Entry& entry = entries_[owed.ticket];
+  entry.owed = &owed;
+  entry.reserve = static_cast<std::uint32_t>(planner_.tuning().perRequestReserve);
+  reserved_ += entry.reserve;
+  link(owed.ticket, segments_.back());
+  setLive(entry, bytes);
   return true;
 }
 
-bool Journal::attempt(std::string_view id, const Doubt& doubt) {
-  return append(
-      Writer(Type::kAttempt).text(id).text(doubt.endpoint).put(doubt.zone).put(doubt.sentWallMs).take());
+// Whether so many bytes may be written for a request: from its reserve, down to `keep`, or from what is free.
+bool Journal::reserve(Entry& entry, std::size_t bytes, std::size_t grows, std::size_t keep) {
+  if (entry.reserve >= bytes + grows + keep) {
+    entry.reserve -= static_cast<std::uint32_t>(bytes + grows);
+    reserved_ -= bytes + grows;
+    return true;
+  }
+  return planner_.permits(room(), bytes, grows);
 }
 
-bool Journal::harmless(std::string_view id) { return append(Writer(Type::kHarmless).text(id).take()); }
+bool Journal::attempt(OwedRequest& owed, Doubt doubt) {
+  doubt.attempt = owed.attempts;
+  writeEnds();
+  scratch_.clear();
+  const std::size_t grows = encodedSize(doubt);
+  const std::size_t bytes = kFrameBytes + 1 + sizeof(std::uint32_t) + owed.id.size() + grows;
+  Entry& entry = entries_[owed.ticket];
+  if (!ready(bytes) || !reserve(entry, bytes, grows, planner_.tuning().lastReserve)) return false;
+  AttemptRecord record{owed.id, std::move(doubt)};
+  frame(record);
+  if (!write(scratch_)) return false;
+  ++owed.attempts;
+  owed.doubts.push_back(std::move(record.doubt));
+  setLive(entry, entry.live + grows);
+  return true;
+}
 
-bool Journal::verdict(std::string_view id, Verdict verdict, double waitMs) {
-  return append(Writer(Type::kVerdict).text(id).put(verdict).put(waitMs).take());
+bool Journal::harmless(OwedRequest& owed) {
+  if (owed.doubts.empty()) return true;
+  const Doubt doubt = std::move(owed.doubts.back());
+  owed.doubts.pop_back();
+  Entry& entry = entries_[owed.ticket];
+  setLive(entry, entry.live - std::min<std::size_t>(entry.live, encodedSize(doubt)));
+  const HarmlessRecord record{owed.id, doubt.attempt};
+  const std::size_t bytes = kFrameBytes + 1 + sizeof(std::uint32_t) + owed.id.size() + sizeof doubt.attempt;
+  if (!ready(bytes) || !reserve(entry, bytes, 0, planner_.tuning().lastReserve)) return false;
+  scratch_.clear();
+  frame(record);
+  return write(scratch_);
 }
 
-bool Journal::ended(std::string_view id) {
-  const auto at = owedSizes_.find(id);
-  if (at != owedSizes_.end()) {
-    owedBytes_ -= at->second;
-    owedSizes_.erase(at);
+bool Journal::verdict(OwedRequest& owed, Verdict verdict, double waitMs) {
+  owed.verdict = verdict;
+  owed.waitMs = waitMs;
+  owed.body.clear();
+  owed.body.shrink_to_fit();
+  Entry& entry = entries_[owed.ticket];
+  if (entry.live > 0) setLive(entry, recordBytes(owed));
+  const VerdictRecord record{owed.id, verdict, waitMs};
+  const std::size_t bytes =
+      kFrameBytes + 1 + sizeof(std::uint32_t) + owed.id.size() + sizeof verdict + sizeof waitMs;
+  if (!ready(bytes)) return false;
+  reserve(entry, bytes, 0, 0);  // an end is written as long as it fits at all
+  scratch_.clear();
+  frame(record);
+  return write(scratch_);
+}
+
+bool Journal::ended(OwedRequest& owed) {
+  const std::uint32_t ticket = std::exchange(owed.ticket, kNone);
+  if (ticket == kNone) return true;
+  Entry& entry = entries_[ticket];
+  setLive(entry, 0);
+  unlink(ticket);
+  reserved_ -= entry.reserve;
+  entry = Entry();
+  entry.behind = std::exchange(freeEntry_, ticket);
+  endsOwed_.push_back(owed.id);
+  writeEnds();
+  return endsOwed_.empty();
+}
+
+void Journal::writeEnds() {
+  while (!endsOwed_.empty()) {
+    const std::size_t count = std::min(endsOwed_.size(), kEndsAtOnce);
+    std::size_t bytes = 0;
+    for (std::size_t i = 0; i < count; ++i)
+      bytes += kFrameBytes + 1 + sizeof(std::uint32_t) + endsOwed_[i].size();
+    if (!ready(bytes)) return;
+    scratch_.clear();
+    for (std::size_t i = 0; i < count; ++i) frame(EndedRecord{endsOwed_[i]});
+    if (!write(scratch_)) return;
+    endsOwed_.erase(endsOwed_.begin(), endsOwed_.begin() + static_cast<std::ptrdiff_t>(count));
   }
-  return append(Writer(Type::kEnded).text(id).take());
 }
 
-bool Journal::wantsCompaction() const {
-  return broken_ || static_cast<double>(size_) > static_cast<double>(diskBytes_) * kCompactShare;
+template <typename R>
+std::size_t Journal::frame(const R& record) {
+  const std::size_t at = openFrame(scratch_);
+  encode(record, scratch_);
+  // The checks of the frames before it in the same buffer are closed already.
+  std::string_view whole(scratch_);
+  closeFrame(scratch_, at, salt_, segments_.back().sequence);
+  return whole.size() - at;
 }
 
-bool Journal::compact(const std::vector<const OwedRequest*>& owed) {
-  std::string bytes;
-  std::map<std::string, std::size_t, std::less<>> sizes;
-  std::size_t total = 0;
-  for (const OwedRequest* request : owed) {
-    const std::string record = framed(takenRecord(*request));
-    bytes += record;
-    total += sizes[request->id] = record.size() + kPerRequestReserve;
+bool Journal::ready(std::size_t bytes) {
+  const Segment& last = segments_.back();
+  const bool full = last.bytes + bytes > options_.segmentBytes && last.bytes > kSegmentHeaderBytes;
+  if (active_ && !broken_ && !full) return true;
+  // A disk that has no room for another segment may have some in this one.
+  return begin() == 0 || (active_ && !broken_);
+}
+
+bool Journal::write(std::string_view frames) {
+  Segment& segment = segments_.back();
+  const std::size_t grows = inBlocks(segment.bytes + frames.size()) - inBlocks(segment.bytes);
+  if (!planner_.fits(room(), grows)) return false;
+  const auto [put, error] = active_->append(frames);
+  if (error == 0 && put == frames.size()) {
+    segment.bytes = segment.fileBytes = segment.bytes + put;
+    used_ += grows;
+    sinceSlice_ += put;
+    figures_.writtenBytes += put;
+    return true;
   }
-  if (blocks(size_) + blocks(bytes.size()) > diskBytes_) return false;
-  const std::string fresh = folder_ + "/journal.new", path = folder_ + "/journal";
-  Fd fd(::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
-  if (!fd || !writeAll(fd, bytes) || ::rename(fresh.c_str(), path.c_str()) != 0) {
-    ::unlink(fresh.c_str());
-    return false;
+  fault("write", segmentName(segment.sequence), error);
+  // Half a record in the middle would look like damage: cut it off, or write no more to this segment. The
+  // header of the next one then says where this one ends.
+  if (put > 0 && active_->truncate(segment.bytes) != 0) {
+    broken_ = true;
+    segment.fileBytes = segment.bytes + put;
+    used_ += inBlocks(segment.fileBytes) - inBlocks(segment.bytes);
+  }
+  return false;
+}
+
+// ---- compaction ----
+JournalRoom Journal::room() const {
+  JournalRoom room;
+  room.disk = options_.diskBytes;
+  room.used = used_;
+  room.live = live_;
+  room.reserved = reserved_;
+  room.carry = carry_;
+  room.segmentBytes = options_.segmentBytes;
+  room.segments = segments_.size();
+  if (!segments_.empty()) {
+    room.oldestLive = segments_.front().live;
+    room.oldestBytes = segments_.front().bytes;
+  }
+  room.sinceSlice = sinceSlice_;
+  return room;
+}
+
+bool Journal::wantsSlice() const {
+  return !endsOwed_.empty() || (unsettled_ == 0 && planner_.slice(room()) > 0);
+}
+
+bool Journal::slice() {
+  if (unsettled_ > 0) return true;
+  if (resting()) return false;
+  writeEnds();
+  const std::size_t most = planner_.slice(room());
+  if (most == 0) return true;
+  sinceSlice_ = 0;
+  ++figures_.slices;
+  bool good = true;
+  if (segments_.front().first != kNone) good = carry(most);
+  for (std::size_t i = 0; good && i < kMostReleased; ++i) {
+    if (segments_.size() < 2 || segments_.front().first != kNone) break;
+    good = removeOldest();
+  }
+  measureCarry();
+  return good;
+}
+
+// Writes the oldest segment's requests anew, as they stand now. What stood of them before then counts no
+// more: a reading that meets both takes the later one.
+bool Journal::carry(std::size_t most) {
+  const std::uint32_t from = segments_.front().first;
+  if (!ready(entries_[from].live)) return false;
+  if (segments_.size() < 2) return true;
+  const std::size_t left = options_.segmentBytes - std::min(options_.segmentBytes, segments_.back().bytes);
+  std::vector<std::pair<std::uint32_t, std::size_t>> moved;
+  scratch_.clear();
+  for (std::uint32_t at = from; at != kNone; at = entries_[at].behind) {
+    const std::size_t bytes = recordBytes(*entries_[at].owed);
+    if (!moved.empty() && scratch_.size() + bytes > std::min(most, left)) break;
+    frame(*entries_[at].owed);
+    moved.emplace_back(at, bytes);
+  }
+  if (!write(scratch_)) return false;
+  figures_.carriedBytes += scratch_.size();
+  for (const auto& [ticket, bytes] : moved) {
+    Entry& entry = entries_[ticket];
+    setLive(entry, 0);
+    unlink(ticket);
+    link(ticket, segments_.back());
+    setLive(entry, bytes);
+    // All of it stands in one record again: what its attempts used up of the reserve is given back, if there
+    // is room.
+    const std::size_t full = planner_.tuning().perRequestReserve;
+    if (entry.reserve >= full) continue;
+    JournalRoom after = room();
+    after.reserved += full - entry.reserve;
+    if (planner_.free(after) == 0) continue;
+    reserved_ = after.reserved;
+    entry.reserve = static_cast<std::uint32_t>(full);
   }
-  file_ = std::move(fd);
-  size_ = bytes.size();
-  owedSizes_ = std::move(sizes);
-  owedBytes_ = total;
-  broken_ = false;
   return true;
 }
 
-bool Journal::append(const std::string& payload) {
-  const std::string record = framed(payload);
-  // What is owed must always fit beside the file, or it could never be compacted again and would stay full.
-  if (broken_ || !file_ || blocks(size_ + record.size()) + blocks(owedBytes_) > diskBytes_) return false;
-  if (writeAll(file_, record)) {
-    size_ += record.size();
-    return true;
+bool Journal::removeOldest() {
+  const std::uint64_t next = segments_.front().sequence + 1;
+  // Recorded first, so that a segment missing for any other reason is known to be missing. Where even that
+  // finds no room on the disk, removing is what makes some: then it is recorded afterwards.
+  const auto record = [&] {
+    if (releasedTold_ >= next) return;
+    if (!ready(kFrameBytes + 1 + sizeof next)) return;
+    scratch_.clear();
+    frame(ReleasedRecord{next});
+    if (write(scratch_)) releasedTold_ = next;
+  };
+  record();
+  const std::string name = segmentName(segments_.front().sequence);
+  const int error = parts_.files.remove(path(name));
+  if (error != 0 && error != ENOENT) return fault("remove", name, error);
+  used_ -= inBlocks(segments_.front().fileBytes);
+  segments_.pop_front();
+  ++figures_.released;
+  record();
+  return true;
+}
+
+// ---- what is held, by segment ----
+Journal::Segment* Journal::segmentOf(std::uint64_t sequence) {
+  const auto at =
+      std::lower_bound(segments_.begin(), segments_.end(), sequence,
+                       [](const Segment& s, std::uint64_t wanted) { return s.sequence < wanted; });
+  return at != segments_.end() && at->sequence == sequence ? &*at : nullptr;
+}
+
+std::uint32_t Journal::newEntry() {
+  if (freeEntry_ == kNone) {
+    entries_.emplace_back();
+    return static_cast<std::uint32_t>(entries_.size() - 1);
   }
-  // Half a record would hide all later ones from a recovery: cut it off, or write no more to this file.
-  broken_ = ::ftruncate(file_.get(), static_cast<off_t>(size_)) != 0;
-  return false;
+  const std::uint32_t ticket = freeEntry_;
+  freeEntry_ = std::exchange(entries_[ticket].behind, kNone);
+  return ticket;
+}
+
+void Journal::link(std::uint32_t ticket, Segment& segment) {
+  Entry& entry = entries_[ticket];
+  entry.segment = segment.sequence;
+  entry.before = segment.last;
+  entry.behind = kNone;
+  (segment.last == kNone ? segment.first : entries_[segment.last].behind) = ticket;
+  segment.last = ticket;
+}
+
+void Journal::unlink(std::uint32_t ticket) {
+  Entry& entry = entries_[ticket];
+  Segment* segment = segmentOf(entry.segment);
+  if (!segment) return;
+  (entry.before == kNone ? segment->first : entries_[entry.before].behind) = entry.behind;
+  (entry.behind == kNone ? segment->last : entries_[entry.behind].before) = entry.before;
+  entry.before = entry.behind = kNone;
+  entry.segment = 0;
+}
+
+void Journal::setLive(Entry& entry, std::size_t live) {
+  Segment* segment = segmentOf(entry.segment);
+  if (!segment) return;
+  segment->live += live - entry.live;
+  live_ += live - entry.live;
+  entry.live = static_cast<std::uint32_t>(live);
+  carry_ = std::max(carry_, segment->live);
+}
+
+void Journal::measureCarry() {
+  carry_ = 0;
+  for (const Segment& segment : segments_) carry_ = std::max(carry_, segment.live);
 }
 
 }  // namespace myrtleloft
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -1,69 +1,169 @@
-// What the relay owes, on disk: an append-only file of checksummed records that outlasts the process.
+// What the relay owes, on disk: a log in segments that outlasts the process and compacts itself in slices.
+//
+//   Journal journal({files, clock, log}, {folder, diskBytes});
+//   Recovered found;
+//   if (!journal.open(found, error)) ...               // another process holds it, a newer version, no room
+//   for (auto& [id, request] : found.owed) { ...; journal.settle(owed); }  // where each lives from now on
+//
+//   if (!journal.taken(owed)) ...    // not recorded: answer with a fail-fast, and forget it
+//   if (!journal.attempt(owed, {"E1", zone, wallMs})) ...   // not recorded: do not send
+//   journal.ended(owed);
+//   journal.slice();                 // once per turn of the loop
+//
+// The journal changes the request's attempts, doubts and verdict itself, together with their records: memory
+// and disk cannot part. It keeps a pointer to each request from `taken` or `settle` to `ended`; until then a
+// request must stay where it is. One thread; nothing throws, and nothing waits for the disk to finish: what
+// `write` took outlasts the process, and that is all the level `process` promises.
+//
+// Costs: `taken`, `attempt`, `harmless`, `verdict`, `ended` O(size) and one write(2); `slice` O(slice).
 #pragma once
 
 #include <cstdint>
-#include <map>
+#include <deque>
+#include <list>
+#include <memory>
+#include <ostream>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "net/socket.h"
+#include "journal/files.h"
+#include "journal/planner.h"
+#include "journal/records.h"
+#include "journal/recovery.h"
+#include "net/clock.h"
 
 namespace myrtleloft {
 
-enum class Verdict { kNone, kDead, kBounced };
-
-// A call with the request whose outcome is not proven harmless: it may have run.
-struct Doubt {
-  std::string endpoint;
-  int zone = 0;
-  double sentWallMs = 0;
+struct JournalOptions {
+  std::string folder;
+  std::size_t diskBytes = 0;     // the files of the folder never hold more, in blocks of 512 bytes
+  std::size_t segmentBytes = 0;  // 0: the planner's choice
+  JournalTuning tuning;
+  std::string owner;       // what another process is told of this one, e.g. "pid 4711, relay n3"
+  std::uint64_t salt = 0;  // random; of a folder that has one already, its own goes on
 };
 
-// All of a request that must outlast the process.
-struct OwedRequest {
-  std::string id, key, body;
-  int cls = 0, tenant = 0;
-  std::int64_t destination = 0;
-  double notAfterWallMs = 0;
-  bool isRetry = false;
-  int attempts = 0;
-  std::vector<Doubt> doubts;
-  Verdict verdict = Verdict::kNone;  // decided, but the platform has not confirmed the notice
-  double waitMs = 0;
+// What the journal has done since its start.
+struct JournalFigures {
+  std::uint64_t faults = 0;    // operations of the file layer that failed
+  std::uint64_t released = 0;  // segments carried over and removed
+  std::uint64_t slices = 0;
+  std::uint64_t takenBytes = 0, writtenBytes = 0, carriedBytes = 0;
 };
 
 class Journal {
  public:
-  using Owed = std::map<std::string, OwedRequest>;
+  struct Parts {
+    Files& files;
+    const Clock& clock;
+    std::ostream& log;
+  };
+
+  Journal(const Parts& parts, JournalOptions options);
+  ~Journal();
+  Journal(const Journal&) = delete;
+  Journal& operator=(const Journal&) = delete;
 
-  // Files in `folder` never hold more than `diskBytes` together, in blocks of 512 bytes.
-  Journal(std::string folder, std::size_t diskBytes);
+  // Locks the folder, reads it, takes over a file of version 1, keeps damaged bytes aside, and begins a
+  // segment. false: the folder cannot be used, and `error` says why; nothing in it was changed that a later
+  // start needs.
+  bool open(Recovered& found, std::string& error);
+  // A request from `open` has found its place. Compaction rests until all have.
+  void settle(OwedRequest& owed);
 
-  // Reads what is there, up to the first record that is torn or wrong, and compacts it.
-  // false: the folder cannot be used; `error` says why.
-  bool open(Owed& owed, std::string& error);
+  // Each returns false where it could not be recorded; the log then still ends with a whole record.
+  bool taken(OwedRequest& owed);                 // also false where too little is free to see it to its end
+  bool attempt(OwedRequest& owed, Doubt doubt);  // numbers the doubt itself
+  // The newest attempt never ran. Withdrawn in memory also where it cannot be recorded: the doubt on disk is
+  // then one too many, which loses no request and repeats none.
+  bool harmless(OwedRequest& owed);
+  // Given up: drops the body.
+  bool verdict(OwedRequest& owed, Verdict verdict, double waitMs);
+  // Nothing is owed any more; the pointer is let go. A record that cannot be written is tried again later.
+  bool ended(OwedRequest& owed);
 
-  // Each returns false where it could not be recorded; the file then still ends with a whole record.
-  bool taken(const OwedRequest& request);  // also false where the journal is too full to see it to its end
-  bool attempt(std::string_view id, const Doubt& doubt);
-  bool harmless(std::string_view id);  // the newest attempt never ran
-  bool verdict(std::string_view id, Verdict verdict, double waitMs);
-  bool ended(std::string_view id);
+  // Whether there is something to compact.
+  bool wantsSlice() const;
+  // Carries some live requests over, or removes one segment. What it costs is bounded by the planner's slice,
+  // however much is owed. false: the disk refused; it is tried again no sooner than a second later.
+  bool slice();
 
-  // Grown so far that the file should be written anew from what is owed.
-  bool wantsCompaction() const;
-  bool compact(const std::vector<const OwedRequest*>& owed);
+  const JournalFigures& figures() const { return figures_; }
+  JournalRoom room() const;
 
  private:
-  bool append(const std::string& payload);
-
-  std::string folder_;
-  std::size_t diskBytes_;
-  Fd file_;
-  std::size_t size_ = 0, owedBytes_ = 0;
-  std::map<std::string, std::size_t, std::less<>> owedSizes_;
-  bool broken_ = false;
+  static constexpr std::uint32_t kNone = OwedRequest::kNoTicket;
+
+  // One held request. In a list per segment, linked by index: a segment's live requests are found without
+  // looking at any other.
+  struct Entry {
+    OwedRequest* owed = nullptr;
+    std::uint64_t segment = 0;
+    std::uint32_t live = 0, reserve = 0;  // bytes of its newest whole record; what it may still append
+    std::uint32_t before = kNone, behind = kNone;
+  };
+  struct Segment {
+    std::uint64_t sequence = 0;
+    std::size_t bytes = 0;      // up to the end of the last whole record
+    std::size_t fileBytes = 0;  // more, where half a record could not be cut off
+    std::size_t live = 0;
+    std::uint32_t first = kNone, last = kNone;
+  };
+
+  std::string path(const std::string& name) const { return options_.folder + "/" + name; }
+  bool fault(const char* what, const std::string& name, int error);
+  bool resting() const;
+
+  void adopt(Recovered& found);
+  bool takeOver(Recovered& found, std::string& error);
+  void writeNameless(Recovered& found);
+  struct Spoilt {
+    std::string name, bytes;
+  };
+  std::vector<Spoilt> readDamage(const Recovered& found);
+  void keepDamage(const Recovered& found, const std::vector<Spoilt>& all);
+  // Begins the next segment; an errno.
+  int begin();
+  SegmentHeader nextHeader() const;
+
+  // Appends frames made for the active segment. All or nothing.
+  bool write(std::string_view frames);
+  // Sees that `bytes` more may go to the active segment, beginning another where it is full or broken.
+  bool ready(std::size_t bytes);
+  template <typename R>
+  std::size_t frame(const R& record);  // into scratch_; its bytes
+  void writeEnds();
+  void writeReleased();
+
+  Segment* segmentOf(std::uint64_t sequence);
+  std::uint32_t newEntry();
+  void link(std::uint32_t ticket, Segment& segment);
+  void unlink(std::uint32_t ticket);
+  void setLive(Entry& entry, std::size_t live);
+  void measureCarry();
+  bool reserve(Entry& entry, std::size_t bytes, std::size_t grows, std::size_t keep);
+  bool removeOldest();
+  bool carry(std::size_t most);
+
+  Parts parts_;
+  JournalOptions options_;
+  JournalPlanner planner_;
+  std::unique_ptr<FolderLock> lock_;
+  std::shared_ptr<OutFile> active_;
+  std::deque<Segment> segments_;  // by sequence; the last is the active one
+  std::deque<Entry> entries_;
+  std::uint32_t freeEntry_ = kNone;
+  std::size_t used_ = 0, live_ = 0, reserved_ = 0, sinceSlice_ = 0, unsettled_ = 0;
+  std::size_t carry_ = 0;  // at least the largest `live` of any segment; exact after `measureCarry`
+  bool broken_ = false;    // the active segment ends in half a record that could not be cut off
+  std::uint64_t salt_ = 0, tookOver_ = 0;  // go into the next header
+  std::uint64_t releasedTold_ = 1;         // the newest *released* on the disk
+  std::vector<std::string> endsOwed_;      // ended, but not yet recorded
+  std::string scratch_;
+  double restUntilMs_ = 0, toldMs_ = -1e18;
+  std::uint64_t untold_ = 0;
+  JournalFigures figures_;
 };
 
 }  // namespace myrtleloft
--- /dev/null
+++ b/src/journal/records.cpp
@@ -0,0 +1,188 @@
+#include "journal/records.h"
+
+// Lengths as 32 bits: no text here is longer, and five of them stand in each request.
+#define CEREAL_SIZE_TYPE std::uint32_t
+#include <cereal/cereal.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstring>
+#include <exception>
+#include <utility>
+
+namespace myrtleloft {
+namespace {
+
+enum class Type : char {
+  kTaken = 'T',
+  kAttempt = 'A',
+  kHarmless = 'H',
+  kVerdict = 'V',
+  kEnded = 'E',
+  kReleased = 'R'
+};
+
+// cereal's own archives write to streams, at several times the cost of the write(2) that follows.
+class TextOut : public cereal::OutputArchive<TextOut, cereal::AllowEmptyClassElision> {
+ public:
+  explicit TextOut(std::string& out) : OutputArchive(this), out_(out) {}
+  void bytes(const void* data, std::size_t size) { out_.append(static_cast<const char*>(data), size); }
+
+ private:
+  std::string& out_;
+};
+
+struct TooShort : std::exception {};
+
+class TextIn : public cereal::InputArchive<TextIn, cereal::AllowEmptyClassElision> {
+ public:
+  explicit TextIn(std::string_view in) : InputArchive(this), in_(in) {}
+  void bytes(void* data, std::size_t size) {
+    if (size > in_.size()) throw TooShort();
+    std::memcpy(data, in_.data(), size);
+    in_.remove_prefix(size);
+  }
+  std::size_t left() const { return in_.size(); }
+
+ private:
+  std::string_view in_;
+};
+
+template <typename T, std::enable_if_t<std::is_arithmetic_v<T>, int> = 0>
+void CEREAL_SAVE_FUNCTION_NAME(TextOut& ar, const T& value) {
+  ar.bytes(&value, sizeof value);
+}
+template <typename T, std::enable_if_t<std::is_arithmetic_v<T>, int> = 0>
+void CEREAL_LOAD_FUNCTION_NAME(TextIn& ar, T& value) {
+  ar.bytes(&value, sizeof value);
+}
+template <typename T>
+void CEREAL_SAVE_FUNCTION_NAME(TextOut& ar, const cereal::SizeTag<T>& tag) {
+  ar(tag.size);
+}
+template <typename T>
+void CEREAL_LOAD_FUNCTION_NAME(TextIn& ar, cereal::SizeTag<T>& tag) {
+  ar(tag.size);
+  // Each element takes a byte at least: a length beyond what is left would only reserve memory.
+  if (tag.size > ar.left()) throw TooShort();
+}
+template <typename T>
+void CEREAL_SAVE_FUNCTION_NAME(TextOut& ar, const cereal::BinaryData<T>& data) {
+  ar.bytes(data.data, static_cast<std::size_t>(data.size));
+}
+template <typename T>
+void CEREAL_LOAD_FUNCTION_NAME(TextIn& ar, cereal::BinaryData<T>& data) {
+  ar.bytes(data.data, static_cast<std::size_t>(data.size));
+}
+
+}  // namespace
+}  // namespace myrtleloft
+
+CEREAL_SETUP_ARCHIVE_TRAITS(myrtleloft::TextIn, myrtleloft::TextOut)
+
+namespace myrtleloft {
+
+// ---- the records' fields, for cereal ----
+template <typename Archive>
+void serialize(Archive& ar, Doubt& d) {
+  ar(d.endpoint, d.zone, d.sentWallMs, d.attempt);
+}
+template <typename Archive>
+void serialize(Archive& ar, OwedRequest& r) {
+  ar(r.id, r.key, r.cls, r.tenant, r.destination, r.notAfterWallMs, r.takenWallMs, r.isRetry, r.attempts,
+     r.verdict, r.waitMs, r.doubts, r.body);
+}
+template <typename Archive>
+void serialize(Archive& ar, TakenRecord& r) {
+  ar(r.owed);
+}
+template <typename Archive>
+void serialize(Archive& ar, AttemptRecord& r) {
+  ar(r.id, r.doubt);
+}
+template <typename Archive>
+void serialize(Archive& ar, HarmlessRecord& r) {
+  ar(r.id, r.attempt);
+}
+template <typename Archive>
+void serialize(Archive& ar, VerdictRecord& r) {
+  ar(r.id, r.verdict, r.waitMs);
+}
+template <typename Archive>
+void serialize(Archive& ar, EndedRecord& r) {
+  ar(r.id);
+}
+template <typename Archive>
+void serialize(Archive& ar, ReleasedRecord& r) {
+  ar(r.firstSegment);
+}
+
+namespace {
+
+template <typename R>
+void put(Type type, const R& record, std::string& out) {
+  out += static_cast<char>(type);
+  TextOut archive(out);
+  archive(record);
+}
+
+template <typename R>
+std::optional<Record> get(TextIn& in) {
+  Record record{std::in_place_type<R>};
+  in(std::get<R>(record));
+  if (in.left() > 0) return std::nullopt;
+  return record;
+}
+
+bool known(Verdict verdict) { return verdict <= Verdict::kBounced; }
+
+}  // namespace
+
+void encode(const OwedRequest& taken, std::string& out) { put(Type::kTaken, taken, out); }
+void encode(const AttemptRecord& record, std::string& out) { put(Type::kAttempt, record, out); }
+void encode(const HarmlessRecord& record, std::string& out) { put(Type::kHarmless, record, out); }
+void encode(const VerdictRecord& record, std::string& out) { put(Type::kVerdict, record, out); }
+void encode(const EndedRecord& record, std::string& out) { put(Type::kEnded, record, out); }
+void encode(const ReleasedRecord& record, std::string& out) { put(Type::kReleased, record, out); }
+
+std::optional<Record> decode(std::string_view payload) try {
+  if (payload.empty()) return std::nullopt;
+  TextIn in(payload.substr(1));
+  switch (static_cast<Type>(payload.front())) {
+    case Type::kTaken: {
+      auto record = get<TakenRecord>(in);
+      return record && known(std::get<TakenRecord>(*record).owed.verdict) ? std::move(record) : std::nullopt;
+    }
+    case Type::kAttempt:
+      return get<AttemptRecord>(in);
+    case Type::kHarmless:
+      return get<HarmlessRecord>(in);
+    case Type::kVerdict: {
+      auto record = get<VerdictRecord>(in);
+      return record && known(std::get<VerdictRecord>(*record).verdict) ? std::move(record) : std::nullopt;
+    }
+    case Type::kEnded:
+      return get<EndedRecord>(in);
+    case Type::kReleased:
+      return get<ReleasedRecord>(in);
+  }
+  return std::nullopt;
+} catch (const std::exception&) {
+  return std::nullopt;
+}
+
+std::size_t encodedSize(const Doubt& doubt) {
+  return sizeof(std::uint32_t) + doubt.endpoint.size() + sizeof doubt.zone + sizeof doubt.sentWallMs +
+         sizeof doubt.attempt;
+}
+
+std::size_t encodedSize(const OwedRequest& r) {
+  // The type, four lengths, the fixed fields; a test holds this against `encode`.
+  constexpr std::size_t kFixed = 1 + 4 * sizeof(std::uint32_t) + sizeof r.cls + sizeof r.tenant +
+                                 sizeof r.destination + sizeof r.notAfterWallMs + sizeof r.takenWallMs + 1 +
+                                 sizeof r.attempts + sizeof r.verdict + sizeof r.waitMs;
+  std::size_t size = kFixed + r.id.size() + r.key.size() + r.body.size();
+  for (const Doubt& doubt : r.doubts) size += encodedSize(doubt);
+  return size;
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/journal/records.h
@@ -0,0 +1,88 @@
+// What a journal's record says, and its bytes. The bytes are cereal's: fixed-size numbers in this machine's
+// order, texts behind their length.
+//
+//   std::string bytes;
+//   encode(AttemptRecord{"9b1f", doubt}, bytes);       // appends
+//   std::optional<Record> record = decode(bytes);      // nothing: not a record of ours
+//
+// Safe for several threads; both cost O(size).
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace myrtleloft {
+
+enum class Verdict : std::uint8_t { kNone, kDead, kBounced };
+
+// A call with the request whose outcome is not proven harmless: it may have run.
+struct Doubt {
+  // Of a call that may have stood in a damaged part of the journal: which one, where and when is not known.
+  static constexpr int kLostAttempt = -1, kLostZone = -2;
+
+  std::string endpoint;
+  int zone = 0;
+  double sentWallMs = 0;
+  int attempt = 0;  // the how-manieth of the request, from 0
+};
+
+// All of a request that must outlast the process.
+struct OwedRequest {
+  static constexpr std::uint32_t kNoTicket = 0xffffffff;
+
+  std::string id, key, body;
+  int cls = 0, tenant = 0;
+  std::int64_t destination = 0;
+  double notAfterWallMs = 0;
+  double takenWallMs = 0;  // 0: not known; no attempt was made before it
+  bool isRetry = false;
+  int attempts = 0;
+  std::vector<Doubt> doubts;
+  Verdict verdict = Verdict::kNone;  // decided, but the platform has not confirmed the notice
+  double waitMs = 0;
+  std::uint32_t ticket = kNoTicket;  // the journal's own, in no record
+};
+
+// The request as it stands: at its taking on, and again each time that compaction carries it over.
+struct TakenRecord {
+  OwedRequest owed;
+};
+struct AttemptRecord {  // before a call's first byte
+  std::string id;
+  Doubt doubt;
+};
+struct HarmlessRecord {  // that attempt never ran
+  std::string id;
+  int attempt = 0;
+};
+struct VerdictRecord {  // given up; its notice is still to be confirmed
+  std::string id;
+  Verdict verdict = Verdict::kNone;
+  double waitMs = 0;
+};
+struct EndedRecord {  // nothing is owed any more
+  std::string id;
+};
+struct ReleasedRecord {  // all segments before this one have been carried over, and may be gone
+  std::uint64_t firstSegment = 0;
+};
+using Record =
+    std::variant<TakenRecord, AttemptRecord, HarmlessRecord, VerdictRecord, EndedRecord, ReleasedRecord>;
+
+void encode(const OwedRequest& taken, std::string& out);
+void encode(const AttemptRecord& record, std::string& out);
+void encode(const HarmlessRecord& record, std::string& out);
+void encode(const VerdictRecord& record, std::string& out);
+void encode(const EndedRecord& record, std::string& out);
+void encode(const ReleasedRecord& record, std::string& out);
+std::optional<Record> decode(std::string_view payload);
+
+// How many bytes `encode` appends for it.
+std::size_t encodedSize(const OwedRequest& taken);
+std::size_t encodedSize(const Doubt& doubt);
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/journal/recovery.cpp
@@ -0,0 +1,278 @@
+#include "journal/recovery.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
+#include <type_traits>
+#include <utility>
+
+#include "journal/version_one.h"
+
+namespace myrtleloft {
+namespace {
+
+std::string cannot(const std::string& what, int fault) {
+  return "cannot " + what + ": " + std::strerror(fault);
+}
+
+// What the header of one segment says of its neighbours.
+struct Links {
+  std::uint64_t firstSegment = 1;
+  std::size_t previousBytes = SegmentScanner::kUnknownEnd;  // of the one before it
+};
+
+class Reading {
+ public:
+  Reading(Files& files, const std::string& folder, Recovered& found, const RecordVisitor& visit)
+      : files_(files), folder_(folder), found_(found), visit_(visit) {}
+
+  RecoveryFault run() {
+    std::vector<FileSeen> seen;
+    if (const int fault = files_.list(folder_, seen)) return {cannot("list " + folder_, fault)};
+    std::sort(seen.begin(), seen.end(), [](const auto& a, const auto& b) { return a.name < b.name; });
+    for (FileSeen& file : seen) {
+      if (const auto sequence = segmentSequence(file.name)) {
+        sequences_.push_back(*sequence);
+        found_.segments.emplace_back().fileBytes = file.bytes;
+      } else {
+        found_.others.push_back(std::move(file));
+      }
+    }
+    RecoveryFault fault = readHeaders();
+    if (!fault) fault = readVersionOne();
+    if (!fault) fault = readLast();
+    for (std::size_t i = 0; i < sequences_.size() && !fault; ++i) fault = readSegment(i);
+    if (fault) return fault;
+    replay_.finish(found_);
+    return {};
+  }
+
+ private:
+  RecoveryFault load(std::uint64_t sequence) {
+    if (sequence == loaded_) return {};
+    loaded_ = 0;
+    const std::string path = folder_ + "/" + segmentName(sequence);
+    if (const int fault = files_.read(path, bytes_)) return {cannot("read " + path, fault)};
+    loaded_ = sequence;
+    return {};
+  }
+
+  // Headers first: a version that is not known must be refused before anything is believed, and the salt of a
+  // segment whose header is damaged stands in the others.
+  RecoveryFault readHeaders() {
+    for (std::size_t i = 0; i < sequences_.size(); ++i) {
+      const std::uint64_t sequence = sequences_[i];
+      const std::string path = folder_ + "/" + segmentName(sequence);
+      if (const int fault = files_.read(path, bytes_, kSegmentHeaderBytes))
+        return {cannot("read " + path, fault)};
+      const HeaderState state = readHeader(bytes_);
+      if (state.kind == HeaderState::Kind::kNewer)
+        return {folder_ + "/" + segmentName(sequence) + " has format version " +
+                std::to_string(state.version) + "; this program knows none above " +
+                std::to_string(kJournalVersion)};
+      SegmentSeen& seen = found_.segments[i];
+      seen.sequence = sequence;
+      seen.headerGood = state.kind == HeaderState::Kind::kGood;
+      seen.createdWallMs = state.header.createdWallMs;
+      Links links;
+      if (seen.headerGood) {
+        if (state.header.salt != 0) found_.salt = state.header.salt;
+        links = {state.header.firstSegment, static_cast<std::size_t>(state.header.previousBytes)};
+        found_.firstSegment = std::max(found_.firstSegment, state.header.firstSegment);
+        if (state.header.tookOver != 0) found_.tookOver = state.header.tookOver;
+      }
+      // Made, but its header not written when the process ended: nothing can stand in it.
+      if (sequence == sequences_.back() && state.kind == HeaderState::Kind::kTorn) {
+        seen.stale = true;
+        found_.torn += bytes_.size();
+      }
+      links_.push_back(links);
+    }
+    return {};
+  }
+
+  RecoveryFault readVersionOne() {
+    const auto old = [](const FileSeen& file) { return file.name == kJournalV1; };
+    if (std::none_of(found_.others.begin(), found_.others.end(), old)) return {};
+    std::string bytes;
+    const std::string path = folder_ + "/" + kJournalV1;
+    if (const int fault = files_.read(path, bytes)) return {cannot("read " + path, fault)};
+    found_.versionOneFingerprint = fingerprint(bytes);
+    // Taken over already, but the process ended before the old file was removed.
+    if (found_.tookOver == found_.versionOneFingerprint) return {};
+    found_.versionOne = true;
+    replayVersionOne(bytes, replay_, found_);
+    return {};
+  }
+
+  // The newest word on which segments may be gone stands near the end.
+  RecoveryFault readLast() {
+    if (sequences_.empty()) return {};
+    for (std::size_t i = sequences_.size(); i-- > 0;) {
+      if (found_.segments[i].stale) continue;
+      if (RecoveryFault fault = load(sequences_[i])) return fault;
+      SegmentScanner scanner(bytes_, found_.salt, sequences_[i], endOf(i));
+      for (Piece piece = scanner.next(); piece.kind != Piece::Kind::kEnd; piece = scanner.next()) {
+        if (piece.kind != Piece::Kind::kRecord || piece.payload.front() != 'R') continue;
+        const auto record = decode(piece.payload);
+        if (record && std::holds_alternative<ReleasedRecord>(*record))
+          found_.firstSegment = std::max(found_.firstSegment, std::get<ReleasedRecord>(*record).firstSegment);
+      }
+      break;
+    }
+    return {};
+  }
+
+  // How much of a segment is the journal's, if the one behind it tells.
+  std::size_t endOf(std::size_t i) const {
+    const bool told = i + 1 < sequences_.size() && sequences_[i + 1] == sequences_[i] + 1;
+    return told ? links_[i + 1].previousBytes : SegmentScanner::kUnknownEnd;
+  }
+
+  void lose(const std::string& file, std::size_t offset, std::size_t bytes, const char* what) {
+    found_.damage.push_back({file, offset, bytes, what});
+    replay_.hole();
+  }
+
+  RecoveryFault readSegment(std::size_t i) {
+    const std::uint64_t sequence = sequences_[i];
+    SegmentSeen& seen = found_.segments[i];
+    if (sequence < found_.firstSegment) seen.stale = true;
+    if (seen.stale) return {};
+    const std::uint64_t before =
+        i > 0 && sequences_[i - 1] >= found_.firstSegment ? sequences_[i - 1] : found_.firstSegment - 1;
+    for (std::uint64_t gone = before + 1; gone < sequence; ++gone) {
+      lose(segmentName(gone), 0, 0, "missing");
+      if (sequence - gone > kMostMissingTold) gone = sequence - 1;
+    }
+    if (RecoveryFault fault = load(sequence)) return fault;
+    const std::string name = segmentName(sequence);
+    if (!seen.headerGood) lose(name, 0, std::min(bytes_.size(), kSegmentHeaderBytes), "damaged");
+    seen.validBytes = std::min(bytes_.size(), kSegmentHeaderBytes);
+    SegmentScanner scanner(bytes_, found_.salt, sequence, endOf(i));
+    for (Piece piece = scanner.next(); piece.kind != Piece::Kind::kEnd; piece = scanner.next()) {
+      if (piece.kind == Piece::Kind::kHole) {
+        lose(name, piece.offset, piece.bytes, piece.bytes > 0 ? "damaged" : "cut off");
+        continue;
+      }
+      if (piece.kind == Piece::Kind::kTorn) {
+        // Only the last segment's end can be torn; another's, with the one behind it damaged, may be a hole.
+        if (i + 1 < sequences_.size() && !found_.segments[i + 1].stale)
+          lose(name, piece.offset, piece.bytes, "damaged");
+        else
+          found_.torn += piece.bytes;
+        continue;
+      }
+      std::optional<Record> record = decode(piece.payload);
+      if (!record) {
+        lose(name, piece.offset, piece.bytes, "damaged");
+        continue;
+      }
+      ++seen.records;
+      ++found_.records;
+      seen.validBytes = piece.offset + piece.bytes;
+      if (visit_) visit_(sequence, piece.offset, piece.bytes, *record);
+      replay_.apply(sequence, std::move(*record));
+    }
+    return {};
+  }
+
+  // A damaged number must not make a list of millions.
+  static constexpr std::uint64_t kMostMissingTold = 1000;
+
+  Files& files_;
+  const std::string& folder_;
+  Recovered& found_;
+  const RecordVisitor& visit_;
+  Replay replay_;
+  std::vector<std::uint64_t> sequences_;
+  std::vector<Links> links_;  // beside sequences_
+  std::uint64_t loaded_ = 0;
+  std::string bytes_;
+};
+
+bool lost(const Doubt& doubt) { return doubt.attempt == Doubt::kLostAttempt; }
+
+void putInDoubt(OwedRequest& owed) {
+  if (std::any_of(owed.doubts.begin(), owed.doubts.end(), lost)) return;
+  // In front: it may be the earliest, and the window of a keyed request runs from the first.
+  owed.doubts.insert(owed.doubts.begin(), {"", Doubt::kLostZone, owed.takenWallMs, Doubt::kLostAttempt});
+  // Its number is used up: were it given again, the next reading would take it for proof that none is
+  // missing.
+  ++owed.attempts;
+}
+
+}  // namespace
+
+void Replay::apply(std::uint64_t segment, Record record) {
+  if (auto* taken = std::get_if<TakenRecord>(&record)) {
+    nameless_.erase(taken->owed.id);
+    RecoveredRequest& request = owed_[taken->owed.id];
+    request = {std::move(taken->owed), segment, holes_};
+    return;
+  }
+  if (std::holds_alternative<ReleasedRecord>(record)) return;
+  if (auto* ended = std::get_if<EndedRecord>(&record)) {
+    owed_.erase(ended->id);
+    nameless_.erase(ended->id);
+    return;
+  }
+  const std::string& id = std::visit(
+      [](const auto& r) -> const std::string& {
+        if constexpr (requires { r.id; })
+          return r.id;
+        else
+          std::abort();  // handled above
+      },
+      record);
+  const auto at = owed_.find(id);
+  if (at == owed_.end()) {
+    // Carried over behind this record, ended behind it, or its *taken* is lost: only the end tells which.
+    Verdict& verdict = nameless_[id];
+    if (auto* given = std::get_if<VerdictRecord>(&record)) verdict = given->verdict;
+    return;
+  }
+  OwedRequest& owed = at->second.owed;
+  if (auto* attempt = std::get_if<AttemptRecord>(&record)) {
+    const int number = attempt->doubt.attempt;
+    // With damage since its last record, a number left out is an attempt that stood there; a number that
+    // follows proves that there was none.
+    if (at->second.holesKnown != holes_ && number > owed.attempts) putInDoubt(owed);
+    at->second.holesKnown = holes_;
+    owed.attempts = std::max(owed.attempts, number + 1);
+    owed.doubts.push_back(std::move(attempt->doubt));
+  } else if (auto* harmless = std::get_if<HarmlessRecord>(&record)) {
+    std::erase_if(owed.doubts, [&](const Doubt& d) { return !lost(d) && d.attempt == harmless->attempt; });
+  } else if (auto* given = std::get_if<VerdictRecord>(&record)) {
+    owed.verdict = given->verdict;
+    owed.waitMs = given->waitMs;
+    owed.body.clear();
+  }
+}
+
+void Replay::hole() { ++holes_; }
+
+void Replay::finish(Recovered& found) {
+  for (auto& [id, request] : owed_) {
+    if (request.holesKnown == holes_ || request.owed.verdict != Verdict::kNone) continue;
+    putInDoubt(request.owed);
+    ++found.doubted;
+  }
+  found.owed = std::exchange(owed_, {});
+  if (holes_ > 0) {
+    for (const auto& [id, verdict] : nameless_) {
+      RecoveredRequest& request = found.owed[id];
+      request.owed.id = id;
+      request.owed.verdict = verdict == Verdict::kNone ? Verdict::kDead : verdict;
+      ++found.bodiesLost;
+    }
+  }
+  nameless_.clear();
+}
+
+RecoveryFault recover(Files& files, const std::string& folder, Recovered& found, const RecordVisitor& visit) {
+  return Reading(files, folder, found, visit).run();
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/journal/recovery.h
@@ -0,0 +1,105 @@
+// Reads what a folder holds: the segments of version 2 and, where it is there, the one file of version 1. It
+// writes nothing; the journal at its start and the tools that look into a folder at rest use the same
+// reading.
+//
+//   Recovered found;
+//   const RecoveryFault fault = recover(files, folder, found);
+//   if (fault) ... fault.text says what, and nothing was touched
+//   found.owed      what is owed, by id, as far as it could be read
+//   found.damage    each damaged part, with file and offset
+//
+// A damaged part may have held any record. So for each request whose history spans it:
+// - an *attempt* may be lost: it comes back with a doubt of which neither zone nor time is known, the time
+// taken as
+//   when it was taken on; unless a later record shows that no attempt is missing (the next one's number
+//   follows, or the whole request was written anew);
+// - an *ended* may be lost: it comes back as owed, in the same doubt;
+// - its *taken* may be lost while later records name it: its body is gone, so it comes back with the verdict
+// dead.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "journal/files.h"
+#include "journal/records.h"
+#include "journal/segment.h"
+
+namespace myrtleloft {
+
+constexpr const char* kJournalV1 = "journal";
+constexpr const char* kLockName = "journal.lock";
+constexpr const char* kDamagedPrefix = "damaged-";
+
+struct Damage {
+  std::string file;
+  std::size_t offset = 0, bytes = 0;
+  std::string what;  // "damaged", "missing"
+};
+
+struct SegmentSeen {
+  std::uint64_t sequence = 0;
+  std::size_t fileBytes = 0;   // on the disk
+  std::size_t validBytes = 0;  // up to the end of the last good record
+  std::size_t records = 0;
+  double createdWallMs = 0;
+  bool headerGood = true;
+  bool stale = false;  // before the first that is still needed, or torn in its header: may be removed
+};
+
+struct RecoveredRequest {
+  OwedRequest owed;
+  std::uint64_t segment = 0;     // where its newest whole record stands; 0: in none, only the version 1 file
+  std::uint64_t holesKnown = 0;  // no attempt before that many damaged parts is missing
+};
+
+struct Recovered {
+  using Owed = std::map<std::string, RecoveredRequest, std::less<>>;
+
+  Owed owed;
+  std::vector<SegmentSeen> segments;  // by sequence
+  std::vector<Damage> damage;
+  std::uint64_t firstSegment = 1;  // the oldest still needed
+  std::uint64_t salt = 0;          // 0: no segment told one
+  std::uint64_t tookOver = 0;      // the newest fingerprint that any segment names
+  bool versionOne = false;         // a version 1 file is there and not yet taken over
+  std::uint64_t versionOneFingerprint = 0;
+  std::size_t torn = 0;        // bytes of a record cut off by the end of the process
+  std::size_t doubted = 0;     // requests that damage put in doubt
+  std::size_t bodiesLost = 0;  // requests of which only the name is left
+  std::size_t records = 0;
+  std::vector<FileSeen> others;  // files that are no segments
+};
+
+struct RecoveryFault {
+  std::string text;
+  explicit operator bool() const { return !text.empty(); }
+};
+
+// Called for each record, in the order in which they were written.
+using RecordVisitor =
+    std::function<void(std::uint64_t segment, std::size_t offset, std::size_t bytes, const Record& record)>;
+
+// O(bytes of the folder); holds one segment in memory at a time beside what is owed.
+RecoveryFault recover(Files& files, const std::string& folder, Recovered& found,
+                      const RecordVisitor& visit = nullptr);
+
+// The part of it that follows records, for tests: what is owed after so many of them.
+class Replay {
+ public:
+  void apply(std::uint64_t segment, Record record);
+  // From here back, anything may be missing.
+  void hole();
+  // Ends the reading: puts in doubt what has to be, and brings back those of which only the name is left.
+  void finish(Recovered& found);
+
+ private:
+  Recovered::Owed owed_;
+  std::map<std::string, Verdict, std::less<>> nameless_;  // named by records, but never taken
+  std::uint64_t holes_ = 0;
+};
+
+}  // namespace myrtleloft
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <random>
 
 #include "config/config.h"
 #include "discovery/watch.h"
@@ -48,6 +49,16 @@
   return static_cast<std::size_t>(std::max(rest, 8));
 }
 
+JournalOptions journalOptions(const Config& config) {
+  JournalOptions options;
+  options.folder = config.stateFolder;
+  options.diskBytes = config.diskBytes;
+  options.owner = "pid " + std::to_string(::getpid()) + ", relay " + config.name;
+  std::random_device random;
+  options.salt = std::uint64_t{random()} << 32 | random();
+  return options;
+}
+
 }  // namespace
 
 class Relay::Impl {
@@ -56,7 +67,7 @@
       : log_(log),
         live_(environment),
         loop_(clock_),
-        journal_(config_.stateFolder, config_.diskBytes),
+        journal_({files_, clock_, log_}, journalOptions(config_)),
         notices_(loop_, config_.discovery, counters_, log_),
         outbound_(loop_, counters_,
                   {config_.settings.connectTimeoutMs, config_.settings.connIdleMs, idleConnections(config_),
@@ -107,10 +118,10 @@
 
   bool recover(std::string& error) {
     enter(Phase::kRecovering);
-    Journal::Owed owed;
-    if (!journal_.open(owed, error)) return false;
-    log_ << config_.name << ": " << owed.size() << " requests owed from before" << std::endl;
-    exchange_.recover(std::move(owed), destinations_.apply(config_.known, ListKind::kDisk));
+    Recovered found;
+    if (!journal_.open(found, error)) return false;
+    log_ << config_.name << ": " << found.owed.size() << " requests owed from before" << std::endl;
+    exchange_.recover(std::move(found), destinations_.apply(config_.known, ListKind::kDisk));
     watch_.start([this](ListEvent event) { exchange_.onList(std::move(event)); });
     return true;
   }
@@ -175,6 +186,7 @@
   Loop loop_;
   Fd signals_;
   DestinationSet destinations_;
+  PosixFiles files_;
   Journal journal_;
   Notices notices_;
   Outbound outbound_;
--- /dev/null
+++ b/tests/journal_day.h
@@ -0,0 +1,171 @@
+// A day of a journal, played from a seed on a disk in memory, beside a plain record of what has to come back.
+#pragma once
+
+#include <cmath>
+#include <list>
+#include <map>
+#include <random>
+#include <set>
+#include <sstream>
+#include <string>
+
+#include "journal/journal.h"
+#include "lab/faulty_files.h"
+
+namespace myrtleloft::testing {
+
+struct HandClock : Clock {
+  double steadyMs() const override { return nowMs; }
+  double wallMs() const override { return 1e12 + nowMs; }
+  double nowMs = 0;
+};
+
+class JournalDay {
+ public:
+  struct Held {
+    OwedRequest owed;      // where the journal points to
+    std::set<int> doubts;  // attempts that were recorded and not withdrawn
+    std::set<int> maybe;   // the attempt whose record the fault may have cut off
+    bool maybeEnded = false;
+    bool unrecorded = false;  // a verdict or a withdrawal that found no room: disk may know less
+  };
+
+  JournalDay(lab::Disk& disk, std::size_t diskBytes, std::uint32_t seed) : disk_(disk), random_(seed) {
+    options_.folder = "/s";
+    options_.diskBytes = diskBytes;
+    options_.owner = "the test";
+    options_.salt = 42;
+  }
+
+  // Opens with what is there; false where that is refused. What is held must be just what the day knows.
+  // Returns what differs, or "".
+  std::string begin(lab::FaultyFiles& files) {
+    files_ = &files;
+    journal_ = std::make_unique<Journal>(Journal::Parts{files, clock, log}, options_);
+    Recovered found;
+    std::string error;
+    if (!journal_->open(found, error)) return "cannot open: " + error;
+    const std::string difference = compare(found);
+    held.clear();
+    for (auto& [id, request] : found.owed) {
+      Held& h = held[id];
+      h.owed = std::move(request.owed);
+      for (const Doubt& d : h.owed.doubts) h.doubts.insert(d.attempt);
+      journal_->settle(h.owed);
+    }
+    return difference;
+  }
+  void end() {
+    journal_.reset();
+    files_ = nullptr;
+  }
+
+  // One step: something happens to some request, then a slice.
+  void step() {
+    clock.nowMs += stepMs;
+    const unsigned what = random_() % 100;
+    if (held.empty() || what < 38) {
+      take();
+    } else {
+      auto at = held.begin();
+      std::advance(at, random_() % held.size());
+      Held& h = at->second;
+      if (h.owed.verdict != Verdict::kNone || what < 65) {
+        finish(at);
+      } else if (what < 85 && h.doubts.size() < 4) {
+        attempt(h);
+      } else if (what < 92 && !h.owed.doubts.empty() && h.owed.doubts.back().attempt >= 0) {
+        const int number = h.owed.doubts.back().attempt;
+        h.doubts.erase(number);
+        if (!journal_->harmless(h.owed)) h.maybe.insert(number);
+      } else {
+        if (!journal_->verdict(h.owed, Verdict::kBounced, 250)) h.unrecorded = true;
+      }
+    }
+    journal_->slice();
+  }
+
+  // Ends all that is held, as a drained relay would.
+  void finishAll() {
+    while (!held.empty()) finish(held.begin());
+    for (int i = 0; i < 1000 && journal_->wantsSlice(); ++i) {
+      clock.nowMs += 1;
+      journal_->slice();
+    }
+  }
+
+  // What a reading of the disk has that it should not, or lacks; "" where it is right.
+  std::string compare(const Recovered& found) const {
+    if (!found.damage.empty())
+      return found.damage[0].file + " taken for " + found.damage[0].what + " at " +
+             std::to_string(found.damage[0].offset);
+    for (const auto& [id, h] : held) {
+      const auto at = found.owed.find(id);
+      if (at == found.owed.end()) {
+        if (h.maybeEnded) continue;
+        return id + " is lost";
+      }
+      const OwedRequest& owed = at->second.owed;
+      std::set<int> doubts;
+      for (const Doubt& d : owed.doubts) doubts.insert(d.attempt);
+      for (const int wanted : h.doubts)
+        if (!doubts.count(wanted)) return id + " lacks its attempt " + std::to_string(wanted);
+      for (const int there : doubts)
+        if (!h.doubts.count(there) && !h.maybe.count(there))
+          return id + " has an attempt too many: " + std::to_string(there);
+      if (!h.unrecorded && owed.verdict != h.owed.verdict) return id + " has another verdict";
+      if (owed.verdict == Verdict::kNone && owed.body != h.owed.body && !h.unrecorded)
+        return id + " has another body";
+    }
+    for (const auto& [id, request] : found.owed)
+      if (!held.count(id) && !maybeTaken.count(id)) return id + " should not be there";
+    return "";
+  }
+
+  HandClock clock;
+  double stepMs = 1;
+  std::map<std::string, Held> held;  // nodes stay where they are
+  std::set<std::string> maybeTaken;  // not taken on, or ended, by an operation that failed half-way
+  std::ostringstream log;
+  std::uint64_t takenCount = 0, refusedCount = 0;
+  Journal& journal() { return *journal_; }
+
+ private:
+  void take() {
+    const std::string id = "m" + std::to_string(++serial_);
+    Held& h = held[id];
+    h.owed.id = id;
+    h.owed.key = std::string(random_() % 33, 'k');
+    h.owed.body = std::string(random_() % 1500, static_cast<char>('a' + random_() % 26));
+    h.owed.cls = static_cast<int>(random_() % 3);
+    h.owed.notAfterWallMs = clock.wallMs() + 1000;
+    h.owed.takenWallMs = clock.wallMs();
+    if (journal_->taken(h.owed)) {
+      ++takenCount;
+      return;
+    }
+    ++refusedCount;
+    maybeTaken.insert(id);
+    held.erase(id);
+  }
+  void attempt(Held& h) {
+    const int number = h.owed.attempts;
+    if (journal_->attempt(h.owed, {"E1", 1, clock.wallMs(), 0}))
+      h.doubts.insert(number);
+    else
+      h.maybe.insert(number);
+  }
+  void finish(std::map<std::string, Held>::iterator at) {
+    if (!journal_->ended(at->second.owed)) maybeTaken.insert(at->first);
+    held.erase(at);
+  }
+
+  lab::Disk& disk_;
+  std::mt19937 random_;
+  JournalOptions options_;
+  lab::FaultyFiles* files_ = nullptr;
+  std::unique_ptr<Journal> journal_;
+  std::uint64_t serial_ = 0;
+};
+
+}  // namespace myrtleloft::testing
--- /dev/null
+++ b/tests/journal_planner_test.cpp
@@ -0,0 +1,188 @@
+// The planner against its promises, under loads that RapidCheck chooses; and records against their bytes.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "journal/planner.h"
+#include "journal/records.h"
+#include "journal/segment.h"
+
+using namespace myrtleloft;
+
+namespace {
+
+// A journal without bytes: sizes only, one list of live records per segment.
+struct Model {
+  struct Segment {
+    std::size_t bytes = kSegmentHeaderBytes;
+    std::vector<std::size_t> live;
+  };
+
+  Model(std::size_t disk, std::size_t segmentBytes) : disk(disk), segmentBytes(segmentBytes), segments(1) {}
+
+  JournalRoom room() const {
+    JournalRoom r;
+    r.disk = disk;
+    r.segmentBytes = segmentBytes;
+    r.reserved = reserved;
+    r.segments = segments.size();
+    for (const Segment& s : segments) {
+      std::size_t live = 0;
+      for (const std::size_t bytes : s.live) live += bytes;
+      r.used += inBlocks(s.bytes);
+      r.live += live;
+      r.carry = std::max(r.carry, live);
+      if (&s == &segments.front()) r.oldestLive = live;
+    }
+    r.oldestBytes = segments.front().bytes;
+    r.sinceSlice = since;
+    return r;
+  }
+  void append(std::size_t bytes) {
+    if (segments.back().bytes + bytes > segmentBytes && segments.back().bytes > kSegmentHeaderBytes)
+      segments.emplace_back();
+    segments.back().bytes += bytes;
+    since += bytes;
+  }
+
+  std::size_t disk, segmentBytes;
+  std::size_t reserved = 0, since = 0;
+  std::deque<Segment> segments;
+};
+
+}  // namespace
+
+TEST_CASE("whatever was admitted can be seen to its end, and carried over, inside the limit") {
+  const bool held = rc::check([] {
+    const JournalPlanner planner;
+    const auto disk = *rc::gen::inRange<std::size_t>(62500, 3000000);
+    Model m(disk, planner.segmentBytes(disk));
+    const auto seed = *rc::gen::inRange<unsigned>(0, 1u << 30);
+    std::mt19937 random(seed);
+    const std::size_t largest = *rc::gen::element<std::size_t>(100, 700, 5000, 66000);
+    for (int step = 0; step < 400; ++step) {
+      const std::size_t bytes = 60 + random() % largest;
+      if (random() % 3 > 0 && planner.admits(m.room(), bytes)) {
+        m.append(bytes);
+        m.segments.back().live.push_back(bytes);
+        m.reserved += planner.tuning().perRequestReserve;
+      } else {
+        Model::Segment& s = m.segments[random() % m.segments.size()];
+        if (s.live.empty()) continue;
+        s.live.erase(s.live.begin() + static_cast<std::ptrdiff_t>(random() % s.live.size()));
+        m.reserved -= planner.tuning().perRequestReserve;
+        m.append(60);
+      }
+      // All reserves used up at once, in the smallest of pieces, without any compaction.
+      Model worst = m;
+      for (std::size_t left = m.reserved; left > 0; left -= std::min<std::size_t>(left, 128))
+        worst.append(std::min<std::size_t>(left, 128));
+      RC_ASSERT(worst.room().used <= disk);
+      // And still the oldest segment can be carried over before it goes.
+      if (worst.segments.size() > 1) {
+        for (const std::size_t live : worst.segments.front().live) worst.append(live);
+        RC_ASSERT(worst.room().used <= disk);
+      }
+      // Slices, as the journal runs them.
+      std::size_t most = planner.slice(m.room());
+      m.since = 0;
+      while (most > 0 && m.segments.size() > 1) {
+        Model::Segment& oldest = m.segments.front();
+        if (oldest.live.empty()) {
+          m.segments.pop_front();
+          break;
+        }
+        const std::size_t live = oldest.live.back();
+        oldest.live.pop_back();
+        m.append(live);
+        m.segments.back().live.push_back(live);
+        most -= std::min(most, live);
+      }
+      RC_ASSERT(m.room().used <= disk);
+    }
+  });
+  CHECK(held);
+}
+
+TEST_CASE("compaction ends: with nothing to win back there is no slice") {
+  const bool held = rc::check([] {
+    const JournalPlanner planner;
+    const auto disk = *rc::gen::inRange<std::size_t>(62500, 3000000);
+    Model m(disk, planner.segmentBytes(disk));
+    while (planner.admits(m.room(), 700)) {
+      m.append(700);
+      m.segments.back().live.push_back(700);
+      m.reserved += planner.tuning().perRequestReserve;
+    }
+    // The room for requests is no smaller than the 35% of the disk that version 1 had.
+    RC_ASSERT(m.room().live + m.reserved >= disk * 35 / 100);
+    std::size_t slices = 0;
+    while (planner.slice(m.room()) > 0 && m.segments.size() > 1) {
+      RC_ASSERT(++slices < 10 * m.segments.size() + 100);
+      for (const std::size_t live : std::exchange(m.segments.front().live, {})) {
+        m.append(live);
+        m.segments.back().live.push_back(live);
+      }
+      m.segments.pop_front();
+    }
+  });
+  CHECK(held);
+}
+
+TEST_CASE("each record reads back as it was written, and its size is known beforehand") {
+  const bool held = rc::check([](const std::string& id, const std::string& key, const std::string& body) {
+    OwedRequest r;
+    r.id = id;
+    r.key = key;
+    r.body = body;
+    r.cls = *rc::gen::arbitrary<int>();
+    r.destination = *rc::gen::arbitrary<std::int64_t>();
+    r.notAfterWallMs = *rc::gen::arbitrary<double>();
+    r.isRetry = *rc::gen::arbitrary<bool>();
+    r.attempts = *rc::gen::inRange(0, 12);
+    r.verdict = *rc::gen::element(Verdict::kNone, Verdict::kDead, Verdict::kBounced);
+    for (int i = 0; i < r.attempts / 3; ++i) r.doubts.push_back({id, i, 5.5 * i, i});
+    std::string bytes;
+    encode(r, bytes);
+    RC_ASSERT(bytes.size() == encodedSize(r));
+    const auto record = decode(bytes);
+    RC_ASSERT(record.has_value());
+    const OwedRequest& back = std::get<TakenRecord>(*record).owed;
+    RC_ASSERT(back.id == r.id && back.key == r.key && back.body == r.body && back.cls == r.cls);
+    RC_ASSERT(back.destination == r.destination && back.notAfterWallMs == r.notAfterWallMs);
+    RC_ASSERT(back.verdict == r.verdict && back.attempts == r.attempts && back.isRetry == r.isRetry);
+    RC_ASSERT(back.doubts.size() == r.doubts.size());
+    // Cut anywhere, or with a byte behind it, it is none.
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+      RC_ASSERT(!decode(std::string_view(bytes).substr(0, size)));
+    RC_ASSERT(!decode(bytes + "x"));
+  });
+  CHECK(held);
+}
+
+TEST_CASE("whatever the bytes, a reading ends, and only frames of this folder are records") {
+  const bool held = rc::check([](const std::string& noise, std::uint64_t salt) {
+    std::string bytes = encodeHeader({1, salt, 0, 1, 0, 0}) + noise;
+    const std::size_t at = openFrame(bytes);
+    encode(EndedRecord{"x"}, bytes);
+    closeFrame(bytes, at, salt, 1);
+    bytes += noise;
+    std::size_t records = 0, read = kSegmentHeaderBytes;
+    SegmentScanner scanner(bytes, salt, 1, SegmentScanner::kUnknownEnd);
+    for (Piece p = scanner.next(); p.kind != Piece::Kind::kEnd; p = scanner.next()) {
+      records += p.kind == Piece::Kind::kRecord;
+      RC_ASSERT(p.offset == read);
+      read += p.bytes;
+    }
+    RC_ASSERT(read == bytes.size());
+    RC_ASSERT(records == 1);
+    SegmentScanner other(bytes, salt + 1, 1, SegmentScanner::kUnknownEnd);
+    RC_ASSERT(other.next().kind != Piece::Kind::kRecord);
+  });
+  CHECK(held);
+}
--- /dev/null
+++ b/tests/journal_test.cpp
@@ -0,0 +1,538 @@
+// The journal on a disk in memory: crashes at each operation, faults, damage, and the planner's promises.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <zlib.h>
+
+#include <algorithm>
+#include <cerrno>
+
+#include "journal_day.h"
+#include "lab/faulty_files.h"
+
+using namespace myrtleloft;
+using namespace myrtleloft::testing;
+using lab::Disk;
+using lab::FaultyFiles;
+
+namespace {
+
+constexpr std::size_t kSmallDisk = 62500, kSteps = 400;
+
+// Plays a day to its end or to its crash; what differs at its begin.
+std::string play(JournalDay& day, FaultyFiles& files, std::size_t steps = kSteps) {
+  const std::string difference = day.begin(files);
+  if (!difference.empty()) return difference;
+  for (std::size_t i = 0; i < steps && !files.crashed(); ++i) day.step();
+  day.end();
+  return "";
+}
+
+}  // namespace
+
+TEST_CASE("a day without faults: bounded, compacted, and read back as it was") {
+  for (const std::uint32_t seed : {1u, 2u, 3u}) {
+    for (const std::size_t limit : {kSmallDisk, std::size_t{1000000}}) {
+      Disk disk;
+      JournalDay day(disk, limit, seed);
+      FaultyFiles files(disk);
+      CAPTURE(seed);
+      CAPTURE(limit);
+      REQUIRE_EQ(day.begin(files), "");
+      for (std::size_t i = 0; i < 6000; ++i) day.step();
+      CHECK(day.journal().figures().released > 20);
+      CHECK(day.journal().figures().faults == 0);
+      CHECK(disk.most <= limit);
+      CHECK(day.takenCount > day.refusedCount);
+      day.end();
+      FaultyFiles again(disk);
+      CHECK_EQ(day.begin(again), "");
+      day.finishAll();
+      day.end();
+      FaultyFiles last(disk);
+      CHECK_EQ(day.begin(last), "");
+      CHECK(day.held.empty());
+    }
+  }
+}
+
+// Counted up until a day survives: no operation is left out, and a new one is covered by itself.
+TEST_CASE("a crash at each operation, torn at each kind of place, loses nothing and repeats nothing") {
+  std::uint64_t points = 0;
+  for (const std::size_t torn : {std::size_t{0}, std::size_t{1}, std::size_t{5}, std::size_t{11},
+                                 std::size_t{13}, std::size_t{40}, std::size_t{143}, std::size_t{100000}}) {
+    for (std::uint64_t n = 1;; ++n) {
+      Disk disk;
+      JournalDay day(disk, kSmallDisk, 7);
+      bool survived = false;
+      {
+        FaultyFiles files(disk);
+        files.crashAt(n, torn);
+        play(day, files);
+        survived = !files.crashed();
+      }
+      ++points;
+      CAPTURE(n);
+      CAPTURE(torn);
+      REQUIRE(disk.most <= kSmallDisk);
+      FaultyFiles again(disk);
+      REQUIRE_EQ(play(day, again, 30), "");
+      FaultyFiles third(disk);
+      REQUIRE_EQ(play(day, third, 1), "");
+      if (survived) break;
+    }
+  }
+  CHECK(points > 1000);
+}
+
+TEST_CASE("a crash during recovery, and during the recovery from that") {
+  for (std::uint64_t first = 5; first < 300; first += 13) {
+    for (std::uint64_t second = 1; second < 6; ++second) {
+      Disk disk;
+      JournalDay day(disk, kSmallDisk, 11);
+      {
+        FaultyFiles files(disk);
+        files.crashAt(first, 9);
+        play(day, files);
+      }
+      for (int again = 0; again < 2; ++again) {
+        FaultyFiles files(disk);
+        files.crashAt(second, 20);
+        play(day, files);
+      }
+      CAPTURE(first);
+      CAPTURE(second);
+      FaultyFiles last(disk);
+      REQUIRE_EQ(play(day, last, 5), "");
+    }
+  }
+}
+
+TEST_CASE(
+    "a disk that refuses for a while: new requests are refused, what is held goes on, and it comes back") {
+  for (const int error : {ENOSPC, EIO, EDQUOT, EROFS}) {
+    for (std::uint64_t n = 1; n < 400; n += 3) {
+      Disk disk;
+      JournalDay day(disk, kSmallDisk, 5);
+      FaultyFiles files(disk);
+      CAPTURE(error);
+      CAPTURE(n);
+      files.failAt(n, 1 + n % 40, error, n % 30);
+      day.stepMs = 20;
+      if (!day.begin(files).empty()) {  // the very first operations: it says so and does not start
+        REQUIRE(n < 4);
+        continue;
+      }
+      for (std::size_t i = 0; i < 1200; ++i) day.step();
+      REQUIRE(disk.most <= kSmallDisk);
+      const std::uint64_t before = day.takenCount;
+      for (std::size_t i = 0; i < 300; ++i) day.step();
+      REQUIRE(day.takenCount > before);
+      for (auto& [id, held] : day.held) held.maybe.clear();
+      day.end();
+      FaultyFiles again(disk);
+      REQUIRE_EQ(day.begin(again), "");
+    }
+  }
+}
+
+// ---- damage ----
+namespace {
+
+std::string file(Disk& disk, std::uint64_t sequence) { return disk.files.at("/s/" + segmentName(sequence)); }
+
+std::string numbered(char letter, int number) {
+  return std::string(1, letter).append(std::to_string(number));
+}
+
+OwedRequest owed(const std::string& id, int cls = 0) {
+  OwedRequest request;
+  request.id = id;
+  request.key = id;
+  request.body = std::string(100, 'b');
+  request.cls = cls;
+  request.takenWallMs = 500;
+  return request;
+}
+
+struct Opened {
+  explicit Opened(Disk& disk, std::size_t limit = 1000000) : files(disk) {
+    JournalOptions options;
+    options.folder = "/s";
+    options.diskBytes = limit;
+    options.salt = 7;
+    options.owner = "pid 12";
+    journal = std::make_unique<Journal>(Journal::Parts{files, clock, log}, options);
+    good = journal->open(found, error);
+    for (auto& [id, request] : found.owed) journal->settle(request.owed);
+  }
+  HandClock clock;
+  FaultyFiles files;
+  std::ostringstream log;
+  Recovered found;
+  std::string error;
+  std::unique_ptr<Journal> journal;
+  bool good = false;
+};
+
+// The state that every prefix of the records leaves: what damage may make of it must never look better.
+struct Truth {
+  std::map<std::string, int> attempts;  // of held requests, by id
+  std::set<std::string> verdicts;
+};
+
+}  // namespace
+
+TEST_CASE("a flipped bit at any of 500 places: nothing that was called looks as if it had not been") {
+  Disk whole;
+  Truth truth;
+  {
+    Opened opened(whole, 62500);
+    std::map<std::string, OwedRequest> all;
+    for (int i = 0; i < 60; ++i) {
+      const std::string id = numbered('m', i);
+      all[id] = owed(id, i % 3);
+      REQUIRE(opened.journal->taken(all[id]));
+      if (i % 2 == 0) REQUIRE(opened.journal->attempt(all[id], {"E1", 0, 1000, 0}));
+      if (i % 6 == 0) {
+        REQUIRE(opened.journal->harmless(all[id]));
+        REQUIRE(opened.journal->attempt(all[id], {"E2", 0, 1001, 0}));
+      }
+      if (i % 5 == 0) REQUIRE(opened.journal->verdict(all[id], Verdict::kDead, 0));
+      if (i % 7 == 0) {
+        opened.journal->ended(all[id]);
+        all.erase(id);
+      }
+    }
+    for (const auto& [id, request] : all)
+      if (request.verdict == Verdict::kNone)
+        truth.attempts[id] = static_cast<int>(request.doubts.size());
+      else
+        truth.verdicts.insert(id);
+  }
+  std::vector<std::pair<std::string, std::size_t>> places;
+  for (const auto& [path, bytes] : whole.files)
+    if (path.ends_with(".seg"))
+      for (std::size_t at = 0; at < bytes.size(); ++at) places.emplace_back(path, at);
+  std::mt19937 random(3);
+  std::shuffle(places.begin(), places.end(), random);
+  places.resize(500);
+  std::size_t kept = 0;
+  for (const auto& [path, at] : places) {
+    Disk disk = whole;
+    disk.locks.clear();
+    disk.files[path][at] = static_cast<char>(disk.files[path][at] ^ (1 << (at % 8)));
+    CAPTURE(path);
+    CAPTURE(at);
+    const bool header = at < kSegmentHeaderBytes;
+    for (int start = 0; start < 2; ++start) {  // the second start must know it too
+      Opened opened(disk, 62500);
+      REQUIRE(opened.good);
+      if (start == 0) REQUIRE(opened.found.damage.size() == (header ? 0 : 1));
+      if (start == 0 && !header) {
+        CHECK(opened.log.str().find(path.substr(3) + " is damaged at byte ") != std::string::npos);
+        CHECK(std::any_of(disk.files.begin(), disk.files.end(),
+                          [](const auto& f) { return f.first.starts_with("/s/damaged-"); }));
+      }
+      std::size_t lost = 0;
+      for (const auto& [id, attempts] : truth.attempts) {
+        const auto found = opened.found.owed.find(id);
+        if (found == opened.found.owed.end()) {
+          ++lost;  // its *taken* was hit, and nothing else named it
+          REQUIRE(attempts == 0);
+          continue;
+        }
+        const OwedRequest& request = found->second.owed;
+        if (request.verdict == Verdict::kNone) {
+          REQUIRE(request.doubts.size() >= static_cast<std::size_t>(attempts));
+          REQUIRE(request.body.size() == 100);
+        } else {
+          REQUIRE(request.verdict == Verdict::kDead);  // only the name was left
+        }
+      }
+      REQUIRE(lost <= 1);
+      for (const std::string& id : truth.verdicts) {
+        const auto found = opened.found.owed.find(id);
+        REQUIRE(found != opened.found.owed.end());
+        const OwedRequest& request = found->second.owed;
+        REQUIRE((request.verdict == Verdict::kDead || !request.doubts.empty()));
+      }
+      kept += opened.found.owed.size();
+    }
+  }
+  CHECK(kept > 2 * 500 * 50);  // what follows the damage is read
+}
+
+TEST_CASE("a lost attempt comes back as a doubt, unless what follows shows that none is missing") {
+  Disk disk;
+  std::size_t hit = 0;
+  {
+    Opened opened(disk);
+    OwedRequest a = owed("a"), b = owed("b"), c = owed("c"), d = owed("d");
+    REQUIRE(opened.journal->taken(a));
+    REQUIRE(opened.journal->taken(b));
+    REQUIRE(opened.journal->taken(d));
+    hit = file(disk, 1).size() + kFrameBytes + 3;
+    REQUIRE(opened.journal->attempt(a, {"E1", 0, 1000, 0}));
+    REQUIRE(opened.journal->harmless(a));
+    REQUIRE(opened.journal->attempt(b, {"E1", 0, 1000, 0}));
+    REQUIRE(opened.journal->taken(c));
+    REQUIRE(opened.journal->attempt(c, {"E1", 0, 1000, 0}));
+  }
+  disk.files["/s/" + segmentName(1)][hit] ^= 4;
+  for (int start = 0; start < 3; ++start) {
+    Opened opened(disk);
+    REQUIRE(opened.good);
+    const auto request = [&](const char* id) -> OwedRequest& { return opened.found.owed.at(id).owed; };
+    // The withdrawal names an attempt that is not there: it must not take back another's.
+    REQUIRE(request("a").doubts.size() == 1 + (start > 1 ? 1 : 0));
+    CHECK(request("a").doubts[0].attempt == Doubt::kLostAttempt);
+    CHECK(request("a").doubts[0].zone == Doubt::kLostZone);
+    CHECK(request("a").doubts[0].sentWallMs == 500);  // no attempt came before it was taken on
+    REQUIRE(request("b").doubts.size() == 1);         // its first attempt has number 0: none is missing
+    CHECK(request("b").doubts[0].attempt == 0);
+    CHECK(request("c").doubts.size() == 1);  // taken on behind the damage
+    CHECK(request("d").doubts.size() == 1);
+    // An attempt by the process that read the damage must not pass for the proof that none was lost.
+    if (start == 1) REQUIRE(opened.journal->attempt(request("a"), {"E3", 1, 2000, 0}));
+  }
+}
+
+TEST_CASE("a record in a client's body is never taken for one of ours") {
+  Disk disk;
+  std::string forged;
+  const std::size_t at = openFrame(forged);
+  encode(EndedRecord{"victim"}, forged);
+  closeFrame(forged, at, 0, 1);  // all but the salt is public
+  std::size_t hit = 0;
+  {
+    Opened opened(disk);
+    OwedRequest victim = owed("victim"), mean = owed("mean");
+    mean.body = forged + forged;
+    REQUIRE(opened.journal->taken(victim));
+    hit = file(disk, 1).size() + 6;
+    REQUIRE(opened.journal->taken(mean));
+  }
+  disk.files["/s/" + segmentName(1)][hit] ^= 1;
+  Opened opened(disk);
+  CHECK(opened.found.owed.count("victim") == 1);
+  CHECK(opened.found.damage.size() == 1);
+}
+
+TEST_CASE("a segment that is missing or cut off is told, and what it may have held is doubted") {
+  for (const bool cut : {false, true}) {
+    Disk disk;
+    OwedRequest first = owed("first");
+    std::vector<OwedRequest> others;
+    {
+      Opened opened(disk, 62500);
+      REQUIRE(opened.journal->taken(first));
+      others.reserve(100);
+      for (int i = 0; i < 40; ++i) {
+        others.push_back(owed(numbered('o', i)));
+        REQUIRE(opened.journal->taken(others.back()));
+        REQUIRE(opened.journal->attempt(others.back(), {"E1", 0, 1000, 0}));
+      }
+      REQUIRE(opened.journal->room().segments > 2);
+    }
+    std::string& second = disk.files["/s/" + segmentName(2)];
+    if (cut)
+      second.resize(second.size() / 2);
+    else
+      disk.files.erase("/s/" + segmentName(2));
+    Opened opened(disk, 62500);
+    REQUIRE(opened.good);
+    REQUIRE(!opened.found.damage.empty());
+    CHECK(opened.found.damage[0].file == segmentName(2));
+    REQUIRE(opened.found.owed.count("first") == 1);
+    CHECK(opened.found.owed.at("first").owed.doubts.size() == 1);
+    CHECK(opened.found.owed.at("o39").owed.doubts.size() == 1);  // its own
+  }
+}
+
+TEST_CASE("two processes, a newer version, a folder that cannot be read: refused, and nothing touched") {
+  Disk disk;
+  {
+    Opened opened(disk);
+    OwedRequest a = owed("a");
+    REQUIRE(opened.journal->taken(a));
+    Opened second(disk);
+    CHECK_FALSE(second.good);
+    CHECK(second.error.find("pid 12") != std::string::npos);
+  }
+  Disk newer = disk;
+  // As a later version would write it: all that is promised are the first 16 bytes.
+  newer.files["/s/" + segmentName(9)] = encodePreamble(kJournalVersion + 1) + "whatever it then says";
+  const auto before = newer.files;
+  Opened opened(newer);
+  CHECK_FALSE(opened.good);
+  CHECK(opened.error.find("version 3;") != std::string::npos);
+  newer.files.erase("/s/journal.lock");
+  auto expected = before;
+  expected.erase("/s/journal.lock");
+  CHECK(newer.files == expected);
+}
+
+// ---- version 1 ----
+namespace {
+
+// The old form: frames of length and CRC-32 in one file, texts behind 32-bit lengths.
+class VersionOne {
+ public:
+  void taken(const OwedRequest& r) {
+    std::string p = "T";
+    text(p, r.id);
+    text(p, r.key);
+    raw(p, r.cls);
+    raw(p, r.tenant);
+    raw(p, r.destination);
+    raw(p, r.notAfterWallMs);
+    raw(p, r.isRetry);
+    raw(p, r.attempts);
+    raw(p, static_cast<int>(r.verdict));
+    raw(p, r.waitMs);
+    raw(p, static_cast<std::uint32_t>(r.doubts.size()));
+    for (const Doubt& d : r.doubts) doubt(p, d);
+    text(p, r.body);
+    frame(p);
+  }
+  void attempt(const std::string& id, const Doubt& d) {
+    std::string p = "A";
+    text(p, id);
+    doubt(p, d);
+    frame(p);
+  }
+  void harmless(const std::string& id) { named('H', id); }
+  void ended(const std::string& id) { named('E', id); }
+  void verdict(const std::string& id, Verdict verdict, double waitMs) {
+    std::string p = "V";
+    text(p, id);
+    raw(p, static_cast<int>(verdict));
+    raw(p, waitMs);
+    frame(p);
+  }
+  std::string bytes;
+
+ private:
+  template <typename T>
+  static void raw(std::string& out, T value) {
+    out.append(reinterpret_cast<const char*>(&value), sizeof value);
+  }
+  static void text(std::string& out, const std::string& value) {
+    raw(out, static_cast<std::uint32_t>(value.size()));
+    out += value;
+  }
+  static void doubt(std::string& out, const Doubt& d) {
+    text(out, d.endpoint);
+    raw(out, d.zone);
+    raw(out, d.sentWallMs);
+  }
+  void named(char type, const std::string& id) {
+    std::string p(1, type);
+    text(p, id);
+    frame(p);
+  }
+  void frame(const std::string& payload) {
+    raw(bytes, static_cast<std::uint32_t>(payload.size()));
+    raw(bytes, static_cast<std::uint32_t>(::crc32(0, reinterpret_cast<const Bytef*>(payload.data()),
+                                                  static_cast<uInt>(payload.size()))));
+    bytes += payload;
+  }
+};
+
+Disk oldFolder() {
+  VersionOne old;
+  OwedRequest a = owed("a", 2), b = owed("b"), c = owed("c"), d = owed("d", 2);
+  a.attempts = 2;
+  a.doubts.push_back({"E0", 1, 900, 0});
+  for (const OwedRequest* r : {&a, &b, &c, &d}) old.taken(*r);
+  old.attempt("a", {"E1", 0, 1000, 0});
+  old.attempt("d", {"E1", 0, 1000, 0});
+  old.harmless("d");
+  old.verdict("b", Verdict::kBounced, 250);
+  old.ended("c");
+  Disk disk;
+  disk.files["/s/journal"] = old.bytes + "torn";
+  disk.files["/s/journal.new"] = "left by a compaction";
+  return disk;
+}
+
+void checkOld(const Recovered& found) {
+  REQUIRE(found.owed.size() == 3);
+  const OwedRequest &a = found.owed.at("a").owed, &b = found.owed.at("b").owed, &d = found.owed.at("d").owed;
+  REQUIRE(a.doubts.size() == 2);
+  CHECK(a.doubts[0].endpoint == "E0");
+  CHECK(a.doubts[1].endpoint == "E1");
+  CHECK(a.attempts == 3);
+  CHECK(a.body.size() == 100);
+  CHECK((b.verdict == Verdict::kBounced && b.waitMs == 250));
+  CHECK((d.doubts.empty() && d.attempts == 1));
+}
+
+}  // namespace
+
+TEST_CASE("a folder of version 1 is taken over, with a crash at any operation of it") {
+  for (const std::size_t torn : {std::size_t{0}, std::size_t{50}, std::size_t{200}, std::size_t{100000}}) {
+    for (std::uint64_t n = 1; n < 20; ++n) {
+      Disk disk = oldFolder();
+      {
+        Opened opened(disk);
+        if (n == 1) checkOld(opened.found);
+        if (n == 1)
+          CHECK(opened.log.str().find("taken over from version 1, 3 requests owed") != std::string::npos);
+      }
+      CHECK(disk.files.count("/s/journal") == 0);
+      disk = oldFolder();
+      for (int crashes = 0; crashes < 2; ++crashes) {
+        FaultyFiles files(disk);
+        files.crashAt(n, torn);
+        HandClock clock;
+        std::ostringstream log;
+        Journal journal({files, clock, log}, {"/s", 1000000, 0, {}, "first", 5});
+        Recovered found;
+        std::string error;
+        journal.open(found, error);
+      }
+      CAPTURE(n);
+      CAPTURE(torn);
+      Opened opened(disk);
+      REQUIRE(opened.good);
+      checkOld(opened.found);
+      CHECK(disk.files.count("/s/journal") == 0);
+      CHECK(disk.files.count("/s/journal.new") == 0);
+      CHECK(disk.files.count("/s/journal.takeover") == 0);
+    }
+  }
+}
+
+TEST_CASE("where the old file cannot be taken over for want of room, it stays as it is") {
+  Disk disk = oldFolder();
+  const std::string before = disk.files["/s/journal"];
+  disk.capacity = disk.used() + 100;
+  {
+    Opened opened(disk);
+    CHECK_FALSE(opened.good);
+    CHECK(opened.error.find("cannot take over") != std::string::npos);
+  }
+  CHECK(disk.files["/s/journal"] == before);
+  CHECK(disk.files.count("/s/journal.takeover") == 0);
+  disk.capacity = 1000000;
+  Opened opened(disk);
+  REQUIRE(opened.good);
+  checkOld(opened.found);
+}
+
+TEST_CASE("damage in the old file: what stands before it comes back, in doubt, and the bytes are kept") {
+  Disk disk = oldFolder();
+  const std::size_t hit = disk.files["/s/journal"].find("E1");
+  disk.files["/s/journal"][hit] ^= 1;
+  Opened opened(disk);
+  REQUIRE(opened.good);
+  REQUIRE(opened.found.owed.size() == 4);
+  for (const auto& [id, request] : opened.found.owed) {
+    REQUIRE(!request.owed.doubts.empty());
+    CHECK(request.owed.doubts[0].attempt == Doubt::kLostAttempt);
+    CHECK(request.owed.doubts[0].sentWallMs == 0);  // when it was taken on did not stand in it
+  }
+  CHECK(std::any_of(disk.files.begin(), disk.files.end(),
+                    [](const auto& f) { return f.first.starts_with("/s/damaged-v1-"); }));
+}
