--- a/include/myrtleloft/relay.h
+++ b/include/myrtleloft/relay.h
@@ -11,6 +11,8 @@
 
 using Environment = std::map<std::string, std::string>;
 
+class Files;
+
 struct ConfigError : std::runtime_error {  // its text names the faulty key
   using std::runtime_error::runtime_error;
 };
@@ -19,8 +21,9 @@
  public:
   enum class Phase { kStarting, kRecovering, kServing, kDraining, kStopped };
 
-  // Throws ConfigError. `log` must outlive the relay.
-  Relay(const Environment& environment, std::ostream& log);
+  // Throws ConfigError. `log` must outlive the relay, and so must `files`: the file layer beneath the journal
+  // (journal/files.h), where it is not to be the operating system's.
+  Relay(const Environment& environment, std::ostream& log, Files* files = nullptr);
   ~Relay();
 
   // Serves until it is stopped; SIGTERM and SIGINT drain, SIGHUP reads the configuration
--- a/lab/faulty_files.cpp
+++ b/lab/faulty_files.cpp
@@ -35,13 +35,15 @@
   int truncate(std::size_t size) override {
     std::size_t partly = 0;
     if (const int fault = files_.begin("truncate", path_, size, partly)) return fault;
-    files_.disk_.files[path_].resize(size);
+    const auto at = files_.disk_.files.find(path_);
+    if (at != files_.disk_.files.end()) at->second.resize(size);
     return 0;
   }
   int sync() override {
     std::size_t partly = 0;
     if (const int fault = files_.begin("sync", path_, 0, partly)) return fault;
-    files_.disk_.synced[path_] = files_.disk_.files[path_];
+    const auto at = files_.disk_.files.find(path_);
+    if (at != files_.disk_.files.end()) files_.disk_.synced[path_] = at->second;  // else removed meanwhile
     return 0;
   }
 
@@ -142,6 +144,14 @@
   return 0;
 }
 
+int FaultyFiles::lockIfThere(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& held) {
+  if (!disk_.files.count(path)) return ENOENT;
+  const std::string before = disk_.files[path];
+  const int fault = lock(path, owner, held);
+  disk_.files[path] = before;
+  return fault;
+}
+
 int FaultyFiles::lock(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& lock) {
   if (crashed_) return EIO;
   if (!disk_.locks.insert(path).second) {
--- a/lab/faulty_files.h
+++ b/lab/faulty_files.h
@@ -64,6 +64,7 @@
   int remove(const std::string& path) override;
   int syncFolder(const std::string& folder) override;
   int lock(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& lock) override;
+  int lockIfThere(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& lock) override;
 
  private:
   friend class FaultyOut;
--- /dev/null
+++ b/lab/killed_relay.cpp
@@ -0,0 +1,25 @@
+// The relay as `myrtleloft serve` runs it, over a file layer that ends the process at a chosen operation:
+// LAB_KILL_AT, from 1, and LAB_TORN, how many bytes of a write still reach the disk.
+#include <unistd.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <string_view>
+
+#include "lab/killing_files.h"
+#include "myrtleloft/relay.h"
+
+int main() {
+  myrtleloft::Environment environment;
+  for (char** entry = environ; *entry != nullptr; ++entry) {
+    const std::string_view text = *entry;
+    const std::size_t equals = text.find('=');
+    if (equals != std::string_view::npos)
+      environment.emplace(text.substr(0, equals), text.substr(equals + 1));
+  }
+  const auto number = [&](const char* name) {
+    return static_cast<std::uint64_t>(std::atoll(environment[name].c_str()));
+  };
+  myrtleloft::lab::KillingFiles files(number("LAB_KILL_AT"), number("LAB_TORN"));
+  return myrtleloft::Relay(environment, std::cerr, &files).run();
+}
--- /dev/null
+++ b/src/cli/journal_tool.cpp
@@ -0,0 +1,236 @@
+#include "cli/journal_tool.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <type_traits>
+
+#include "journal/journal.h"
+#include "myrtleloft/command_line.h"
+
+namespace myrtleloft {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+std::string line(const Json& json) {
+  // Ids are what clients sent: bytes that are no UTF-8 are shown as replacement characters.
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+const char* nameOf(Verdict verdict) {
+  return verdict == Verdict::kDead ? "dead" : verdict == Verdict::kBounced ? "bounced" : "none";
+}
+
+// Reads a folder that nobody else uses.
+struct Reading {
+  PosixFiles files;
+  std::unique_ptr<FolderLock> lock;
+  Recovered found;
+  std::string fault;
+
+  explicit Reading(const JournalTool& tool, const RecordVisitor& visit = nullptr) {
+    std::string owner;
+    const int held = files.lockIfThere(tool.folder + "/" + kLockName, owner, lock);
+    if (held == EWOULDBLOCK) {
+      while (!owner.empty() && owner.back() == '\n') owner.pop_back();
+      fault = "the journal in " + tool.folder + " is held by another process: " + owner;
+    } else if (held != 0 && held != ENOENT) {
+      fault = "cannot lock the journal in " + tool.folder + ": " + std::strerror(held);
+    } else {
+      fault = recover(files, tool.folder, found, visit).text;
+    }
+  }
+};
+
+int refuse(const std::string& fault, std::ostream& err) {
+  err << "myrtleloft: " << fault << '\n';
+  return kExitCannot;
+}
+
+struct Totals {
+  std::size_t owed = 0, given = 0, doubted = 0, bodies = 0, used = 0;
+};
+
+Totals totalsOf(const Recovered& found) {
+  Totals t;
+  for (const auto& [id, request] : found.owed) {
+    ++t.owed;
+    t.given += request.owed.verdict != Verdict::kNone;
+    t.doubted += !request.owed.doubts.empty();
+    t.bodies += request.owed.body.size();
+  }
+  for (const SegmentSeen& segment : found.segments) t.used += inBlocks(segment.fileBytes);
+  for (const FileSeen& other : found.others) t.used += inBlocks(other.bytes);
+  return t;
+}
+
+void tellDamage(const JournalTool& tool, const Recovered& found, std::ostream& out) {
+  for (const Damage& d : found.damage) {
+    if (tool.json)
+      out << line({{"damage", d.what}, {"file", d.file}, {"offset", d.offset}, {"bytes", d.bytes}}) << '\n';
+    else
+      out << d.file << " is " << d.what << " at byte " << d.offset << ", " << d.bytes << " bytes\n";
+  }
+}
+
+// One record as a line.
+class Describe {
+ public:
+  explicit Describe(Json& json) : json_(json) {}
+  void operator()(const TakenRecord& r) const {
+    json_["type"] = "taken";
+    json_["id"] = r.owed.id;
+    json_["class"] = r.owed.cls;
+    json_["tenant"] = r.owed.tenant;
+    json_["destination"] = r.owed.destination;
+    json_["taken_ms"] = r.owed.takenWallMs;
+    json_["not_after_ms"] = r.owed.notAfterWallMs;
+    json_["retry"] = r.owed.isRetry;
+    json_["attempts"] = r.owed.attempts;
+    json_["doubts"] = r.owed.doubts.size();
+    json_["verdict"] = nameOf(r.owed.verdict);
+    json_["keyed"] = !r.owed.key.empty();
+    json_["body_bytes"] = r.owed.body.size();
+  }
+  void operator()(const AttemptRecord& r) const {
+    named("attempt", r.id);
+    json_["attempt"] = r.doubt.attempt;
+    json_["endpoint"] = r.doubt.endpoint;
+    json_["zone"] = r.doubt.zone;
+    json_["sent_ms"] = r.doubt.sentWallMs;
+  }
+  void operator()(const HarmlessRecord& r) const {
+    named("harmless", r.id);
+    json_["attempt"] = r.attempt;
+  }
+  void operator()(const VerdictRecord& r) const {
+    named("verdict", r.id);
+    json_["verdict"] = nameOf(r.verdict);
+    json_["wait_ms"] = r.waitMs;
+  }
+  void operator()(const EndedRecord& r) const { named("ended", r.id); }
+  void operator()(const ReleasedRecord& r) const {
+    json_["type"] = "released";
+    json_["first_segment"] = r.firstSegment;
+  }
+
+ private:
+  void named(const char* type, const std::string& id) const {
+    json_["type"] = type;
+    json_["id"] = id;
+  }
+  Json& json_;
+};
+
+// "key=value ..." of an object's plain members.
+std::string plain(const Json& json) {
+  std::string text;
+  for (const auto& [key, value] : json.items())
+    text +=
+        (text.empty() ? "" : " ") + key + "=" + (value.is_string() ? value.get<std::string>() : line(value));
+  return text;
+}
+
+}  // namespace
+
+int inspectJournal(const JournalTool& tool, std::ostream& out, std::ostream& err) {
+  const Reading reading(tool);
+  if (!reading.fault.empty()) return refuse(reading.fault, err);
+  const Recovered& found = reading.found;
+  for (const SegmentSeen& s : found.segments) {
+    const Json json = {{"segment", segmentName(s.sequence)},
+                       {"created_ms", s.createdWallMs},
+                       {"bytes", s.fileBytes},
+                       {"valid", s.validBytes},
+                       {"records", s.records},
+                       {"state", s.stale        ? "released"
+                                 : s.headerGood ? "good"
+                                                : "header damaged"}};
+    out << (tool.json ? line(json) : plain(json)) << '\n';
+  }
+  tellDamage(tool, found, out);
+  const Totals t = totalsOf(found);
+  const Json json = {{"owed", t.owed},
+                     {"given_up", t.given},
+                     {"in_doubt", t.doubted},
+                     {"body_bytes", t.bodies},
+                     {"disk_bytes", t.used},
+                     {"records", found.records},
+                     {"torn_bytes", found.torn},
+                     {"damaged_parts", found.damage.size()},
+                     {"version_one", found.versionOne}};
+  out << (tool.json ? line(json) : plain(json)) << '\n';
+  return kExitGood;
+}
+
+int verifyJournal(const JournalTool& tool, std::ostream& out, std::ostream& err) {
+  const Reading reading(tool);
+  if (!reading.fault.empty()) return refuse(reading.fault, err);
+  const Recovered& found = reading.found;
+  tellDamage(tool, found, out);
+  const Json json = {{"result", found.damage.empty() ? "whole" : "damaged"},
+                     {"records", found.records},
+                     {"owed", found.owed.size()},
+                     {"damaged_parts", found.damage.size()},
+                     {"put_in_doubt", found.doubted},
+                     {"only_names_left", found.bodiesLost},
+                     {"torn_bytes", found.torn}};
+  out << (tool.json ? line(json) : plain(json)) << '\n';
+  return found.damage.empty() ? kExitGood : kExitDamaged;
+}
+
+int dumpJournal(const JournalTool& tool, std::ostream& out, std::ostream& err) {
+  const Reading reading(
+      tool, [&](std::uint64_t segment, std::size_t offset, std::size_t bytes, const Record& record) {
+        Json json = {{"segment", segment}, {"offset", offset}, {"bytes", bytes}};
+        std::visit(Describe(json), record);
+        out << (tool.json ? line(json) : plain(json)) << '\n';
+      });
+  if (!reading.fault.empty()) return refuse(reading.fault, err);
+  tellDamage(tool, reading.found, out);
+  return kExitGood;
+}
+
+int compactJournal(const JournalTool& tool, std::ostream& out, std::ostream& err) {
+  std::size_t used = 0;
+  {
+    const Reading before(tool);
+    if (!before.fault.empty()) return refuse(before.fault, err);
+    used = totalsOf(before.found).used;
+  }
+  PosixFiles files;
+  const Clock clock;
+  JournalOptions options;
+  options.folder = tool.folder;
+  options.diskBytes = tool.diskMb > 0 ? static_cast<std::size_t>(tool.diskMb * 1e6)
+                                      : std::max<std::size_t>(1000000, 2 * used);
+  // Everything but the newest segment goes, however little there is to win.
+  options.tuning.freeShare = 1;
+  options.tuning.mostSegments = 1;
+  options.owner = "pid " + std::to_string(::getpid()) + ", myrtleloft journal compact";
+  std::random_device random;
+  options.salt = std::uint64_t{random()} << 32 | random();
+  Journal journal({files, clock, err}, options);
+  Recovered found;
+  std::string fault;
+  if (!journal.open(found, fault)) return refuse(fault, err);
+  for (auto& [id, request] : found.owed) journal.settle(request.owed);
+  const std::uint64_t last = journal.newestSegment();
+  while (journal.oldestSegment() < last) {
+    if (!journal.slice()) return refuse("the disk refused; what was done so far is kept", err);
+    if (!journal.wantsSlice()) break;
+  }
+  const Json json = {{"owed", found.owed.size()},
+                     {"bytes_before", used},
+                     {"bytes_after", journal.room().used},
+                     {"segments_removed", journal.figures().released}};
+  out << (tool.json ? line(json) : plain(json)) << '\n';
+  return kExitGood;
+}
+
+}  // namespace myrtleloft
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -160,6 +160,8 @@
   if (config.name.empty()) refuse("name", "missing");
   config.stateFolder = variable(environment, "BALANCER_STATE");
   if (config.stateFolder.empty()) refuse("BALANCER_STATE", "not set");
+  if (const std::string path = variable(environment, "BALANCER_OPERATOR"); !path.empty())
+    config.operatorFile = readOperatorFile(path);
   config.listen = address(environment, "BALANCER_LISTEN", *root, "listen");
   config.discovery = address(environment, "BALANCER_DISCOVERY", *root, "discovery");
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "config/operator_file.h"
 #include "discovery/destination_set.h"
 #include "myrtleloft/dispatcher.h"
 #include "myrtleloft/relay.h"
@@ -20,6 +21,7 @@
   std::vector<std::string> classes, tenants, reportColumns;
   ListNames names;
   DestinationList known;
+  OperatorFile operatorFile;  // defaults, where BALANCER_OPERATOR names none
 };
 
 // The one owner of the configuration. Of what the file says, `discovery` may change while the relay runs:
--- /dev/null
+++ b/src/config/operator_file.h
@@ -0,0 +1,38 @@
+// The operator's own file, in TOML: what the platform's configuration knows nothing of. All keys have
+// defaults; deploy/example.toml lists them.
+//
+//   OperatorFile file = parseOperatorFile("[journal]\nslice_kb = 64\n", "relay.toml");
+//   parseOperatorFile("[journal]\nslice_kb = 1\n", "relay.toml");
+//   // throws ConfigError: "relay.toml:2:12: journal.slice_kb: expected a whole number from 16 to 4096, found
+//   1"
+//
+// Strict: an unknown section or key, a wrong type and a value out of range each name their line and column.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace myrtleloft {
+
+// How safe a record is before anything is promised on it.
+enum class Durability {
+  kProcess,  // it outlasts the process, but not a loss of power: no sync
+  kGroup     // it is on the disk: one fdatasync for all records that wait
+};
+const char* nameOf(Durability durability);
+
+struct OperatorFile {
+  struct Journal {
+    std::size_t segmentBytes = 0;         // 0: the planner's choice, a sixteenth of the disk
+    std::size_t sliceBytes = 256 * 1024;  // most that one slice of compaction writes
+    int freePercent = 25;                 // of the disk; compaction runs while less is free
+    Durability durability = Durability::kProcess;
+  } journal;
+};
+
+// Throws ConfigError. `name` goes before each fault.
+OperatorFile parseOperatorFile(std::string_view text, const std::string& name);
+OperatorFile readOperatorFile(const std::string& path);
+
+}  // namespace myrtleloft
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -137,7 +137,7 @@
 void Exchange::onHangUp(const std::string& id) {
   const auto at = open_.find(id);
   if (at == open_.end() || !at->second.answer) return;
-  open_.erase(at);  // never taken on, so nothing is owed
+  forget(at);  // never told that it is taken on, so nothing is owed
   --held_;
   push(HangUpEvent{id});
 }
@@ -153,8 +153,7 @@
     if (outcome.ended) {
       ++(outcome.outcome == Outcome::kGood ? parts_.counters.delivered : parts_.counters.expired);
       if (owed.verdict == Verdict::kNone) --held_;
-      parts_.journal.ended(owed);
-      open_.erase(at);
+      forget(at);
     } else if (provenHarmless(outcome.outcome)) {
       parts_.journal.harmless(owed);
     }
@@ -168,7 +167,12 @@
 void Exchange::onConfirmed(const std::string& id) {
   const auto at = open_.find(id);
   if (at == open_.end()) return;
-  parts_.journal.ended(at->second.owed);
+  forget(at);
+}
+
+// Nothing is owed of it any more.
+void Exchange::forget(std::map<std::string, Open, std::less<>>::iterator at) {
+  parts_.journal.ended(at->second.owed);  // does nothing where it was not recorded
   open_.erase(at);
 }
 
@@ -201,7 +205,7 @@
     std::visit(Visitor{[&](const SendAction& a) { sends.push_back(&a); },
                        [&](const RefuseAction& a) { end(a.id, Verdict::kBounced, a.comeBackMs); },
                        [&](const FailAction& a) { end(a.id, Verdict::kDead, 0); },
-                       [&](const CallOffAction& a) { parts_.outbound.abandon(a.id); },
+                       [&](const CallOffAction& a) { callOff(a.id); },
                        [&](const TimerAction& a) {
                          parts_.loop.after(a.spanMs, [this, token = a.token] { push(TimerEvent{token}); });
                        },
@@ -218,6 +222,12 @@
   std::vector<Plan> plans;
   for (const SendAction* send : sends) plan(*send, plans);
   for (Plan& plan : plans) carryOut(plan);
+  if (!next_.taken.empty() || !next_.calls.empty()) {
+    next_.position = parts_.journal.position();
+    waiting_.push_back(std::exchange(next_, {}));
+  }
+  parts_.journal.sync();
+  promise();
   compact();
 }
 
@@ -230,8 +240,8 @@
   const auto at = open_.find(id);
   if (at == open_.end()) return;
   if (parts_.journal.taken(at->second.owed)) {
-    ++parts_.counters.taken;
-    return answer(at->second, {Answer::Kind::kTaken});
+    next_.taken.push_back(id);
+    return;
   }
   // What cannot be recorded would not outlast the process: it is not taken on.
   ++parts_.counters.journalFaults;
@@ -249,8 +259,7 @@
     ++parts_.counters.failFast;
     const bool dead = verdict == Verdict::kDead;
     answer(at->second, {dead ? Answer::Kind::kFailed : Answer::Kind::kFailFast, waitMs});
-    open_.erase(at);
-    return;
+    return forget(at);
   }
   ++(verdict == Verdict::kDead ? parts_.counters.dead : parts_.counters.bounced);
   parts_.journal.verdict(at->second.owed, verdict, waitMs);
@@ -296,7 +305,81 @@
     }
     items.push_back(std::move(item));
   }
-  if (!items.empty()) parts_.outbound.call(endpoint, std::move(items));
+  if (items.empty()) return;
+  plan.items = std::move(items);
+  next_.calls.push_back(std::move(plan));
+}
+
+// Does what waited for the journal: at the level `process` at once, else when a sync has covered it.
+void Exchange::promise() {
+  while (!waiting_.empty() && waiting_.front().position <= parts_.journal.durable()) {
+    Waiting ready = std::move(waiting_.front());
+    waiting_.pop_front();
+    for (const std::string& id : ready.taken) {
+      const auto at = open_.find(id);
+      if (at == open_.end() || !at->second.answer) continue;
+      ++parts_.counters.taken;
+      answer(at->second, {Answer::Kind::kTaken});
+    }
+    for (Plan& plan : ready.calls) callOut(plan);
+  }
+}
+
+void Exchange::callOut(Plan& plan) {
+  const EndpointEntry* endpoint = parts_.destinations.find(plan.uid);
+  std::vector<CallItem> items;
+  for (CallItem& item : plan.items) {
+    const auto at = open_.find(item.id);
+    // Over while it waited for the disk, or the endpoint has gone: the call never left.
+    if (at != open_.end() && at->second.owed.verdict == Verdict::kNone && endpoint)
+      items.push_back(std::move(item));
+    else
+      neverLeft(item.id, plan.uid);
+  }
+  if (!items.empty()) parts_.outbound.call(*endpoint, std::move(items));
+}
+
+// The module gives a call up. One that still waits for the disk never left.
+void Exchange::callOff(const std::string& id) {
+  for (Waiting& waiting : waiting_) {
+    for (Plan& plan : waiting.calls) {
+      const auto item =
+          std::find_if(plan.items.begin(), plan.items.end(), [&](const CallItem& i) { return i.id == id; });
+      if (item == plan.items.end()) continue;
+      plan.items.erase(item);
+      return neverLeft(id, plan.uid);
+    }
+  }
+  parts_.outbound.abandon(id);
+}
+
+void Exchange::onSynced() {
+  if (!parts_.journal.collect()) {
+    // Nothing of what waited may be promised any more. It is refused at once; calls did not leave.
+    ++parts_.counters.journalFaults;
+    for (Waiting& failed : std::exchange(waiting_, {})) {
+      for (const std::string& id : failed.taken) {
+        const auto at = open_.find(id);
+        if (at == open_.end() || !at->second.answer) continue;
+        answer(at->second, {Answer::Kind::kFailFast, kComeBackMs});
+        forget(at);
+        --held_;
+        push(HangUpEvent{id});
+      }
+      for (const Plan& plan : failed.calls)
+        for (const CallItem& item : plan.items) neverLeft(item.id, plan.uid);
+    }
+  }
+  promise();
+  compact();
+}
+
+// A recorded attempt whose first byte was never written.
+void Exchange::neverLeft(const std::string& id, const std::string& uid) {
+  const auto at = open_.find(id);
+  if (at != open_.end()) parts_.journal.harmless(at->second.owed);
+  const int attempt = at == open_.end() ? 0 : at->second.owed.attempts - 1;
+  push(OutcomeEvent{id, attempt, uid, Outcome::kNop, 0, at == open_.end(), 0, {}});
 }
 
 // An attempt of the module's that never left: it counts, and is proven harmless.
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -2,6 +2,7 @@
 // batches and carries out its actions; decides nothing.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <ostream>
 #include <string>
@@ -39,6 +40,8 @@
   void recover(Recovered found, ListEvent known);
   void onList(ListEvent event);
   void onConfirmed(const std::string& id);
+  // The journal's helper thread has something to tell.
+  void onSynced();
   // From now on the module decides nothing more: calls out are seen to their end, the rest is the journal's.
   void quiesce();
   bool settled() const { return open_.empty(); }
@@ -60,6 +63,12 @@
     std::size_t bytes = 0;
     std::vector<CallItem> items;
   };
+  // What may only be done once the journal is as safe as its level asks: 202s, and calls.
+  struct Waiting {
+    std::uint64_t position = 0;
+    std::vector<std::string> taken;
+    std::vector<Plan> calls;
+  };
 
   template <typename E>
   void push(E event) {
@@ -74,7 +83,12 @@
   void end(const std::string& id, Verdict verdict, double waitMs);
   void plan(const SendAction& action, std::vector<Plan>& plans);
   void carryOut(Plan& plan);
+  void promise();
+  void callOut(Plan& plan);
+  void callOff(const std::string& id);
+  void forget(std::map<std::string, Open, std::less<>>::iterator at);
   void notSent(const std::string& id, const std::string& uid);
+  void neverLeft(const std::string& id, const std::string& uid);
   void compact();
   std::size_t batchOf(int kind) const;
   double hardLimitMs(int cls) const;
@@ -86,6 +100,8 @@
   std::map<std::string, Open, std::less<>> open_;
   std::size_t held_ = 0;  // open requests that the module has not ended
   std::vector<Event> pending_;
+  Waiting next_;  // of this batch
+  std::deque<Waiting> waiting_;
   std::vector<std::string> fresh_;  // came in since the last batch, in their order
   double lastBatchMs_ = -1e9;
   bool quiet_ = false;
--- a/src/journal/files.cpp
+++ b/src/journal/files.cpp
@@ -51,6 +51,17 @@
   Fd fd_;
 };
 
+// Locks an open file; where another process holds it, reads who.
+int take(const Fd& fd, std::string& owner) {
+  if (!fd) return errno;
+  if (::flock(fd.get(), LOCK_EX | LOCK_NB) == 0) return 0;
+  const int fault = errno;
+  std::array<char, 256> text;
+  const ssize_t got = ::pread(fd.get(), text.data(), text.size(), 0);
+  owner.assign(text.data(), got > 0 ? static_cast<std::size_t>(got) : 0);
+  return fault;
+}
+
 }  // namespace
 
 int PosixFiles::list(const std::string& folder, std::vector<FileSeen>& files) {
@@ -98,14 +109,7 @@
 
 int PosixFiles::lock(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& lock) {
   Fd fd(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
-  if (!fd) return errno;
-  if (::flock(fd.get(), LOCK_EX | LOCK_NB) != 0) {
-    const int fault = errno;
-    std::array<char, 256> text;
-    const ssize_t got = ::pread(fd.get(), text.data(), text.size(), 0);
-    owner.assign(text.data(), got > 0 ? static_cast<std::size_t>(got) : 0);
-    return fault;
-  }
+  if (const int fault = take(fd, owner)) return fault;
   // Who holds it is for people to read. A full disk must not keep a relay from starting for want of that.
   if (::ftruncate(fd.get(), 0) == 0 && ::pwrite(fd.get(), owner.data(), owner.size(), 0) < 0) {
   }
@@ -113,4 +117,11 @@
   return 0;
 }
 
+int PosixFiles::lockIfThere(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& lock) {
+  Fd fd(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+  if (const int fault = take(fd, owner)) return fault;
+  lock = std::make_unique<PosixLock>(std::move(fd));
+  return 0;
+}
+
 }  // namespace myrtleloft
--- a/src/journal/files.h
+++ b/src/journal/files.h
@@ -62,8 +62,10 @@
   // Waits until the folder's names are on the disk.
   virtual int syncFolder(const std::string& folder) = 0;
   // Fails at once and does not wait: EWOULDBLOCK where another process holds the lock, with what that one
-  // wrote as `owner`; else `owner` is written to the file for the next one to read.
+  // wrote as `owner`; else `owner`, unless it is empty, is written to the file for the next one to read.
   virtual int lock(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& lock) = 0;
+  // The same, but makes and writes nothing: ENOENT where there is no such file.
+  virtual int lockIfThere(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& lock) = 0;
 };
 
 // The operating system's. Keeps no state, so any number may exist.
@@ -77,6 +79,7 @@
   int remove(const std::string& path) override;
   int syncFolder(const std::string& folder) override;
   int lock(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& lock) override;
+  int lockIfThere(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& lock) override;
 };
 
 }  // namespace myrtleloft
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -170,6 +170,7 @@
   segment.bytes = segment.fileBytes = bytes.size();
   used_ += inBlocks(bytes.size());
   active_ = std::move(out);
+  newNames_ = true;
   for (auto& [id, request] : found.owed) {
     if (request.segment != 0) continue;
     request.segment = header.sequence;
@@ -280,9 +281,56 @@
   figures_.writtenBytes += bytes.size();
   active_ = std::move(out);
   broken_ = false;
+  wrote(bytes.size());
+  newNames_ = true;
   return 0;
 }
 
+void Journal::wrote(std::size_t bytes) {
+  position_ += bytes;
+  if (!parts_.syncer) return;
+  if (unsynced_.empty() || unsynced_.back() != active_) unsynced_.push_back(active_);
+}
+
+void Journal::sync() {
+  if (!parts_.syncer || syncing_ || unsynced_.empty()) return;
+  // What a failed sync left uncertain is safe only when it has been written anew: no promise before that.
+  if (distrusted()) return;
+  SyncJob job{std::exchange(unsynced_, {}), std::exchange(newNames_, false), position_};
+  syncing_ = true;
+  parts_.syncer->submit(std::move(job));
+}
+
+bool Journal::collect() {
+  if (!parts_.syncer) return true;
+  bool good = true;
+  while (const auto done = parts_.syncer->collect()) {
+    syncing_ = false;
+    if (done->fault == 0) {
+      durable_ = done->position;
+      continue;
+    }
+    good = false;
+    fault("sync", options_.folder, done->fault);
+    // After a failed fdatasync the kernel may count the pages as clean: another one would say yes to bytes
+    // that are nowhere. They are written anew, into another file. Which requests had a record there is not
+    // known, so it is all that is held.
+    distrustTo_ = segments_.back().sequence;
+    broken_ = true;
+  }
+  sync();
+  return good;
+}
+
+// The first segment that a failed sync left uncertain and in which something is live.
+Journal::Segment* Journal::distrusted() {
+  if (distrustTo_ == 0) return nullptr;
+  for (Segment& segment : segments_)
+    if (segment.sequence <= distrustTo_ && segment.first != kNone) return &segment;
+  distrustTo_ = 0;
+  return nullptr;
+}
+
 void Journal::settle(OwedRequest& owed) {
   entries_[owed.ticket].owed = &owed;
   --unsettled_;
@@ -291,7 +339,7 @@
 // ---- records ----
 bool Journal::taken(OwedRequest& owed) {
   const std::size_t bytes = recordBytes(owed);
-  if (resting() || bytes > kLongestRecord) return false;
+  if (resting() || distrustTo_ != 0 || bytes > kLongestRecord) return false;
   writeEnds();
   if (!planner_.admits(room(), bytes)) {
     // The bound on what is to carry may be an old one.
@@ -427,6 +475,7 @@
     used_ += grows;
     sinceSlice_ += put;
     figures_.writtenBytes += put;
+    wrote(put);
     return true;
   }
   fault("write", segmentName(segment.sequence), error);
@@ -459,33 +508,43 @@
 }
 
 bool Journal::wantsSlice() const {
-  return !endsOwed_.empty() || (unsettled_ == 0 && planner_.slice(room()) > 0);
+  if (!endsOwed_.empty()) return true;
+  return unsettled_ == 0 && (distrustTo_ != 0 || planner_.slice(room()) > 0);
 }
 
 bool Journal::slice() {
   if (unsettled_ > 0) return true;
   if (resting()) return false;
   writeEnds();
+  if (Segment* segment = distrusted()) {
+    ++figures_.slices;
+    const bool good = carry(*segment, planner_.tuning().mostSlice);
+    if (!distrusted()) sync();
+    return good;
+  }
   const std::size_t most = planner_.slice(room());
   if (most == 0) return true;
   sinceSlice_ = 0;
   ++figures_.slices;
   bool good = true;
-  if (segments_.front().first != kNone) good = carry(most);
+  if (segments_.front().first != kNone) good = carry(segments_.front(), most);
   for (std::size_t i = 0; good && i < kMostReleased; ++i) {
     if (segments_.size() < 2 || segments_.front().first != kNone) break;
+    // What was carried over must be as safe as what it came from, before that goes.
+    if (segments_.front().carriedAt > durable()) break;
     good = removeOldest();
   }
   measureCarry();
   return good;
 }
 
-// Writes the oldest segment's requests anew, as they stand now. What stood of them before then counts no
+// Writes a segment's requests anew, as they stand now. What stood of them before then counts no
 // more: a reading that meets both takes the later one.
-bool Journal::carry(std::size_t most) {
-  const std::uint32_t from = segments_.front().first;
+bool Journal::carry(Segment& segment, std::size_t most) {
+  const std::uint64_t sequence = segment.sequence;
+  const std::uint32_t from = segment.first;
   if (!ready(entries_[from].live)) return false;
-  if (segments_.size() < 2) return true;
+  if (segments_.back().sequence == sequence) return true;
   const std::size_t left = options_.segmentBytes - std::min(options_.segmentBytes, segments_.back().bytes);
   std::vector<std::pair<std::uint32_t, std::size_t>> moved;
   scratch_.clear();
@@ -497,6 +556,7 @@
   }
   if (!write(scratch_)) return false;
   figures_.carriedBytes += scratch_.size();
+  segmentOf(sequence)->carriedAt = position_;
   for (const auto& [ticket, bytes] : moved) {
     Entry& entry = entries_[ticket];
     setLive(entry, 0);
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -31,6 +31,7 @@
 #include "journal/planner.h"
 #include "journal/records.h"
 #include "journal/recovery.h"
+#include "journal/syncer.h"
 #include "net/clock.h"
 
 namespace myrtleloft {
@@ -58,6 +59,7 @@
     Files& files;
     const Clock& clock;
     std::ostream& log;
+    Syncer* syncer = nullptr;  // with one, the level is `group`
   };
 
   Journal(const Parts& parts, JournalOptions options);
@@ -89,6 +91,22 @@
   // however much is owed. false: the disk refused; it is tried again no sooner than a second later.
   bool slice();
 
+  // How far it has written, and how far that is as safe as the level asks; in bytes since the start. What a
+  // record promises (a 202, a call) waits until `durable` has come to the position after it. At the level
+  // `process` both are always the same.
+  std::uint64_t position() const { return position_; }
+  std::uint64_t durable() const { return parts_.syncer ? durable_ : position_; }
+  // Sends what is written and not yet on the disk to be synced, unless a sync is out. Cheap; once per turn.
+  void sync();
+  // Takes in syncs that are done. false: one failed. What it was to cover may not be on the disk, whatever
+  // later syncs say of those files: nothing that waits may be promised, and all that is live in them is
+  // written anew, by slices. Until then nothing new is taken on.
+  bool collect();
+
+  // Sequence numbers, for tools.
+  std::uint64_t oldestSegment() const { return segments_.front().sequence; }
+  std::uint64_t newestSegment() const { return segments_.back().sequence; }
+
   const JournalFigures& figures() const { return figures_; }
   JournalRoom room() const;
 
@@ -108,6 +126,7 @@
     std::size_t bytes = 0;      // up to the end of the last whole record
     std::size_t fileBytes = 0;  // more, where half a record could not be cut off
     std::size_t live = 0;
+    std::uint64_t carriedAt = 0;  // the position behind which nothing of it is needed any more
     std::uint32_t first = kNone, last = kNone;
   };
 
@@ -144,7 +163,9 @@
   void measureCarry();
   bool reserve(Entry& entry, std::size_t bytes, std::size_t grows, std::size_t keep);
   bool removeOldest();
-  bool carry(std::size_t most);
+  bool carry(Segment& from, std::size_t most);
+  Segment* distrusted();
+  void wrote(std::size_t bytes);
 
   Parts parts_;
   JournalOptions options_;
@@ -161,6 +182,11 @@
   std::uint64_t releasedTold_ = 1;         // the newest *released* on the disk
   std::vector<std::string> endsOwed_;      // ended, but not yet recorded
   std::string scratch_;
+  // The level `group`.
+  std::uint64_t position_ = 0, durable_ = 0;
+  std::vector<std::shared_ptr<OutFile>> unsynced_;  // the sealed ones among them first
+  bool newNames_ = false, syncing_ = false;
+  std::uint64_t distrustTo_ = 0;  // a sync failed: segments up to this one are to be written anew; 0: none
   double restUntilMs_ = 0, toldMs_ = -1e18;
   std::uint64_t untold_ = 0;
   JournalFigures figures_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,9 +3,9 @@
 #include <iostream>
 #include <string_view>
 
-#include "myrtleloft/relay.h"
+#include "myrtleloft/command_line.h"
 
-int main() {
+int main(int argc, char** argv) {
   myrtleloft::Environment environment;
   for (char** entry = environ; *entry != nullptr; ++entry) {
     const std::string_view text = *entry;
@@ -13,13 +13,5 @@
     if (equals != std::string_view::npos)
       environment.emplace(text.substr(0, equals), text.substr(equals + 1));
   }
-  try {
-    return myrtleloft::Relay(environment, std::cerr).run();
-  } catch (const myrtleloft::ConfigError& error) {
-    std::cerr << "myrtleloft: " << error.what() << '\n';
-    return 2;
-  } catch (const std::exception& error) {
-    std::cerr << "myrtleloft: " << error.what() << '\n';
-    return 3;
-  }
+  return myrtleloft::runCommandLine(argc, argv, std::move(environment), std::cout, std::cerr);
 }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -53,6 +53,9 @@
   JournalOptions options;
   options.folder = config.stateFolder;
   options.diskBytes = config.diskBytes;
+  options.segmentBytes = config.operatorFile.journal.segmentBytes;
+  options.tuning.mostSlice = config.operatorFile.journal.sliceBytes;
+  options.tuning.freeShare = config.operatorFile.journal.freePercent / 100.0;
   options.owner = "pid " + std::to_string(::getpid()) + ", relay " + config.name;
   std::random_device random;
   options.salt = std::uint64_t{random()} << 32 | random();
@@ -63,11 +66,15 @@
 
 class Relay::Impl {
  public:
-  Impl(const Environment& environment, std::ostream& log)
+  Impl(const Environment& environment, std::ostream& log, Files* files)
       : log_(log),
         live_(environment),
         loop_(clock_),
-        journal_({files_, clock_, log_}, journalOptions(config_)),
+        files_(files ? *files : posixFiles_),
+        syncer_(config_.operatorFile.journal.durability == Durability::kGroup
+                    ? std::make_unique<ThreadSyncer>(files_, config_.stateFolder)
+                    : nullptr),
+        journal_({files_, clock_, log_, syncer_.get()}, journalOptions(config_)),
         notices_(loop_, config_.discovery, counters_, log_),
         outbound_(loop_, counters_,
                   {config_.settings.connectTimeoutMs, config_.settings.connIdleMs, idleConnections(config_),
@@ -108,7 +115,15 @@
   }
 
   Phase phase() const { return phase_; }
-  void printCounters() const { counters_.print(log_); }
+  void printCounters() const {
+    counters_.print(log_);
+    const JournalFigures& f = journal_.figures();
+    const JournalRoom room = journal_.room();
+    log_ << "counters journal: bytes=" << room.used << " of=" << room.disk << " owed=" << room.live
+         << " reserved=" << room.reserved << " segments=" << room.segments << " released=" << f.released
+         << " slices=" << f.slices << " taken-bytes=" << f.takenBytes << " written-bytes=" << f.writtenBytes
+         << " carried-bytes=" << f.carriedBytes << " faults=" << f.faults << std::endl;
+  }
 
  private:
   void enter(Phase phase) {
@@ -118,6 +133,7 @@
 
   bool recover(std::string& error) {
     enter(Phase::kRecovering);
+    if (syncer_) loop_.watch(syncer_->fd(), POLLIN, [this](short) { exchange_.onSynced(); });
     Recovered found;
     if (!journal_.open(found, error)) return false;
     log_ << config_.name << ": " << found.owed.size() << " requests owed from before" << std::endl;
@@ -186,7 +202,9 @@
   Loop loop_;
   Fd signals_;
   DestinationSet destinations_;
-  PosixFiles files_;
+  PosixFiles posixFiles_;
+  Files& files_;
+  std::unique_ptr<ThreadSyncer> syncer_;  // none at the level `process`
   Journal journal_;
   Notices notices_;
   Outbound outbound_;
@@ -197,8 +215,8 @@
   double drainingMs_ = 0;
 };
 
-Relay::Relay(const Environment& environment, std::ostream& log)
-    : impl_(std::make_unique<Impl>(environment, log)) {}
+Relay::Relay(const Environment& environment, std::ostream& log, Files* files)
+    : impl_(std::make_unique<Impl>(environment, log, files)) {}
 Relay::~Relay() = default;
 int Relay::run() { return impl_->run(); }
 void Relay::drain() { impl_->drain(); }
--- /dev/null
+++ b/tests/command_line_test.cpp
@@ -0,0 +1,192 @@
+// The command line and the operator's file: what they take, and how they refuse.
+#include "myrtleloft/command_line.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "config/operator_file.h"
+#include "journal/journal.h"
+#include "journal/segment.h"
+
+using namespace myrtleloft;
+namespace fs = std::filesystem;
+
+namespace {
+
+struct Ran {
+  int code = 0;
+  std::string out, err;
+};
+
+Ran run(std::vector<const char*> arguments, const Environment& environment = {}) {
+  arguments.insert(arguments.begin(), "myrtleloft");
+  std::ostringstream out, err;
+  Ran ran;
+  ran.code = runCommandLine(static_cast<int>(arguments.size()), arguments.data(), environment, out, err);
+  ran.out = out.str();
+  ran.err = err.str();
+  return ran;
+}
+
+bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+// A folder with three requests owed, one of them given up, and a segment or more of what is over.
+struct Folder {
+  Folder() {
+    std::string name = (fs::temp_directory_path() / "cli-XXXXXX").string();
+    path = ::mkdtemp(name.data());
+    open();
+    for (int i = 0; i < 200; ++i) {
+      OwedRequest over;
+      over.id = "over";
+      over.body = std::string(500, 'b');
+      CHECK(journal->taken(over));
+      journal->ended(over);
+    }
+    for (const char* id : {"r1", "r2", "r3"}) {
+      OwedRequest& owed = held.emplace_back();
+      owed.id = id;
+      owed.key = "SECRET-KEY";
+      owed.body = "SECRET-BODY";
+      CHECK(journal->taken(owed));
+    }
+    CHECK(journal->attempt(held[0], {"E1", 1, 5, 0}));
+    CHECK(journal->verdict(held[1], Verdict::kDead, 0));
+  }
+  ~Folder() { fs::remove_all(path); }
+  void open() {
+    JournalOptions options;
+    options.folder = path;
+    options.diskBytes = 1000000;
+    options.owner = "pid 77, relay n9";
+    options.salt = 3;
+    journal = std::make_unique<Journal>(Journal::Parts{files, clock, log}, options);
+    Recovered found;
+    std::string error;
+    CHECK(journal->open(found, error));
+  }
+
+  std::string path;
+  PosixFiles files;
+  Clock clock;
+  std::ostringstream log;
+  std::deque<OwedRequest> held;
+  std::unique_ptr<Journal> journal;
+};
+
+std::string faultOf(const std::string& text) {
+  try {
+    parseOperatorFile(text, "f.toml");
+  } catch (const ConfigError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+}  // namespace
+
+TEST_CASE("arguments: help and version are answered, anything odd is refused with 2") {
+  CHECK(has(run({"--help"}).out, "journal"));
+  CHECK_EQ(run({"--help"}).code, 0);
+  CHECK(has(run({"--version"}).out, "myrtleloft 0."));
+  CHECK_EQ(run({"bogus"}).code, 2);
+  CHECK_EQ(run({"journal"}).code, 2);
+  CHECK_EQ(run({"journal", "verify"}).code, 2);
+  CHECK_EQ(run({"journal", "compact", "/nowhere", "--disk-mb", "0"}).code, 2);
+  const Ran nothing = run({});  // serves: and says at once what it lacks
+  CHECK_EQ(nothing.code, 2);
+  CHECK(has(nothing.err, "BALANCER_CONFIG"));
+  CHECK_EQ(run({"serve"}).code, 2);
+  CHECK_EQ(run({"config", "check"}).code, 2);
+}
+
+TEST_CASE("a folder that a process holds is left alone, and the tool says who holds it") {
+  Folder folder;
+  for (const char* command : {"inspect", "verify", "dump", "compact"}) {
+    const Ran ran = run({"journal", command, folder.path.c_str()});
+    CHECK_EQ(ran.code, 1);
+    CHECK(has(ran.err, "pid 77, relay n9"));
+  }
+}
+
+TEST_CASE("a folder at rest: inspected, verified, dumped without secrets, compacted") {
+  Folder folder;
+  folder.journal.reset();
+  const char* path = folder.path.c_str();
+  CHECK(has(run({"journal", "inspect", path}).out, "owed=3 given_up=1 in_doubt=1"));
+  CHECK(has(run({"journal", "inspect", path, "--json"}).out, "{\"owed\":3,"));
+  CHECK_EQ(run({"journal", "verify", path}).code, 0);
+  const Ran dump = run({"journal", "dump", path, "--json"});
+  CHECK_EQ(dump.code, 0);
+  CHECK(has(dump.out, R"("type":"attempt","id":"r1","attempt":0,"endpoint":"E1")"));
+  CHECK(has(dump.out, R"("body_bytes":11)"));
+  CHECK_FALSE(has(dump.out, "SECRET"));
+
+  const auto bytes = [&] {
+    std::uintmax_t sum = 0;
+    for (const auto& file : fs::directory_iterator(folder.path)) sum += file.file_size();
+    return sum;
+  };
+  const auto before = bytes();
+  const Ran compacted = run({"journal", "compact", path});
+  CHECK_EQ(compacted.code, 0);
+  CHECK(has(compacted.out, "owed=3"));
+  CHECK(bytes() < before / 10);
+  CHECK(has(run({"journal", "inspect", path}).out, "owed=3 given_up=1 in_doubt=1"));
+}
+
+TEST_CASE("a damaged folder: verify says where and exits with 4, and changes nothing") {
+  Folder folder;
+  folder.journal.reset();
+  const std::string file = folder.path + "/" + segmentName(2);
+  std::fstream bytes(file, std::ios::in | std::ios::out | std::ios::binary);
+  bytes.seekp(400);
+  bytes.put('\x55');
+  bytes.close();
+  const auto changed = fs::last_write_time(file);
+  for (int i = 0; i < 2; ++i) {
+    const Ran ran = run({"journal", "verify", folder.path.c_str()});
+    CHECK_EQ(ran.code, 4);
+    CHECK(has(ran.out, segmentName(2) + " is damaged at byte "));
+    CHECK(has(ran.out, "result=damaged"));
+  }
+  CHECK(fs::last_write_time(file) == changed);
+  CHECK_EQ(run({"journal", "verify", "/nowhere/at/all"}).code, 1);
+}
+
+TEST_CASE("the operator's file is read strictly, and a fault names key, line and column") {
+  CHECK(parseOperatorFile("", "f").journal.durability == Durability::kProcess);
+  const OperatorFile file =
+      parseOperatorFile("[journal]\nsegment_kb = 64\nslice_kb = 32\ndurability = \"group\"\n", "f");
+  CHECK_EQ(file.journal.segmentBytes, 64 * 1024);
+  CHECK_EQ(file.journal.sliceBytes, 32 * 1024);
+  CHECK(file.journal.durability == Durability::kGroup);
+
+  CHECK(has(faultOf("[journal]\n  slice_kb = 1\n"),
+            "f.toml:2:14: journal.slice_kb: expected a whole number from 16"));
+  CHECK(has(faultOf("[journal]\nslice_kb = \"many\"\n"), "f.toml:2:12: journal.slice_kb"));
+  CHECK(has(faultOf("[journal]\nslice_kb = 64.0\n"), "expected a whole number"));
+  CHECK(has(faultOf("[journal]\nslice_kb = true\n"), "expected a whole number"));
+  CHECK(has(faultOf("[journal]\nsegment_kb = -9223372036854775808\n"), "journal.segment_kb"));
+  CHECK(has(faultOf("[journal]\ndurability = \"always\"\n"),
+            "expected one of \"process\", \"group\", found 'always'"));
+  CHECK(has(
+      faultOf("[journal]\n\nslize_kb = 1\n"),
+      "f.toml:3:1: journal.slize_kb: unknown; known here: segment_kb, slice_kb, free_percent, durability"));
+  CHECK(has(faultOf("[jornal]\n"), "f.toml:1:2: jornal: unknown"));
+  CHECK(has(faultOf("journal = 3\n"), "journal: expected a section"));
+  CHECK(has(faultOf("[journal]\nslice_kb = 64\nslice_kb = 65\n"), "f.toml:3:"));
+  CHECK(has(faultOf("[journal\n"), "f.toml:1:"));
+  const Ran ran = run({"config", "check", "--operator", "/no/such/file"}, {{"BALANCER_CONFIG", "/dev/null"}});
+  CHECK_EQ(ran.code, 2);
+}
+
+TEST_CASE("the files under deploy/ are good") {
+  CHECK(readOperatorFile(MYRTLELOFT_DEPLOY "/example.toml").journal.sliceBytes == 256 * 1024);
+  CHECK(readOperatorFile(MYRTLELOFT_DEPLOY "/vina-grabaciones.toml").journal.durability ==
+        Durability::kProcess);
+}
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -81,6 +81,7 @@
       if (survived) break;
     }
   }
+  MESSAGE(points << " crash points");
   CHECK(points > 1000);
 }
 
@@ -536,3 +537,126 @@
   CHECK(std::any_of(disk.files.begin(), disk.files.end(),
                     [](const auto& f) { return f.first.starts_with("/s/damaged-v1-"); }));
 }
+
+// ---- the level `group` ----
+namespace {
+
+// Syncs when the test says so.
+class HandSyncer : public Syncer {
+ public:
+  explicit HandSyncer(Files& files) : files_(files) {}
+  void submit(SyncJob job) override { jobs.push_back(std::move(job)); }
+  std::optional<SyncDone> collect() override {
+    if (done.empty()) return std::nullopt;
+    const SyncDone first = done.front();
+    done.pop_front();
+    return first;
+  }
+  void work() {
+    for (const SyncJob& job : std::exchange(jobs, {})) done.push_back(syncNow(files_, "/s", job));
+  }
+  std::vector<SyncJob> jobs;
+  std::deque<SyncDone> done;
+
+ private:
+  Files& files_;
+};
+
+}  // namespace
+
+TEST_CASE("group: one sync for many records, and after a loss of power all that was promised is there") {
+  Disk disk;
+  FaultyFiles files(disk);
+  HandSyncer syncer(files);
+  HandClock clock;
+  std::ostringstream log;
+  std::deque<OwedRequest> held;
+  std::set<std::string> promised;
+  {
+    Journal journal({files, clock, log, &syncer}, {"/s", 62500, 0, {}, "first", 5});
+    Recovered found;
+    std::string error;
+    REQUIRE(journal.open(found, error));
+    std::size_t syncs = 0;
+    std::map<std::string, std::uint64_t> waits;
+    for (int turn = 0; turn < 120; ++turn) {
+      for (int i = 0; i < 5; ++i) {
+        OwedRequest& r = held.emplace_back(owed(numbered('g', turn * 5 + i), 2));
+        if (!journal.taken(r)) {
+          held.pop_back();
+          continue;
+        }
+        if (i == 0) REQUIRE(journal.attempt(r, {"E1", 0, 1000, 0}));
+        waits[r.id] = journal.position();
+      }
+      journal.sync();
+      CHECK(syncer.jobs.size() <= 1);  // one at a time, for all of the turn
+      if (turn % 3 == 0) {
+        syncs += syncer.jobs.size();
+        syncer.work();
+        REQUIRE(journal.collect());
+      }
+      journal.slice();
+      for (const auto& [id, position] : waits)
+        if (position <= journal.durable()) promised.insert(id);
+      while (held.size() > 15) {
+        promised.erase(held.front().id);
+        journal.ended(held.front());
+        held.pop_front();
+      }
+    }
+    CHECK(syncs <= 41);
+    CHECK(journal.figures().released > 5);
+    CHECK(promised.size() >= 5);
+  }
+  disk.losePower();
+  Opened opened(disk, 62500);
+  REQUIRE(opened.good);
+  for (const OwedRequest& r : held) {
+    if (!promised.count(r.id)) continue;
+    REQUIRE(opened.found.owed.count(r.id) == 1);
+    REQUIRE(opened.found.owed.at(r.id).owed.doubts.size() >= r.doubts.size());
+  }
+}
+
+TEST_CASE("group: after a failed sync nothing is promised until all that is held stands in another file") {
+  Disk disk;
+  FaultyFiles files(disk);
+  HandSyncer syncer(files);
+  HandClock clock;
+  std::ostringstream log;
+  std::deque<OwedRequest> held;
+  Journal journal({files, clock, log, &syncer}, {"/s", 1000000, 0, {}, "first", 5});
+  Recovered found;
+  std::string error;
+  REQUIRE(journal.open(found, error));
+  for (int i = 0; i < 20; ++i) REQUIRE(journal.taken(held.emplace_back(owed(numbered('f', i), 2))));
+  journal.sync();
+  syncer.work();
+  REQUIRE(journal.collect());
+  const std::uint64_t before = journal.durable();
+  // An attempt of a request that is safe already: its record is in the part that fails.
+  REQUIRE(journal.attempt(held[3], {"E1", 0, 1000, 0}));
+  files.failAt(files.operations() + 1, 1, EIO);
+  journal.sync();
+  syncer.work();
+  CHECK_FALSE(journal.collect());
+  CHECK(journal.durable() == before);
+  OwedRequest fresh = owed("fresh");
+  clock.nowMs += 1000;
+  CHECK_FALSE(journal.taken(fresh));
+  CHECK(syncer.jobs.empty());  // another sync of the same file would only pretend
+  for (int i = 0; i < 10 && journal.wantsSlice(); ++i) journal.slice();
+  REQUIRE(syncer.jobs.size() == 1);
+  syncer.work();
+  REQUIRE(journal.collect());
+  CHECK(journal.durable() == journal.position());
+  CHECK(journal.taken(fresh));
+  // What the failed file holds is gone with the power: all stands in the other one.
+  disk.losePower();
+  disk.files.erase("/s/" + segmentName(1));
+  Recovered after;
+  REQUIRE_FALSE(recover(files, "/s", after));
+  CHECK(after.owed.size() == 20);
+  CHECK(after.owed.at("f3").owed.doubts.size() == 1);
+}
