--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -183,6 +183,7 @@
 
 // Those of which only the name is left stand in no record of their own yet.
 void Journal::writeNameless(Recovered& found) {
+  if (found.bodiesLost == 0) return;
   for (auto& [id, request] : found.owed) {
     if (request.segment != 0) continue;
     Entry& entry = entries_[request.owed.ticket];
--- a/src/journal/records.cpp
+++ b/src/journal/records.cpp
@@ -125,12 +125,12 @@
   archive(record);
 }
 
+// In place: a request is moved around often enough.
 template <typename R>
-std::optional<Record> get(TextIn& in) {
-  Record record{std::in_place_type<R>};
-  in(std::get<R>(record));
-  if (in.left() > 0) return std::nullopt;
-  return record;
+R* get(TextIn& in, Record& record) {
+  R& read = record.emplace<R>();
+  in(read);
+  return in.left() > 0 ? nullptr : &read;
 }
 
 bool known(Verdict verdict) { return verdict <= Verdict::kBounced; }
@@ -144,30 +144,30 @@
 void encode(const EndedRecord& record, std::string& out) { put(Type::kEnded, record, out); }
 void encode(const ReleasedRecord& record, std::string& out) { put(Type::kReleased, record, out); }
 
-std::optional<Record> decode(std::string_view payload) try {
-  if (payload.empty()) return std::nullopt;
+bool decode(std::string_view payload, Record& record) try {
+  if (payload.empty()) return false;
   TextIn in(payload.substr(1));
   switch (static_cast<Type>(payload.front())) {
     case Type::kTaken: {
-      auto record = get<TakenRecord>(in);
-      return record && known(std::get<TakenRecord>(*record).owed.verdict) ? std::move(record) : std::nullopt;
+      const auto* taken = get<TakenRecord>(in, record);
+      return taken && known(taken->owed.verdict);
     }
     case Type::kAttempt:
-      return get<AttemptRecord>(in);
+      return get<AttemptRecord>(in, record);
     case Type::kHarmless:
-      return get<HarmlessRecord>(in);
+      return get<HarmlessRecord>(in, record);
     case Type::kVerdict: {
-      auto record = get<VerdictRecord>(in);
-      return record && known(std::get<VerdictRecord>(*record).verdict) ? std::move(record) : std::nullopt;
+      const auto* given = get<VerdictRecord>(in, record);
+      return given && known(given->verdict);
     }
     case Type::kEnded:
-      return get<EndedRecord>(in);
+      return get<EndedRecord>(in, record);
     case Type::kReleased:
-      return get<ReleasedRecord>(in);
+      return get<ReleasedRecord>(in, record);
   }
-  return std::nullopt;
+  return false;
 } catch (const std::exception&) {
-  return std::nullopt;
+  return false;
 }
 
 std::size_t encodedSize(const Doubt& doubt) {
--- a/src/journal/records.h
+++ b/src/journal/records.h
@@ -3,13 +3,13 @@
 //
 //   std::string bytes;
 //   encode(AttemptRecord{"9b1f", doubt}, bytes);       // appends
-//   std::optional<Record> record = decode(bytes);      // nothing: not a record of ours
+//   Record record;
+//   if (!decode(bytes, record)) ...                    // not a record of ours
 //
 // Safe for several threads; both cost O(size).
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -79,7 +79,8 @@
 void encode(const VerdictRecord& record, std::string& out);
 void encode(const EndedRecord& record, std::string& out);
 void encode(const ReleasedRecord& record, std::string& out);
-std::optional<Record> decode(std::string_view payload);
+// false: not a record of ours; `record` is then anything.
+bool decode(std::string_view payload, Record& record);
 
 // How many bytes `encode` appends for it.
 std::size_t encodedSize(const OwedRequest& taken);
--- a/src/journal/recovery.cpp
+++ b/src/journal/recovery.cpp
@@ -39,6 +39,9 @@
         found_.others.push_back(std::move(file));
       }
     }
+    std::size_t total = 0;
+    for (const SegmentSeen& segment : found_.segments) total += segment.fileBytes;
+    replay_.expect(total);
     RecoveryFault fault = readHeaders();
     if (!fault) fault = readVersionOne();
     if (!fault) fault = readLast();
@@ -115,9 +118,9 @@
       SegmentScanner scanner(bytes_, found_.salt, sequences_[i], endOf(i));
       for (Piece piece = scanner.next(); piece.kind != Piece::Kind::kEnd; piece = scanner.next()) {
         if (piece.kind != Piece::Kind::kRecord || piece.payload.front() != 'R') continue;
-        const auto record = decode(piece.payload);
-        if (record && std::holds_alternative<ReleasedRecord>(*record))
-          found_.firstSegment = std::max(found_.firstSegment, std::get<ReleasedRecord>(*record).firstSegment);
+        Record record;
+        if (decode(piece.payload, record) && std::holds_alternative<ReleasedRecord>(record))
+          found_.firstSegment = std::max(found_.firstSegment, std::get<ReleasedRecord>(record).firstSegment);
       }
       break;
     }
@@ -151,6 +154,7 @@
     if (!seen.headerGood) lose(name, 0, std::min(bytes_.size(), kSegmentHeaderBytes), "damaged");
     seen.validBytes = std::min(bytes_.size(), kSegmentHeaderBytes);
     SegmentScanner scanner(bytes_, found_.salt, sequence, endOf(i));
+    Record record;
     for (Piece piece = scanner.next(); piece.kind != Piece::Kind::kEnd; piece = scanner.next()) {
       if (piece.kind == Piece::Kind::kHole) {
         lose(name, piece.offset, piece.bytes, piece.bytes > 0 ? "damaged" : "cut off");
@@ -164,16 +168,15 @@
           found_.torn += piece.bytes;
         continue;
       }
-      std::optional<Record> record = decode(piece.payload);
-      if (!record) {
+      if (!decode(piece.payload, record)) {
         lose(name, piece.offset, piece.bytes, "damaged");
         continue;
       }
       ++seen.records;
       ++found_.records;
       seen.validBytes = piece.offset + piece.bytes;
-      if (visit_) visit_(sequence, piece.offset, piece.bytes, *record);
-      replay_.apply(sequence, std::move(*record));
+      if (visit_) visit_(sequence, piece.offset, piece.bytes, record);
+      replay_.apply(sequence, record);
     }
     return {};
   }
@@ -205,11 +208,13 @@
 
 }  // namespace
 
-void Replay::apply(std::uint64_t segment, Record record) {
+void Replay::apply(std::uint64_t segment, Record& record) {
   if (auto* taken = std::get_if<TakenRecord>(&record)) {
-    nameless_.erase(taken->owed.id);
+    if (!nameless_.empty()) nameless_.erase(taken->owed.id);
     RecoveredRequest& request = owed_[taken->owed.id];
-    request = {std::move(taken->owed), segment, holes_};
+    request.owed = std::move(taken->owed);
+    request.segment = segment;
+    request.holesKnown = holes_;
     return;
   }
   if (std::holds_alternative<ReleasedRecord>(record)) return;
@@ -254,19 +259,21 @@
 void Replay::hole() { ++holes_; }
 
 void Replay::finish(Recovered& found) {
+  if (holes_ == 0) {
+    found.owed = std::exchange(owed_, {});
+    return nameless_.clear();
+  }
   for (auto& [id, request] : owed_) {
     if (request.holesKnown == holes_ || request.owed.verdict != Verdict::kNone) continue;
     putInDoubt(request.owed);
     ++found.doubted;
   }
   found.owed = std::exchange(owed_, {});
-  if (holes_ > 0) {
-    for (const auto& [id, verdict] : nameless_) {
-      RecoveredRequest& request = found.owed[id];
-      request.owed.id = id;
-      request.owed.verdict = verdict == Verdict::kNone ? Verdict::kDead : verdict;
-      ++found.bodiesLost;
-    }
+  for (const auto& [id, verdict] : nameless_) {
+    RecoveredRequest& request = found.owed[id];
+    request.owed.id = id;
+    request.owed.verdict = verdict == Verdict::kNone ? Verdict::kDead : verdict;
+    ++found.bodiesLost;
   }
   nameless_.clear();
 }
--- a/src/journal/recovery.h
+++ b/src/journal/recovery.h
@@ -22,6 +22,8 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "journal/files.h"
@@ -57,7 +59,7 @@
 };
 
 struct Recovered {
-  using Owed = std::map<std::string, RecoveredRequest, std::less<>>;
+  using Owed = std::unordered_map<std::string, RecoveredRequest>;
 
   Owed owed;
   std::vector<SegmentSeen> segments;  // by sequence
@@ -90,13 +92,18 @@
 // The part of it that follows records, for tests: what is owed after so many of them.
 class Replay {
  public:
-  void apply(std::uint64_t segment, Record record);
+  // Takes what it keeps out of `record`.
+  void apply(std::uint64_t segment, Record& record);
+  // So many bytes are to be read: makes room for what they may hold.
+  void expect(std::size_t bytes) { owed_.reserve(bytes / kUsualBytes); }
   // From here back, anything may be missing.
   void hole();
   // Ends the reading: puts in doubt what has to be, and brings back those of which only the name is left.
   void finish(Recovered& found);
 
  private:
+  static constexpr std::size_t kUsualBytes = 1024;  // that a request takes with all its records
+
   Recovered::Owed owed_;
   std::map<std::string, Verdict, std::less<>> nameless_;  // named by records, but never taken
   std::uint64_t holes_ = 0;
--- a/src/journal/version_one.cpp
+++ b/src/journal/version_one.cpp
@@ -141,7 +141,7 @@
       return;
     }
     ++found.records;
-    replay.apply(0, std::move(*record));
+    replay.apply(0, *record);
     at += kFrame + size;
   }
 }
--- a/tests/journal_planner_test.cpp
+++ b/tests/journal_planner_test.cpp
@@ -150,17 +150,17 @@
     std::string bytes;
     encode(r, bytes);
     RC_ASSERT(bytes.size() == encodedSize(r));
-    const auto record = decode(bytes);
-    RC_ASSERT(record.has_value());
-    const OwedRequest& back = std::get<TakenRecord>(*record).owed;
+    Record record, other;
+    RC_ASSERT(decode(bytes, record));
+    const OwedRequest& back = std::get<TakenRecord>(record).owed;
     RC_ASSERT(back.id == r.id && back.key == r.key && back.body == r.body && back.cls == r.cls);
     RC_ASSERT(back.destination == r.destination && back.notAfterWallMs == r.notAfterWallMs);
     RC_ASSERT(back.verdict == r.verdict && back.attempts == r.attempts && back.isRetry == r.isRetry);
     RC_ASSERT(back.doubts.size() == r.doubts.size());
     // Cut anywhere, or with a byte behind it, it is none.
     for (std::size_t size = 0; size < bytes.size(); ++size)
-      RC_ASSERT(!decode(std::string_view(bytes).substr(0, size)));
-    RC_ASSERT(!decode(bytes + "x"));
+      RC_ASSERT(!decode(std::string_view(bytes).substr(0, size), other));
+    RC_ASSERT(!decode(bytes + "x", other));
   });
   CHECK(held);
 }
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -689,6 +689,7 @@
   OwedRequest fresh = owed("fresh");
   clock.nowMs += 1000;
   CHECK(journal.ended(held[0]));  // something to sync again
+  journal.sync();
   CHECK_FALSE(journal.taken(fresh));
   CHECK(syncer.jobs.empty());  // another sync of the same file would only pretend
   for (int i = 0; i < 10 && journal.wantsSlice(); ++i) journal.slice();
