--- a/src/journal/planner.cpp
+++ b/src/journal/planner.cpp
@@ -54,8 +54,9 @@
   // What no round could win back: each segment's header, and the rest of its last block.
   const std::size_t kept = room.live + room.segments * (kDiskBlock + kSegmentHeaderBytes);
   const std::size_t over = room.used - std::min(room.used, kept);
-  // With less to win than two segments hold, a round would copy all that is live for next to nothing.
-  const bool worth = over > 2 * room.segmentBytes;
+  // With less to win, a round would copy all that is live for next to nothing.
+  const auto least = static_cast<std::size_t>(static_cast<double>(room.live) * tuning_.leastGain);
+  const bool worth = over > std::max(2 * room.segmentBytes, least);
   if (!(tight && worth) && room.segments <= tuning_.mostSegments) return 0;
   // Before `left` more bytes are appended, a round must have come past all that is live.
   const double pace = tuning_.haste * static_cast<double>(room.live + room.carry) /
--- a/src/journal/planner.h
+++ b/src/journal/planner.h
@@ -37,6 +37,9 @@
   // Compaction runs while less than this share of the disk is free. More compacts earlier, and so copies more
   // requests that would have been over by themselves.
   double freeShare = 0.25;
+  // A round must win back at least this part of what is live, and two segments: it copies all that is live.
+  // Without it, a journal told to keep much free wrote twelve bytes for each one taken on.
+  double leastGain = 0.125;
   // A slice is this many bytes at most, and at least the lesser: 256 KiB take about 0.2 ms to write here.
   std::size_t mostSlice = 256 * 1024, leastSlice = 16 * 1024;
   // How much faster than just in time a round must go, since the load may grow while it lasts.
--- a/tests/journal_planner_test.cpp
+++ b/tests/journal_planner_test.cpp
@@ -109,6 +109,23 @@
   CHECK(held);
 }
 
+TEST_CASE("however much is to be kept free, no round copies what is live for next to nothing") {
+  JournalTuning tuning;
+  tuning.freeShare = 1;
+  const JournalPlanner planner(tuning);
+  JournalRoom room;
+  room.disk = 44000000;
+  room.segmentBytes = 256 * 1024;
+  room.segments = 60;
+  room.live = room.oldestLive = 13600000;
+  room.carry = room.segmentBytes;
+  const std::size_t kept = room.live + room.segments * (kDiskBlock + kSegmentHeaderBytes);
+  room.used = kept + room.live / 10;
+  CHECK(planner.slice(room) == 0);
+  room.used = kept + room.live / 7;
+  CHECK(planner.slice(room) > 0);
+}
+
 TEST_CASE("compaction ends: with nothing to win back there is no slice") {
   const bool held = rc::check([] {
     const JournalPlanner planner;
