--- a/lab/killing_files.h
+++ b/lab/killing_files.h
@@ -1,5 +1,6 @@
 // The operating system's files, until a chosen operation: there the process is ended by SIGKILL, of a write
-// after so many of its bytes. For the real program; see lab/killed_relay.cpp.
+// after so many of its bytes. Or else from there on some operations fail. For the real program; see
+// lab/killed_relay.cpp.
 #pragma once
 
 #include <csignal>
@@ -16,6 +17,8 @@
  public:
   // The `at`-th operation that changes the disk, from 1; 0: none.
   KillingFiles(std::uint64_t at, std::size_t torn) : at_(at), torn_(torn) {}
+  // Operations from the `at`-th on, `count` of them, fail with that errno; of a write, `torn` bytes are done.
+  void failInstead(std::uint64_t count, int error) { failCount_ = count, failWith_ = error; }
 
   using Files::read;
   int list(const std::string& folder, std::vector<FileSeen>& files) override {
@@ -25,19 +28,19 @@
     return real_.read(path, bytes, most);
   }
   int create(const std::string& path, std::shared_ptr<OutFile>& out) override {
-    count();
+    if (const int refused = count()) return refused;
     std::shared_ptr<OutFile> real;
     const int fault = real_.create(path, real);
     if (!fault) out = std::make_shared<Out>(*this, std::move(real));
     return fault;
   }
   int rename(const std::string& from, const std::string& to) override {
-    count();
-    return real_.rename(from, to);
+    const int refused = count();
+    return refused ? refused : real_.rename(from, to);
   }
   int remove(const std::string& path) override {
-    count();
-    return real_.remove(path);
+    const int refused = count();
+    return refused ? refused : real_.remove(path);
   }
   int syncFolder(const std::string& folder) override { return real_.syncFolder(folder); }
   int lock(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& lock) override {
@@ -52,15 +55,14 @@
    public:
     Out(KillingFiles& files, std::shared_ptr<OutFile> real) : files_(files), real_(std::move(real)) {}
     Written append(std::string_view bytes) override {
-      if (files_.due()) {
-        real_->append(bytes.substr(0, files_.torn_));
-        std::raise(SIGKILL);
-      }
-      return real_->append(bytes);
+      if (!files_.due()) return real_->append(bytes);
+      const Written partly = real_->append(bytes.substr(0, files_.torn_));
+      if (files_.failWith_ == 0) std::raise(SIGKILL);
+      return {partly.put, files_.failWith_};
     }
     int truncate(std::size_t size) override {
-      files_.count();
-      return real_->truncate(size);
+      const int refused = files_.count();
+      return refused ? refused : real_->truncate(size);
     }
     int sync() override { return real_->sync(); }
 
@@ -69,14 +71,21 @@
     std::shared_ptr<OutFile> real_;
   };
 
-  bool due() { return ++count_ == at_; }
-  void count() {
-    if (due()) std::raise(SIGKILL);
+  bool due() {
+    ++count_;
+    return failWith_ ? count_ >= at_ && count_ < at_ + failCount_ : count_ == at_;
+  }
+  // An errno where the operation is to fail.
+  int count() {
+    if (!due()) return 0;
+    if (failWith_ == 0) std::raise(SIGKILL);
+    return failWith_;
   }
 
   PosixFiles real_;
-  std::uint64_t count_ = 0, at_;
+  std::uint64_t count_ = 0, at_, failCount_ = 0;
   std::size_t torn_;
+  int failWith_ = 0;
 };
 
 }  // namespace myrtleloft::lab
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -19,6 +19,7 @@
 constexpr double kTellMs = 1000;          // at most one line about faults in so long
 constexpr std::size_t kMostReleased = 4;  // segments removed in one slice
 constexpr std::size_t kEndsAtOnce = 64;
+constexpr std::size_t kLookAtClock = 16;  // records of a slice between two looks
 constexpr std::size_t kDamageShare = 32;  // of the disk, one part may hold damaged bytes
 constexpr std::size_t kMostDamaged = 16;  // files of them
 
@@ -548,10 +549,12 @@
   if (segments_.back().sequence == sequence) return true;
   const std::size_t left = options_.segmentBytes - std::min(options_.segmentBytes, segments_.back().bytes);
   std::vector<std::pair<std::uint32_t, std::size_t>> moved;
+  const double untilMs = parts_.clock.steadyMs() + planner_.tuning().mostSliceMs;
   scratch_.clear();
   for (std::uint32_t at = from; at != kNone; at = entries_[at].behind) {
     const std::size_t bytes = recordBytes(*entries_[at].owed);
     if (!moved.empty() && scratch_.size() + bytes > std::min(most, left)) break;
+    if (moved.size() % kLookAtClock == kLookAtClock - 1 && parts_.clock.steadyMs() > untilMs) break;
     frame(*entries_[at].owed);
     moved.emplace_back(at, bytes);
   }
--- a/src/journal/planner.h
+++ b/src/journal/planner.h
@@ -42,6 +42,9 @@
   double leastGain = 0.125;
   // A slice is this many bytes at most, and at least the lesser: 256 KiB take about 0.2 ms to write here.
   std::size_t mostSlice = 256 * 1024, leastSlice = 16 * 1024;
+  // And so long at most, in ms: on a machine that gives the process a part of a core, bytes alone bound
+  // nothing.
+  double mostSliceMs = 0.5;
   // How much faster than just in time a round must go, since the load may grow while it lasts.
   double haste = 2;
   // More segments than this are carried over whatever is free: each restart adds one.
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -165,6 +165,8 @@
   return request;
 }
 
+std::size_t recordSize(const OwedRequest& request) { return kFrameBytes + encodedSize(request); }
+
 struct Opened {
   explicit Opened(Disk& disk, std::size_t limit = 1000000) : files(disk) {
     JournalOptions options;
@@ -392,6 +394,42 @@
   CHECK(newer.files == expected);
 }
 
+TEST_CASE("a slice ends when its time is up, however many bytes it might still carry") {
+  struct SlowClock : HandClock {
+    double steadyMs() const override { return const_cast<SlowClock*>(this)->nowMs += 0.4; }  // at each look
+  };
+  for (const bool slow : {false, true}) {
+    Disk disk;
+    FaultyFiles files(disk);
+    HandClock quick;
+    SlowClock ticking;
+    std::ostringstream log;
+    JournalOptions options{"/s", 1000000, 0, {}, "one", 5};
+    options.tuning.freeShare = 1;
+    options.tuning.leastSlice = options.tuning.mostSlice = 60000;
+    Journal journal({files, slow ? static_cast<Clock&>(ticking) : quick, log}, options);
+    Recovered found;
+    std::string error;
+    REQUIRE(journal.open(found, error));
+    std::deque<OwedRequest> held;
+    for (int i = 0; i < 600; ++i) REQUIRE(journal.taken(held.emplace_back(owed(numbered('s', i)))));
+    OwedRequest over = owed("over");
+    while (!journal.wantsSlice()) {
+      REQUIRE(journal.taken(over));
+      REQUIRE(journal.ended(over));
+    }
+    std::uint64_t most = 0;  // of several: one may just have had no room left in its segment
+    for (int i = 0; i < 4; ++i) {
+      const std::uint64_t before = journal.figures().carriedBytes;
+      REQUIRE(journal.slice());
+      most = std::max(most, journal.figures().carriedBytes - before);
+    }
+    const std::uint64_t oneLook = 32 * (recordSize(owed("s500")) + 1);
+    CHECK(most > 0);
+    CHECK((most <= oneLook) == slow);
+  }
+}
+
 // ---- version 1 ----
 namespace {
 
--- a/tests/kill_points_test.cpp
+++ b/tests/kill_points_test.cpp
@@ -3,6 +3,9 @@
 // every message that had its 202 must have its end, no charge is called twice where the first call may have
 // run, no two attempts are out.
 //
+// 120 more points at which the disk fails instead, for some operations: new messages are refused with when to
+// come back, what is held goes on, and by itself the relay takes on again.
+//
 //   kill_points_test RELAY [FIRST [COUNT]]     all points, or some; points are shared out over twelve
 //   processes, which mostly wait
 //
@@ -12,6 +15,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -32,19 +36,28 @@
 using lab::Hub;
 namespace fs = std::filesystem;
 
-constexpr int kPoints = 1000, kLanes = 12, kMessages = 44, kClients = 6, kPatienceMs = 15000;
+constexpr int kPoints = 1000, kFaults = 120, kLanes = 12, kMessages = 44, kClients = 6, kPatienceMs = 15000;
 // Of a write, so much reaches the disk: nothing; into the length of a frame; into its check; into its
 // payload.
 constexpr std::array<int, 4> kTorn = {0, 6, 10, 200};
 
 struct Point {
   int number = 0;
-  int killAt() const { return 1 + number / static_cast<int>(kTorn.size()); }
+  bool fails() const { return number >= kPoints; }
+  int failWith() const {
+    constexpr std::array<int, 4> kErrors = {ENOSPC, EIO, EDQUOT, EROFS};
+    return kErrors[static_cast<std::size_t>(number) % kErrors.size()];
+  }
+  int failCount() const { return 1 + number % 5; }
+  // The first two operations begin the first segment: without them it does not start, and says so.
+  int killAt() const {
+    return fails() ? 3 + (number - kPoints) * 2 : 1 + number / static_cast<int>(kTorn.size());
+  }
   int torn() const { return kTorn[static_cast<std::size_t>(number) % kTorn.size()]; }
   // Every fourth point kills the restarted process in its recovery too, every eighth the one after it as
   // well.
   int killAgainAt(int restart) const {
-    if (number % 4 != 0 || restart > (number % 8 == 0 ? 2 : 1)) return 0;
+    if (fails() || number % 4 != 0 || restart > (number % 8 == 0 ? 2 : 1)) return 0;
     return 1 + number / 8 % 5;
   }
   // Every fifth point's restarts find the wall clock set back a day.
@@ -91,9 +104,10 @@
     until([this] { return ready_ || dead(); });
     if (ready_)
       for (int i = 0; i < kClients; ++i) handIn();
-    if (!until([this] { return dead() || (next_ >= kMessages && ended()); }))
+    if (!until([this] { return dead() || !fault_.empty() || (enough() && ended()); }))
       return fail("the first process neither ends nor finishes");
     killed_ = child_ < 0;
+    if (point_.fails() && killed_) return fail("a fault of the disk ended the process");
     if (!killed_ && std::getenv("LAB_LOG")) tellCounters();
     if (child_ > 0) kill();
     for (int restart = 1;; ++restart) {
@@ -107,6 +121,7 @@
       if (point_.killAgainAt(restart) == 0) return fail("the restarted process ended by itself");
     }
     if (std::getenv("LAB_LOG")) tellCounters();
+    if (point_.fails() && log_.find("journal: cannot ") == std::string::npos) broken("no fault was met");
     if (fault_.empty() && taken_.empty() && point_.killAt() > 40) fault_ = "nothing was taken on";
     return fault_.empty() ? "" : fail(fault_);
   }
@@ -147,12 +162,16 @@
     const std::string at = "LAB_KILL_AT=" + std::to_string(killAt),
                       bytes = "LAB_TORN=" + std::to_string(point_.torn()),
                       back = "LAB_WALL_BACK=" + std::to_string(point_.wallBackMs(process));
+    const bool fails = point_.fails() && process == 0;
+    const std::string with = "LAB_FAIL_WITH=" + std::to_string(fails ? point_.failWith() : 0),
+                      count = "LAB_FAIL_COUNT=" + std::to_string(point_.failCount());
     child_ = ::fork();
     if (child_ == 0) {
       ::dup2(ends[1], STDERR_FILENO);
       std::array<char*, 2> arguments = {relay_.data(), nullptr};
-      std::array<const char*, 7> environment = {state.c_str(), file.c_str(), at.c_str(), bytes.c_str(),
-                                                extra.c_str(), back.c_str(), nullptr};
+      std::array<const char*, 9> environment = {state.c_str(), file.c_str(),  at.c_str(),
+                                                bytes.c_str(), extra.c_str(), back.c_str(),
+                                                with.c_str(),  count.c_str(), nullptr};
       ::execve(relay_.c_str(), arguments.data(), const_cast<char* const*>(environment.data()));
       ::_exit(127);
     }
@@ -184,8 +203,13 @@
   }
 
   // ---- clients ----
+  // With a failing disk, until twenty have been taken on after the first refusal.
+  bool enough() const {
+    if (!point_.fails()) return next_ >= kMessages;
+    return refused_ > 0 ? taken_.size() >= takenBefore_ + 20 : taken_.size() >= 300;
+  }
   void handIn() {
-    if (next_ >= kMessages) return;
+    if (enough()) return;
     const int number = next_++;
     const std::string id = "m" + std::to_string(number);
     const std::string body(400 + static_cast<std::size_t>(number) * 37 % 900, 'b');
@@ -196,8 +220,7 @@
          << body;
     const Hub::Id client = hub_.connect(address_, {[this, id](Hub::Id from, const lab::Message& m) {
                                                      hub_.close(from);
-                                                     if (m.start.find(" 202 ") != std::string::npos)
-                                                       taken_.insert(id);
+                                                     onAnswer(id, m);
                                                      handIn();
                                                    },
                                                    {},
@@ -205,6 +228,17 @@
     hub_.send(client, text.str());
   }
 
+  void onAnswer(const std::string& id, const lab::Message& m) {
+    if (m.start.find(" 202 ") != std::string::npos) {
+      taken_.insert(id);
+    } else if (m.start.find(" 503 ") == std::string::npos) {
+      broken(id + " is answered " + m.start);
+    } else {
+      if (refused_++ == 0) takenBefore_ = taken_.size();
+      if (m.header("retry-after").empty()) broken(id + " is refused without word of when to come back");
+    }
+  }
+
   // ---- endpoints ----
   // What the endpoint does with a message's first call; later ones are answered with 200.
   enum class First { kGood, kError, kFull, kReset };
@@ -256,11 +290,10 @@
   std::string list() const {
     std::string text = R"({"rev":1,"all":true,"targets":[)";
     for (std::size_t i = 0; i < endpoints_.size(); ++i)
-      text +=
-          std::string(i ? "," : "") + R"({"uid":"E)" + std::to_string(i) + R"(","endpoint":")" +
-          endpoints_[i] +
-          R"(","az":"norte","model":"other","pod_group":7,"state":"active","capacity_hint":1000.0,)"
-          R"("boot_ms":0})";
+      text += std::string(i ? "," : "") + R"({"uid":"E)" + std::to_string(i) + R"(","endpoint":")" +
+              endpoints_[i] +
+              R"(","az":"norte","model":"other","pod_group":7,"state":"active","capacity_hint":1000.0,)"
+              R"("boot_ms":0})";
     return text + "]}";
   }
   void onPlatform(Hub::Id from, const lab::Message& m) {
@@ -338,6 +371,7 @@
   pid_t child_ = -1;
   bool ready_ = false, killed_ = false;
   int next_ = 0, restarts_ = 0;
+  std::size_t refused_ = 0, takenBefore_ = 0;
   std::set<std::string> taken_, delivered_, mayHaveRun_;
   std::map<std::string, std::string> notices_;
   std::map<std::string, int> calls_;
@@ -365,7 +399,7 @@
 int main(int argc, char** argv) {
   if (argc < 2) return 2;
   const int first = argc > 2 ? std::atoi(argv[2]) : 0;
-  const int end = argc > 3 ? first + std::atoi(argv[3]) : argc > 2 ? first + 1 : kPoints;
+  const int end = argc > 3 ? first + std::atoi(argv[3]) : argc > 2 ? first + 1 : kPoints + kFaults;
   if (end == first + 1) return lane(argv[1], first, end, 1);
   std::vector<pid_t> lanes;
   for (int i = 0; i < kLanes; ++i) {
@@ -379,6 +413,6 @@
     ::waitpid(child, &status, 0);
     good = good && WIFEXITED(status) && WEXITSTATUS(status) == 0;
   }
-  std::cout << (good ? end - first : 0) << " kill points passed" << std::endl;
+  std::cout << (good ? end - first : 0) << " kill and fault points passed" << std::endl;
   return good ? 0 : 1;
 }
