Keep damage at the end of the log known past the second start

Damage at the very end was then outside, and the start after that no longer knew of it: a charge whose attempt stood there would have come back without its doubt, and been sent again.

What a removed empty segment told of the one before it is carried on.

Measured: a test with a flipped bit in the last record, and with the last 20 bytes cut off, over three starts; it fails at the second start without the change.

--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -116,7 +116,7 @@
     const bool last = seen.sequence == found.segments.back().sequence;
     // Nothing stands in it: its number is given again. Otherwise each restart would leave a segment.
     const bool empty =
-        seen.stale || (seen.headerGood && seen.validBytes == seen.fileBytes && seen.records == 0);
+        seen.stale || (seen.headerGood && seen.fileBytes == kSegmentHeaderBytes && seen.records == 0);
     if (last && empty && parts_.files.remove(path(segmentName(seen.sequence))) == 0) break;
     Segment& segment = segments_.emplace_back();
     segment.sequence = seen.sequence;
--- a/src/journal/recovery.cpp
+++ b/src/journal/recovery.cpp
@@ -158,26 +158,30 @@
     for (Piece piece = scanner.next(); piece.kind != Piece::Kind::kEnd; piece = scanner.next()) {
       if (piece.kind == Piece::Kind::kHole) {
         lose(name, piece.offset, piece.bytes, piece.bytes > 0 ? "damaged" : "cut off");
+        seen.validBytes = piece.offset + piece.bytes;
         continue;
       }
       if (piece.kind == Piece::Kind::kTorn) {
         // Only the last segment's end can be torn; another's, with the one behind it damaged, may be a hole.
-        if (i + 1 < sequences_.size() && !found_.segments[i + 1].stale)
+        if (i + 1 < sequences_.size() && !found_.segments[i + 1].stale) {
           lose(name, piece.offset, piece.bytes, "damaged");
-        else
+          seen.validBytes = piece.offset + piece.bytes;
+        } else {
           found_.torn += piece.bytes;
+        }
         continue;
       }
+      seen.validBytes = piece.offset + piece.bytes;
       if (!decode(piece.payload, record)) {
         lose(name, piece.offset, piece.bytes, "damaged");
         continue;
       }
       ++seen.records;
       ++found_.records;
-      seen.validBytes = piece.offset + piece.bytes;
       if (visit_) visit_(sequence, piece.offset, piece.bytes, record);
       replay_.apply(sequence, record);
     }
+    if (const std::size_t told = endOf(i); told != SegmentScanner::kUnknownEnd) seen.validBytes = told;
     return {};
   }
 
--- a/src/journal/recovery.h
+++ b/src/journal/recovery.h
@@ -44,8 +44,10 @@
 
 struct SegmentSeen {
   std::uint64_t sequence = 0;
-  std::size_t fileBytes = 0;   // on the disk
-  std::size_t validBytes = 0;  // up to the end of the last good record
+  std::size_t fileBytes = 0;  // on the disk
+  // How much of it is the journal's, damaged parts included; only a torn end is not. The next segment's
+  // header says so: left out there, damage would be forgotten by the start after the next.
+  std::size_t validBytes = 0;
   std::size_t records = 0;
   double createdWallMs = 0;
   bool headerGood = true;
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -319,6 +319,31 @@
   }
 }
 
+TEST_CASE("damage at the very end of the log is still known at the second start, and at the third") {
+  for (const bool cut : {false, true}) {
+    Disk disk;
+    {
+      Opened opened(disk);
+      OwedRequest charge = owed("charge", 2);
+      REQUIRE(opened.journal->taken(charge));
+      REQUIRE(opened.journal->attempt(charge, {"E1", 0, 1000, 0}));
+    }
+    std::string& bytes = disk.files["/s/" + segmentName(1)];
+    if (cut) {
+      { Opened opened(disk); }  // another segment tells where this one ended
+      bytes.resize(bytes.size() - 20);
+    } else {
+      bytes[bytes.size() - 3] ^= 1;
+    }
+    for (int start = 0; start < 3; ++start) {
+      CAPTURE(start);
+      Opened opened(disk);
+      REQUIRE(opened.found.damage.size() == 1);
+      REQUIRE(opened.found.owed.at("charge").owed.doubts.size() == 1);
+    }
+  }
+}
+
 TEST_CASE("a record in a client's body is never taken for one of ours") {
   Disk disk;
   std::string forged;
