--- a/include/myrtleloft/relay.h
+++ b/include/myrtleloft/relay.h
@@ -20,6 +20,9 @@
   const Clock* clock = nullptr;  // net/clock.h
 };
 
+// Of a list as in environ(7), "NAME=VALUE" and a null at its end.
+Environment environmentOf(const char* const* entries);
+
 struct ConfigError : std::runtime_error {  // its text names the faulty key
   using std::runtime_error::runtime_error;
 };
--- a/lab/killed_relay.cpp
+++ b/lab/killed_relay.cpp
@@ -6,7 +6,6 @@
 
 #include <cstdlib>
 #include <iostream>
-#include <string_view>
 
 #include "lab/killing_files.h"
 #include "myrtleloft/relay.h"
@@ -26,13 +25,7 @@
 }  // namespace
 
 int main() {
-  myrtleloft::Environment environment;
-  for (char** entry = environ; *entry != nullptr; ++entry) {
-    const std::string_view text = *entry;
-    const std::size_t equals = text.find('=');
-    if (equals != std::string_view::npos)
-      environment.emplace(text.substr(0, equals), text.substr(equals + 1));
-  }
+  myrtleloft::Environment environment = myrtleloft::environmentOf(environ);
   const auto number = [&](const char* name) {
     return static_cast<std::uint64_t>(std::atoll(environment[name].c_str()));
   };
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -6,6 +6,7 @@
 
 #include "cli/journal_tool.h"
 #include "config/config.h"
+#include "journal/planner.h"
 
 #ifndef MYRTLELOFT_VERSION
 #define MYRTLELOFT_VERSION "unknown"
@@ -16,16 +17,16 @@
 
 int checkConfig(const Environment& environment, std::ostream& out) {
   const Config config = readConfig(environment);
+  const OperatorFile::Journal& journal = config.operatorFile.journal;
+  const std::size_t chosen = JournalPlanner().segmentBytes(config.diskBytes);
   out << "name " << config.name << ", listens on " << config.listen.text << ", discovery at "
       << config.discovery.text << '\n'
       << config.classes.size() << " classes, " << config.tenants.size() << " tenants, "
       << config.known.endpoints.size() << " endpoints known, " << config.sockets << " descriptors, "
       << config.diskBytes << " bytes of disk\n"
-      << "journal: segments of "
-      << (config.operatorFile.journal.segmentBytes ? std::to_string(config.operatorFile.journal.segmentBytes)
-                                                   : std::string("the planner's choice of"))
-      << " bytes, slices of " << config.operatorFile.journal.sliceBytes << " bytes at most, durability "
-      << nameOf(config.operatorFile.journal.durability) << '\n';
+      << "journal: segments of " << (journal.segmentBytes ? journal.segmentBytes : chosen)
+      << " bytes, slices of " << journal.sliceBytes << " bytes at most, " << journal.freePercent
+      << "% to be kept free, durability " << nameOf(journal.durability) << '\n';
   return kExitGood;
 }
 
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <utility>
 
@@ -13,21 +12,10 @@
 
 constexpr const char* kTakeOver = "journal.takeover";
 constexpr const char* kOldLeftover = "journal.new";  // of a version 1 process that ended while compacting
-// After a failure of the disk, new requests are refused and compaction rests for so long: each try would cost
-// calls into a file system in trouble. What is held goes on trying.
-constexpr double kRestMs = 250;
-constexpr double kTellMs = 1000;          // at most one line about faults in so long
-constexpr std::size_t kMostReleased = 4;  // segments removed in one slice
+constexpr double kTellMs = 1000;                     // at most one line about faults in so long
+constexpr std::size_t kMostReleased = 4;             // segments removed in one slice
 constexpr std::size_t kEndsAtOnce = 64;
 constexpr std::size_t kLookAtClock = 16;  // records of a slice between two looks
-constexpr std::size_t kDamageShare = 32;  // of the disk, one part may hold damaged bytes
-constexpr std::size_t kMostDamaged = 16;  // files of them
-
-std::string hex(std::uint64_t value, std::size_t digits) {
-  std::string text(digits, '0');
-  for (std::size_t i = digits; i-- > 0; value >>= 4) text[i] = "0123456789abcdef"[value & 15];
-  return text;
-}
 
 std::size_t recordBytes(const OwedRequest& owed) { return kFrameBytes + encodedSize(owed); }
 
@@ -43,7 +31,7 @@
 bool Journal::fault(const char* what, const std::string& name, int error) {
   ++figures_.faults;
   const double now = parts_.clock.steadyMs();
-  restUntilMs_ = now + kRestMs;
+  restUntilMs_ = now + planner_.tuning().restMs;
   if (now < toldMs_ + kTellMs) {
     ++untold_;
     return false;
@@ -188,35 +176,31 @@
   for (auto& [id, request] : found.owed) {
     if (request.segment != 0) continue;
     Entry& entry = entries_[request.owed.ticket];
-    const std::size_t bytes = recordBytes(request.owed);
-    if (!ready(bytes)) return;
-    scratch_.clear();
-    frame(request.owed);
-    if (!write(scratch_)) return;
+    if (!record(request.owed, nullptr, 0, 0)) return;
     request.segment = segments_.back().sequence;
     link(request.owed.ticket, segments_.back());
-    setLive(entry, bytes);
+    setLive(entry, recordBytes(request.owed));
   }
 }
 
 // The damaged bytes themselves, as far as they may be kept. Read before anything is removed.
 std::vector<Journal::Spoilt> Journal::readDamage(const Recovered& found) {
-  const std::size_t most = options_.diskBytes / kDamageShare;
+  const std::size_t most = planner_.damageBytes(options_.diskBytes);
   std::vector<Spoilt> all;
   for (const Damage& d : found.damage) {
-    if (d.bytes == 0 || all.size() >= kMostDamaged) continue;
+    if (d.bytes == 0 || all.size() >= planner_.tuning().mostDamaged) continue;
     std::string bytes;
     if (parts_.files.read(path(d.file), bytes) != 0 || d.offset >= bytes.size()) continue;
     const auto sequence = segmentSequence(d.file);
-    all.push_back(
-        {kDamagedPrefix + (sequence ? hex(*sequence, 16) : std::string("v1")) + "-" + hex(d.offset, 8),
-         bytes.substr(d.offset, std::min(d.bytes, most / 2))});
+    all.push_back({kDamagedPrefix + (sequence ? hexDigits(*sequence, 16) : std::string("v1")) + "-" +
+                       hexDigits(d.offset, 8),
+                   bytes.substr(d.offset, std::min(d.bytes, most / 2))});
   }
   return all;
 }
 
 void Journal::keepDamage(const Recovered& found, const std::vector<Spoilt>& all) {
-  const std::size_t most = options_.diskBytes / kDamageShare;
+  const std::size_t most = planner_.damageBytes(options_.diskBytes);
   std::vector<FileSeen> kept;
   std::size_t total = 0;
   for (const FileSeen& other : found.others) {
@@ -226,7 +210,8 @@
   }
   for (const auto& [name, bytes] : all) {
     if (std::any_of(kept.begin(), kept.end(), [&](const FileSeen& k) { return k.name == name; })) continue;
-    while (!kept.empty() && (total + inBlocks(bytes.size()) > most || kept.size() >= kMostDamaged)) {
+    while (!kept.empty() &&
+           (total + inBlocks(bytes.size()) > most || kept.size() >= planner_.tuning().mostDamaged)) {
       if (parts_.files.remove(path(kept.front().name)) != 0) return;
       total -= inBlocks(kept.front().bytes);
       used_ -= inBlocks(kept.front().bytes);
@@ -343,15 +328,14 @@
   const std::size_t bytes = recordBytes(owed);
   if (resting() || distrustTo_ != 0 || bytes > kLongestRecord) return false;
   writeEnds();
+  // An id that comes again must not meet the *ended* of its predecessor behind it.
+  if (!endsOwed_.empty()) return false;
   if (!planner_.admits(room(), bytes)) {
     // The bound on what is to carry may be an old one.
     measureCarry();
     if (!planner_.admits(room(), bytes)) return false;
   }
-  if (!ready(bytes)) return false;
-  scratch_.clear();
-  frame(owed);
-  if (!write(scratch_)) return false;
+  if (!record(owed, nullptr, 0, 0)) return false;
   figures_.takenBytes += bytes;
   owed.ticket = newEntry();
   Entry& entry = entries_[owed.ticket];
@@ -363,29 +347,36 @@
   return true;
 }
 
-// Whether so many bytes may be written for a request: from its reserve, down to `keep`, or from what is free.
-bool Journal::reserve(Entry& entry, std::size_t bytes, std::size_t grows, std::size_t keep) {
-  if (entry.reserve >= bytes + grows + keep) {
-    entry.reserve -= static_cast<std::uint32_t>(bytes + grows);
+// Writes one record. Of a request's, what its reserve allows down to `keep`, or what is free besides; `grows`
+// is by how much the request's whole record grows with it.
+template <typename R>
+bool Journal::record(const R& record, Entry* entry, std::size_t grows, std::size_t keep) {
+  scratch_.clear();
+  openFrame(scratch_);
+  encode(record, scratch_);
+  const std::size_t bytes = scratch_.size();
+  if (!ready(bytes)) return false;
+  const bool reserved = entry && entry->reserve >= bytes + grows + keep;
+  // The last of its records are written as long as they fit at all.
+  if (entry && keep > 0 && !reserved && !planner_.permits(room(), bytes, grows)) return false;
+  closeFrame(scratch_, 0, salt_, segments_.back().sequence);
+  if (!write(scratch_)) return false;
+  if (reserved) {
+    entry->reserve -= static_cast<std::uint32_t>(bytes + grows);
     reserved_ -= bytes + grows;
-    return true;
   }
-  return planner_.permits(room(), bytes, grows);
+  return true;
 }
 
 bool Journal::attempt(OwedRequest& owed, Doubt doubt) {
   doubt.attempt = owed.attempts;
   writeEnds();
-  scratch_.clear();
   const std::size_t grows = encodedSize(doubt);
-  const std::size_t bytes = kFrameBytes + 1 + sizeof(std::uint32_t) + owed.id.size() + grows;
   Entry& entry = entries_[owed.ticket];
-  if (!ready(bytes) || !reserve(entry, bytes, grows, planner_.tuning().lastReserve)) return false;
-  AttemptRecord record{owed.id, std::move(doubt)};
-  frame(record);
-  if (!write(scratch_)) return false;
+  AttemptRecord made{owed.id, std::move(doubt)};
+  if (!record(made, &entry, grows, planner_.tuning().lastReserve)) return false;
   ++owed.attempts;
-  owed.doubts.push_back(std::move(record.doubt));
+  owed.doubts.push_back(std::move(made.doubt));
   setLive(entry, entry.live + grows);
   return true;
 }
@@ -396,12 +387,7 @@
   owed.doubts.pop_back();
   Entry& entry = entries_[owed.ticket];
   setLive(entry, entry.live - std::min<std::size_t>(entry.live, encodedSize(doubt)));
-  const HarmlessRecord record{owed.id, doubt.attempt};
-  const std::size_t bytes = kFrameBytes + 1 + sizeof(std::uint32_t) + owed.id.size() + sizeof doubt.attempt;
-  if (!ready(bytes) || !reserve(entry, bytes, 0, planner_.tuning().lastReserve)) return false;
-  scratch_.clear();
-  frame(record);
-  return write(scratch_);
+  return record(HarmlessRecord{owed.id, doubt.attempt}, &entry, 0, planner_.tuning().lastReserve);
 }
 
 bool Journal::verdict(OwedRequest& owed, Verdict verdict, double waitMs) {
@@ -411,14 +397,7 @@
   owed.body.shrink_to_fit();
   Entry& entry = entries_[owed.ticket];
   if (entry.live > 0) setLive(entry, recordBytes(owed));
-  const VerdictRecord record{owed.id, verdict, waitMs};
-  const std::size_t bytes =
-      kFrameBytes + 1 + sizeof(std::uint32_t) + owed.id.size() + sizeof verdict + sizeof waitMs;
-  if (!ready(bytes)) return false;
-  reserve(entry, bytes, 0, 0);  // an end is written as long as it fits at all
-  scratch_.clear();
-  frame(record);
-  return write(scratch_);
+  return record(VerdictRecord{owed.id, verdict, waitMs}, &entry, 0, 0);
 }
 
 bool Journal::ended(OwedRequest& owed) {
@@ -435,30 +414,14 @@
   return endsOwed_.empty();
 }
 
+// As many at once as keep the loop for a moment only: after a fault, thousands may wait.
 void Journal::writeEnds() {
-  while (!endsOwed_.empty()) {
-    const std::size_t count = std::min(endsOwed_.size(), kEndsAtOnce);
-    std::size_t bytes = 0;
-    for (std::size_t i = 0; i < count; ++i)
-      bytes += kFrameBytes + 1 + sizeof(std::uint32_t) + endsOwed_[i].size();
-    if (!ready(bytes)) return;
-    scratch_.clear();
-    for (std::size_t i = 0; i < count; ++i) frame(EndedRecord{endsOwed_[i]});
-    if (!write(scratch_)) return;
-    endsOwed_.erase(endsOwed_.begin(), endsOwed_.begin() + static_cast<std::ptrdiff_t>(count));
+  for (std::size_t i = 0; i < kEndsAtOnce && !endsOwed_.empty(); ++i) {
+    if (!record(EndedRecord{endsOwed_.front()}, nullptr, 0, 0)) return;
+    endsOwed_.pop_front();
   }
 }
 
-template <typename R>
-std::size_t Journal::frame(const R& record) {
-  const std::size_t at = openFrame(scratch_);
-  encode(record, scratch_);
-  // The checks of the frames before it in the same buffer are closed already.
-  std::string_view whole(scratch_);
-  closeFrame(scratch_, at, salt_, segments_.back().sequence);
-  return whole.size() - at;
-}
-
 bool Journal::ready(std::size_t bytes) {
   const Segment& last = segments_.back();
   const bool full = last.bytes + bytes > options_.segmentBytes && last.bytes > kSegmentHeaderBytes;
@@ -501,10 +464,7 @@
   room.carry = carry_;
   room.segmentBytes = options_.segmentBytes;
   room.segments = segments_.size();
-  if (!segments_.empty()) {
-    room.oldestLive = segments_.front().live;
-    room.oldestBytes = segments_.front().bytes;
-  }
+  if (!segments_.empty()) room.oldestLive = segments_.front().live;
   room.sinceSlice = sinceSlice_;
   return room;
 }
@@ -555,7 +515,9 @@
     const std::size_t bytes = recordBytes(*entries_[at].owed);
     if (!moved.empty() && scratch_.size() + bytes > std::min(most, left)) break;
     if (moved.size() % kLookAtClock == kLookAtClock - 1 && parts_.clock.steadyMs() > untilMs) break;
-    frame(*entries_[at].owed);
+    const std::size_t frame = openFrame(scratch_);
+    encode(*entries_[at].owed, scratch_);
+    closeFrame(scratch_, frame, salt_, segments_.back().sequence);
     moved.emplace_back(at, bytes);
   }
   if (!write(scratch_)) return false;
@@ -584,21 +546,17 @@
   const std::uint64_t next = segments_.front().sequence + 1;
   // Recorded first, so that a segment missing for any other reason is known to be missing. Where even that
   // finds no room on the disk, removing is what makes some: then it is recorded afterwards.
-  const auto record = [&] {
-    if (releasedTold_ >= next) return;
-    if (!ready(kFrameBytes + 1 + sizeof next)) return;
-    scratch_.clear();
-    frame(ReleasedRecord{next});
-    if (write(scratch_)) releasedTold_ = next;
+  const auto tell = [&] {
+    if (releasedTold_ < next && record(ReleasedRecord{next}, nullptr, 0, 0)) releasedTold_ = next;
   };
-  record();
+  tell();
   const std::string name = segmentName(segments_.front().sequence);
   const int error = parts_.files.remove(path(name));
   if (error != 0 && error != ENOENT) return fault("remove", name, error);
   used_ -= inBlocks(segments_.front().fileBytes);
   segments_.pop_front();
   ++figures_.released;
-  record();
+  tell();
   return true;
 }
 
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -88,7 +88,7 @@
   // Whether there is something to compact.
   bool wantsSlice() const;
   // Carries some live requests over, or removes one segment. What it costs is bounded by the planner's slice,
-  // however much is owed. false: the disk refused; it is tried again no sooner than a second later.
+  // however much is owed. false: the disk refused; it is tried again after a rest.
   bool slice();
 
   // How far it has written, and how far that is as safe as the level asks; in bytes since the start. What a
@@ -151,9 +151,8 @@
   // Sees that `bytes` more may go to the active segment, beginning another where it is full or broken.
   bool ready(std::size_t bytes);
   template <typename R>
-  std::size_t frame(const R& record);  // into scratch_; its bytes
+  bool record(const R& record, Entry* entry, std::size_t grows, std::size_t keep);
   void writeEnds();
-  void writeReleased();
 
   Segment* segmentOf(std::uint64_t sequence);
   std::uint32_t newEntry();
@@ -161,7 +160,6 @@
   void unlink(std::uint32_t ticket);
   void setLive(Entry& entry, std::size_t live);
   void measureCarry();
-  bool reserve(Entry& entry, std::size_t bytes, std::size_t grows, std::size_t keep);
   bool removeOldest();
   bool carry(Segment& from, std::size_t most);
   Segment* distrusted();
@@ -180,7 +178,7 @@
   bool broken_ = false;    // the active segment ends in half a record that could not be cut off
   std::uint64_t salt_ = 0, tookOver_ = 0;  // go into the next header
   std::uint64_t releasedTold_ = 1;         // the newest *released* on the disk
-  std::vector<std::string> endsOwed_;      // ended, but not yet recorded
+  std::deque<std::string> endsOwed_;       // ended, but not yet recorded
   std::string scratch_;
   // The level `group`.
   std::uint64_t position_ = 0, durable_ = 0;
--- a/src/journal/planner.h
+++ b/src/journal/planner.h
@@ -25,8 +25,7 @@
 
 struct JournalTuning {
   // Of the disk, what requests held may come to with their reserves. More leaves less for what is over but
-  // not yet compacted: at 0.55 a half-full journal writes about 1.6 bytes for each one taken on, at 0.7
-  // above 2.
+  // not yet compacted, and so makes rounds more frequent; docs/bench/journal.md has what is written at 0.5.
   double owedShare = 0.55;
   // What the further records of a request may come to, kept free for it from the start: four attempts with
   // their harmless ends, a verdict and an end. Smaller takes on more, and stops attempts earlier when full.
@@ -40,13 +39,18 @@
   // A round must win back at least this part of what is live, and two segments: it copies all that is live.
   // Without it, a journal told to keep much free wrote twelve bytes for each one taken on.
   double leastGain = 0.125;
-  // A slice is this many bytes at most, and at least the lesser: 256 KiB take about 0.2 ms to write here.
+  // A slice is this many bytes at most, and at least the lesser.
   std::size_t mostSlice = 256 * 1024, leastSlice = 16 * 1024;
   // And so long at most, in ms: on a machine that gives the process a part of a core, bytes alone bound
   // nothing.
   double mostSliceMs = 0.5;
   // How much faster than just in time a round must go, since the load may grow while it lasts.
   double haste = 2;
+  // After a failure of the disk, new requests are refused and compaction rests for so long, in ms: each try
+  // costs calls into a file system in trouble. What is held goes on trying. Longer comes back later.
+  double restMs = 250;
+  // Damaged bytes are kept aside in this part of the disk at most, and in so many files; the oldest go.
+  std::size_t damagePerDisk = 32, mostDamaged = 16;
   // More segments than this are carried over whatever is free: each restart adds one.
   std::size_t mostSegments = 96;
   // A segment is this part of the disk, between the least and the most. Smaller ones free room in smaller
@@ -63,7 +67,6 @@
   std::size_t segmentBytes = 0;  // size at which a segment is sealed
   std::size_t segments = 0;      // the active one included
   std::size_t oldestLive = 0;    // live bytes of the oldest segment
-  std::size_t oldestBytes = 0;   // its file
   std::size_t sinceSlice = 0;    // bytes appended since the last slice
 };
 
@@ -74,6 +77,8 @@
   const JournalTuning& tuning() const { return tuning_; }
   // Where the operator names none.
   std::size_t segmentBytes(std::size_t disk) const;
+  // What all damaged bytes kept aside may take.
+  std::size_t damageBytes(std::size_t disk) const { return disk / tuning_.damagePerDisk; }
 
   // Whether a request whose record takes `bytes` may be taken on.
   bool admits(const JournalRoom& room, std::size_t bytes) const;
--- a/src/journal/recovery.cpp
+++ b/src/journal/recovery.cpp
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <cstdlib>
 #include <cstring>
-#include <type_traits>
 #include <utility>
 
 #include "journal/version_one.h"
@@ -213,53 +211,62 @@
 }  // namespace
 
 void Replay::apply(std::uint64_t segment, Record& record) {
-  if (auto* taken = std::get_if<TakenRecord>(&record)) {
-    if (!nameless_.empty()) nameless_.erase(taken->owed.id);
-    RecoveredRequest& request = owed_[taken->owed.id];
-    request.owed = std::move(taken->owed);
-    request.segment = segment;
-    request.holesKnown = holes_;
-    return;
-  }
-  if (std::holds_alternative<ReleasedRecord>(record)) return;
-  if (auto* ended = std::get_if<EndedRecord>(&record)) {
-    owed_.erase(ended->id);
-    nameless_.erase(ended->id);
-    return;
-  }
-  const std::string& id = std::visit(
-      [](const auto& r) -> const std::string& {
-        if constexpr (requires { r.id; })
-          return r.id;
-        else
-          std::abort();  // handled above
-      },
-      record);
+  segment_ = segment;
+  std::visit([this](auto& r) { on(r); }, record);
+}
+
+RecoveredRequest* Replay::known(const std::string& id) {
   const auto at = owed_.find(id);
-  if (at == owed_.end()) {
-    // Carried over behind this record, ended behind it, or its *taken* is lost: only the end tells which.
-    Verdict& verdict = nameless_[id];
-    if (auto* given = std::get_if<VerdictRecord>(&record)) verdict = given->verdict;
+  if (at != owed_.end()) return &at->second;
+  // Carried over behind this record, ended behind it, or its *taken* is lost: only the end tells which.
+  nameless_.try_emplace(id, Verdict::kNone);
+  return nullptr;
+}
+
+void Replay::on(TakenRecord& r) {
+  if (!nameless_.empty()) nameless_.erase(r.owed.id);
+  RecoveredRequest& request = owed_[r.owed.id];
+  request.owed = std::move(r.owed);
+  request.segment = segment_;
+  request.holesKnown = holes_;
+}
+
+void Replay::on(AttemptRecord& r) {
+  RecoveredRequest* request = known(r.id);
+  if (!request) return;
+  OwedRequest& owed = request->owed;
+  const int number = r.doubt.attempt;
+  // With damage since its last record, a number left out is an attempt that stood there; a number that
+  // follows proves that there was none.
+  if (request->holesKnown != holes_ && number > owed.attempts) putInDoubt(owed);
+  request->holesKnown = holes_;
+  owed.attempts = std::max(owed.attempts, number + 1);
+  owed.doubts.push_back(std::move(r.doubt));
+}
+
+void Replay::on(HarmlessRecord& r) {
+  if (RecoveredRequest* request = known(r.id))
+    std::erase_if(request->owed.doubts, [&](const Doubt& d) { return !lost(d) && d.attempt == r.attempt; });
+}
+
+void Replay::on(VerdictRecord& r) {
+  RecoveredRequest* request = known(r.id);
+  if (!request) {
+    nameless_[r.id] = r.verdict;
     return;
   }
-  OwedRequest& owed = at->second.owed;
-  if (auto* attempt = std::get_if<AttemptRecord>(&record)) {
-    const int number = attempt->doubt.attempt;
-    // With damage since its last record, a number left out is an attempt that stood there; a number that
-    // follows proves that there was none.
-    if (at->second.holesKnown != holes_ && number > owed.attempts) putInDoubt(owed);
-    at->second.holesKnown = holes_;
-    owed.attempts = std::max(owed.attempts, number + 1);
-    owed.doubts.push_back(std::move(attempt->doubt));
-  } else if (auto* harmless = std::get_if<HarmlessRecord>(&record)) {
-    std::erase_if(owed.doubts, [&](const Doubt& d) { return !lost(d) && d.attempt == harmless->attempt; });
-  } else if (auto* given = std::get_if<VerdictRecord>(&record)) {
-    owed.verdict = given->verdict;
-    owed.waitMs = given->waitMs;
-    owed.body.clear();
-  }
+  request->owed.verdict = r.verdict;
+  request->owed.waitMs = r.waitMs;
+  request->owed.body.clear();
+}
+
+void Replay::on(EndedRecord& r) {
+  owed_.erase(r.id);
+  nameless_.erase(r.id);
 }
 
+void Replay::on(ReleasedRecord&) {}  // read beforehand, by whoever asks which segments count
+
 void Replay::hole() { ++holes_; }
 
 void Replay::finish(Recovered& found) {
--- a/src/journal/recovery.h
+++ b/src/journal/recovery.h
@@ -104,11 +104,20 @@
   void finish(Recovered& found);
 
  private:
+  void on(TakenRecord& r);
+  void on(AttemptRecord& r);
+  void on(HarmlessRecord& r);
+  void on(VerdictRecord& r);
+  void on(EndedRecord& r);
+  void on(ReleasedRecord& r);
+  // The request of that id; else remembers that it was named.
+  RecoveredRequest* known(const std::string& id);
+
   static constexpr std::size_t kUsualBytes = 1024;  // that a request takes with all its records
 
   Recovered::Owed owed_;
   std::map<std::string, Verdict, std::less<>> nameless_;  // named by records, but never taken
-  std::uint64_t holes_ = 0;
+  std::uint64_t holes_ = 0, segment_ = 0;
 };
 
 }  // namespace myrtleloft
--- a/src/journal/segment.cpp
+++ b/src/journal/segment.cpp
@@ -105,12 +105,15 @@
   return state;
 }
 
+std::string hexDigits(std::uint64_t value, std::size_t digits) {
+  std::array<char, kDigits> raw;
+  const auto end = std::to_chars(raw.data(), raw.data() + raw.size(), value, 16).ptr;
+  const std::size_t size = static_cast<std::size_t>(end - raw.data());
+  return std::string(digits - std::min(digits, size), '0').append(raw.data(), size);
+}
+
 std::string segmentName(std::uint64_t sequence) {
-  std::array<char, kDigits> digits;
-  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), sequence, 16).ptr;
-  const std::size_t size = static_cast<std::size_t>(end - digits.data());
-  return std::string(kPrefix) + std::string(kDigits - size, '0') + std::string(digits.data(), size) +
-         std::string(kSuffix);
+  return std::string(kPrefix) + hexDigits(sequence, kDigits) + std::string(kSuffix);
 }
 
 std::optional<std::uint64_t> segmentSequence(std::string_view name) {
--- a/src/journal/segment.h
+++ b/src/journal/segment.h
@@ -52,6 +52,8 @@
 };
 HeaderState readHeader(std::string_view bytes);
 
+// At least so many hexadecimal digits, with zeros in front.
+std::string hexDigits(std::uint64_t value, std::size_t digits);
 // "journal-000000000000002a.seg"
 std::string segmentName(std::uint64_t sequence);
 std::optional<std::uint64_t> segmentSequence(std::string_view name);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -134,6 +134,10 @@
 
   bool recover(std::string& error) {
     enter(Phase::kRecovering);
+    if (syncer_ && syncer_->fd() < 0) {
+      error = "no descriptor for the journal's helper thread";
+      return false;
+    }
     if (syncer_) loop_.watch(syncer_->fd(), POLLIN, [this](short) { exchange_.onSynced(); });
     Recovered found;
     if (!journal_.open(found, error)) return false;
@@ -217,6 +221,17 @@
   double drainingMs_ = 0;
 };
 
+Environment environmentOf(const char* const* entries) {
+  Environment environment;
+  for (; *entries != nullptr; ++entries) {
+    const std::string_view text = *entries;
+    const std::size_t equals = text.find('=');
+    if (equals != std::string_view::npos)
+      environment.emplace(text.substr(0, equals), text.substr(equals + 1));
+  }
+  return environment;
+}
+
 Relay::Relay(const Environment& environment, std::ostream& log, const RelayParts& parts)
     : impl_(std::make_unique<Impl>(environment, log, parts)) {}
 Relay::~Relay() = default;
--- a/tests/journal_planner_test.cpp
+++ b/tests/journal_planner_test.cpp
@@ -39,7 +39,6 @@
       r.carry = std::max(r.carry, live);
       if (&s == &segments.front()) r.oldestLive = live;
     }
-    r.oldestBytes = segments.front().bytes;
     r.sinceSlice = since;
     return r;
   }
