--- a/bench/up_latency.cpp
+++ b/bench/up_latency.cpp
@@ -23,23 +23,22 @@
 #include <vector>
 
 #include "lab/hub.h"
+#include "lab/site.h"
 
 namespace {
 
 using namespace myrtleloft::lab;
 namespace fs = std::filesystem;
 
-constexpr const char* kSettings =
-    R"({"azs":["norte"],"balancers":1,"me":0,"machineTypes":["large","other"],"membershipMode":"push",)"
-    R"("resolutionMs":5.0,"weights":"rough","tenants":[{"name":"univ-costa"}],)"
-    R"("reporting":{"columns":[],"source":"none"},"familyInfo":{"callSlots":32,"fades":"halves",)"
-    R"("kindApart":[true,true],"kindBatch":[1,1],"carriage":[0.0,0.03]},)"
-    R"("guarantees":{"coldMs":11000.0,"coldShare":0.14,"drainGraceMs":2000.0,"fallMs":2000.0,)"
-    R"("overloadFactor":2.5,"answerSlackMs":20.0},"limits":{"cancel":true,"connIdleMs":10000.0,)"
-    R"("connectTimeoutMs":1500.0,"maxOpen":60000,"maxRetryAfterMs":3000.0,"probes":true,"retryAfter":true,)"
-    R"("secondCopies":false,"sendCap":12},"classes":[)"
-    R"({"name":"status-update","targetMs":600000.0,"hardLimitMs":600000.0,"worth":1.0,"lateWorth":0.5,)"
-    R"("repeat":"repeatable","group":"all","memorySpanMs":5000.0}]})";
+// So many held for so long, and more calls out at once.
+std::string settings() {
+  std::string text = kSiteSettings;
+  for (const char* limit : {"\"targetMs\":2000.0", "\"hardLimitMs\":16000.0"})
+    replaceAll(text, limit, std::string(limit).substr(0, std::string(limit).find(':')) + ":600000.0");
+  replaceAll(text, "\"maxOpen\":112", "\"maxOpen\":60000");
+  replaceAll(text, "\"callSlots\":7", "\"callSlots\":32");
+  return text;
+}
 
 double nowMs() {
   return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
@@ -90,7 +89,7 @@
   fs::create_directory(folder + "/state");
   std::ofstream(folder + "/config.json") << R"({"name":"n1","listen":"127.0.0.1:0","discovery":")" << platform
                                          << R"(","seed":"5","limits":{"sockets":1024,"disk_mb":)" << argv[4]
-                                         << R"(},"known":)" << list << R"(,"settings":)" << kSettings << "}";
+                                         << R"(},"known":)" << list << R"(,"settings":)" << settings() << "}";
 
   std::array<int, 2> ends{};
   if (::pipe2(ends.data(), O_CLOEXEC) != 0) return 1;
--- a/lab/hub.cpp
+++ b/lab/hub.cpp
@@ -110,7 +110,7 @@
   const double until = nowMs() + mostMs;
   while (!done()) {
     if (nowMs() > until) return false;
-    turn(5);
+    turn(1);
   }
   return true;
 }
--- a/lab/killing_files.h
+++ b/lab/killing_files.h
@@ -3,6 +3,7 @@
 // lab/killed_relay.cpp.
 #pragma once
 
+#include <atomic>
 #include <csignal>
 #include <cstdint>
 #include <memory>
@@ -64,7 +65,11 @@
       const int refused = files_.count();
       return refused ? refused : real_->truncate(size);
     }
-    int sync() override { return real_->sync(); }
+    // On the helper thread: operations are counted by an atomic.
+    int sync() override {
+      const int refused = files_.count();
+      return refused ? refused : real_->sync();
+    }
 
    private:
     KillingFiles& files_;
@@ -72,8 +77,8 @@
   };
 
   bool due() {
-    ++count_;
-    return failWith_ ? count_ >= at_ && count_ < at_ + failCount_ : count_ == at_;
+    const std::uint64_t now = ++count_;
+    return failWith_ ? now >= at_ && now < at_ + failCount_ : now == at_;
   }
   // An errno where the operation is to fail.
   int count() {
@@ -83,7 +88,8 @@
   }
 
   PosixFiles real_;
-  std::uint64_t count_ = 0, at_, failCount_ = 0;
+  std::atomic<std::uint64_t> count_ = 0;
+  std::uint64_t at_, failCount_ = 0;
   std::size_t torn_;
   int failWith_ = 0;
 };
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -146,6 +146,32 @@
   }
 }
 
+TEST_CASE("an id that comes again while the end of its predecessor is not yet recorded is refused") {
+  Disk disk;
+  {
+    FaultyFiles files(disk);
+    HandClock clock;
+    std::ostringstream log;
+    Journal journal({files, clock, log}, {"/s", 1000000, 0, {}, "one", 5});
+    Recovered found;
+    std::string error;
+    REQUIRE(journal.open(found, error));
+    OwedRequest request;
+    request.id = "again";
+    REQUIRE(journal.taken(request));
+    files.failAt(files.operations() + 1, 2, EIO);
+    CHECK_FALSE(journal.ended(request));
+    clock.nowMs += 1000;  // rested; the next try fails once more
+    CHECK_FALSE(journal.taken(request));
+    clock.nowMs += 1000;
+    CHECK(journal.taken(request));
+  }
+  FaultyFiles files(disk);
+  Recovered found;
+  REQUIRE_FALSE(recover(files, "/s", found));
+  CHECK(found.owed.count("again") == 1);
+}
+
 // ---- damage ----
 namespace {
 
@@ -320,21 +346,23 @@
 }
 
 TEST_CASE("damage at the very end of the log is still known at the second start, and at the third") {
-  for (const bool cut : {false, true}) {
+  enum class How { kFlipped, kCutInside, kCutBetween };
+  for (const How how : {How::kFlipped, How::kCutInside, How::kCutBetween}) {
     Disk disk;
+    std::size_t beforeAttempt = 0;
     {
       Opened opened(disk);
       OwedRequest charge = owed("charge", 2);
       REQUIRE(opened.journal->taken(charge));
+      beforeAttempt = file(disk, 1).size();
       REQUIRE(opened.journal->attempt(charge, {"E1", 0, 1000, 0}));
     }
+    if (how != How::kFlipped) Opened another(disk);  // only the next segment tells where this one ended
     std::string& bytes = disk.files["/s/" + segmentName(1)];
-    if (cut) {
-      { Opened opened(disk); }  // another segment tells where this one ended
-      bytes.resize(bytes.size() - 20);
-    } else {
+    if (how == How::kFlipped)
       bytes[bytes.size() - 3] ^= 1;
-    }
+    else
+      bytes.resize(how == How::kCutInside ? bytes.size() - 20 : beforeAttempt);
     for (int start = 0; start < 3; ++start) {
       CAPTURE(start);
       Opened opened(disk);
@@ -365,6 +393,39 @@
   CHECK(opened.found.damage.size() == 1);
 }
 
+TEST_CASE("damaged bytes are kept aside within their part of the disk, the oldest go first") {
+  Disk disk;
+  constexpr std::size_t kLimit = 250000;
+  std::deque<OwedRequest> held;
+  {
+    Opened opened(disk, kLimit);
+    for (int i = 0; i < 120; ++i) REQUIRE(opened.journal->taken(held.emplace_back(owed(numbered('k', i)))));
+  }
+  std::size_t spoilt = 0;
+  for (auto& [path, bytes] : disk.files)
+    for (std::size_t at = kSegmentHeaderBytes + 40; path.ends_with(".seg") && at + 1000 < bytes.size();
+         at += 700) {
+      bytes[at] ^= 1;
+      ++spoilt;
+    }
+  REQUIRE(spoilt > 20);
+  for (int start = 0; start < 3; ++start) {
+    Opened opened(disk, kLimit);
+    REQUIRE(opened.good);
+    CHECK(opened.found.damage.size() == spoilt);
+    std::size_t files = 0, sum = 0;
+    for (const auto& [path, bytes] : disk.files) {
+      if (!path.starts_with("/s/damaged-")) continue;
+      ++files;
+      sum += inBlocks(bytes.size());
+    }
+    CHECK(files > 5);
+    CHECK(files <= 16);
+    CHECK(sum <= kLimit / 32);
+    CHECK(disk.most <= kLimit);
+  }
+}
+
 TEST_CASE("a segment that is missing or cut off is told, and what it may have held is doubted") {
   for (const bool cut : {false, true}) {
     Disk disk;
@@ -413,6 +474,19 @@
   Opened opened(newer);
   CHECK_FALSE(opened.good);
   CHECK(opened.error.find("version 3;") != std::string::npos);
+  Disk unread = disk;
+  {
+    HandClock clock;
+    std::ostringstream log;
+    FaultyFiles files(unread);
+    files.failReads(EIO);
+    Journal journal({files, clock, log}, {"/s", 1000000, 0, {}, "first", 5});
+    Recovered found;
+    std::string error;
+    CHECK_FALSE(journal.open(found, error));
+    CHECK(error.find("cannot be read") != std::string::npos);
+    CHECK(files.operations() == 0);
+  }
   newer.files.erase("/s/journal.lock");
   auto expected = before;
   expected.erase("/s/journal.lock");
--- a/tests/kill_points_test.cpp
+++ b/tests/kill_points_test.cpp
@@ -29,6 +29,7 @@
 
 #include "journal/recovery.h"
 #include "lab/hub.h"
+#include "lab/site.h"
 
 namespace {
 
@@ -54,31 +55,24 @@
     return fails() ? 3 + (number - kPoints) * 2 : 1 + number / static_cast<int>(kTorn.size());
   }
   int torn() const { return kTorn[static_cast<std::size_t>(number) % kTorn.size()]; }
-  // Every fourth point kills the restarted process in its recovery too, every eighth the one after it as
-  // well.
+  // Every third point kills the restarted process in its recovery too, every sixth the one after it as well.
   int killAgainAt(int restart) const {
-    if (fails() || number % 4 != 0 || restart > (number % 8 == 0 ? 2 : 1)) return 0;
-    return 1 + number / 8 % 5;
+    if (fails() || number % 3 != 0 || restart > (number % 6 == 0 ? 2 : 1)) return 0;
+    return 1 + number / 6 % 5;
   }
+  // Every seventh point runs at the level `group`: syncs count as operations there.
+  bool group() const { return number % 7 == 2; }
   // Every fifth point's restarts find the wall clock set back a day.
   int wallBackMs(int process) const { return number % 5 == 1 && process > 0 ? 86400000 : 0; }
 };
 
-constexpr const char* kSettings =
-    R"({"azs":["norte"],"balancers":1,"me":0,"machineTypes":["large","other"],"membershipMode":"push",)"
-    R"("resolutionMs":1.0,"weights":"rough","tenants":[{"name":"univ-costa"}],)"
-    R"("reporting":{"columns":[],"source":"none"},"familyInfo":{"callSlots":12,"fades":"halves",)"
-    R"("kindApart":[true,true],"kindBatch":[1,1],"carriage":[0.0,0.03]},)"
-    R"("guarantees":{"coldMs":11000.0,"coldShare":0.14,"drainGraceMs":2000.0,"fallMs":2000.0,)"
-    R"("overloadFactor":2.5,"answerSlackMs":20.0},"limits":{"cancel":true,"connIdleMs":10000.0,)"
-    R"("connectTimeoutMs":1500.0,"maxOpen":112,"maxRetryAfterMs":3000.0,"probes":true,"retryAfter":true,)"
-    R"("secondCopies":false,"sendCap":12},"classes":[)"
-    R"({"name":"status-update","targetMs":2000.0,"hardLimitMs":16000.0,"worth":1.0,"lateWorth":0.5,)"
-    R"("repeat":"repeatable","group":"all","memorySpanMs":5000.0},)"
-    R"({"name":"caption-order","targetMs":2000.0,"hardLimitMs":28000.0,"worth":2.0,"lateWorth":0.4,)"
-    R"("repeat":"by_key","group":"all","memorySpanMs":15000.0},)"
-    R"({"name":"billing-charge","targetMs":4000.0,"hardLimitMs":28000.0,"worth":5.0,"lateWorth":0.5,)"
-    R"("repeat":"once","group":"all","memorySpanMs":5000.0}]})";
+// Quick batches, and more calls out at once.
+std::string settings() {
+  std::string text = lab::kSiteSettings;
+  lab::replaceAll(text, "\"resolutionMs\":5.0", "\"resolutionMs\":1.0");
+  lab::replaceAll(text, "\"callSlots\":7", "\"callSlots\":12");
+  return text;
+}
 constexpr std::array<const char*, 3> kClasses = {"status-update", "caption-order", "billing-charge"};
 
 class Round {
@@ -147,7 +141,7 @@
     std::ofstream out(config);
     out << R"({"name":"n1","listen":"127.0.0.1:0","discovery":")" << platform_
         << R"(","seed":"5","limits":{"sockets":256,"disk_mb":0.0625},"known":)" << list() << R"(,"settings":)"
-        << kSettings << "}";
+        << settings() << "}";
     out.close();
     std::array<int, 2> ends{};
     began_ = log_.size();
@@ -157,7 +151,8 @@
                       file = "BALANCER_CONFIG=" + config;
     const std::string operatorFile = (folder_ / "operator.toml").string();
     // Compaction as often as there is anything to win.
-    std::ofstream(operatorFile) << "[journal]\nsegment_kb = 4\nslice_kb = 16\nfree_percent = 100\n";
+    std::ofstream(operatorFile) << "[journal]\nsegment_kb = 4\nslice_kb = 16\nfree_percent = 100\n"
+                                << (point_.group() ? "durability = \"group\"\n" : "");
     const std::string extra = "BALANCER_OPERATOR=" + operatorFile;
     const std::string at = "LAB_KILL_AT=" + std::to_string(killAt),
                       bytes = "LAB_TORN=" + std::to_string(point_.torn()),
--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -14,6 +14,7 @@
 #include <stdexcept>
 #include <vector>
 
+#include "lab/site.h"
 #include "net/socket.h"
 
 namespace myrtleloft::testing {
@@ -24,23 +25,6 @@
 
 constexpr int kPatienceMs = 7000;  // a step that takes longer has failed
 
-// The site's settings, with what a script replaces in them.
-constexpr const char* kSettings =
-    R"({"azs":["norte","sur"],"balancers":1,"me":0,"machineTypes":["large","other"],"membershipMode":"push",)"
-    R"("resolutionMs":5.0,"weights":"rough","tenants":[{"name":"univ-costa"},{"name":"liceo-puerto"}],)"
-    R"("reporting":{"columns":[],"source":"none"},"familyInfo":{"callSlots":7,"fades":"halves",)"
-    R"("kindApart":[true,true],"kindBatch":[10,1],"carriage":[0.0,0.03]},)"
-    R"("guarantees":{"coldMs":11000.0,"coldShare":0.14,"drainGraceMs":2000.0,"fallMs":2000.0,)"
-    R"("overloadFactor":2.5,"answerSlackMs":20.0},"limits":{"cancel":true,"connIdleMs":10000.0,)"
-    R"("connectTimeoutMs":1500.0,"maxOpen":112,"maxRetryAfterMs":3000.0,"probes":true,"retryAfter":true,)"
-    R"("secondCopies":false,"sendCap":12},"classes":[)"
-    R"({"name":"status-update","targetMs":2000.0,"hardLimitMs":16000.0,"worth":1.0,"lateWorth":0.5,)"
-    R"("repeat":"repeatable","group":"all","memorySpanMs":5000.0},)"
-    R"({"name":"caption-order","targetMs":2000.0,"hardLimitMs":28000.0,"worth":2.0,"lateWorth":0.4,)"
-    R"("repeat":"by_key","group":"all","memorySpanMs":15000.0},)"
-    R"({"name":"billing-charge","targetMs":4000.0,"hardLimitMs":28000.0,"worth":5.0,"lateWorth":0.5,)"
-    R"("repeat":"once","group":"all","memorySpanMs":5000.0}]})";
-
 // Whether the text fits a pattern in which each * stands for any bytes.
 bool fits(std::string_view pattern, std::string_view text) {
   const std::size_t star = pattern.find('*');
@@ -69,11 +53,6 @@
 
 std::string shown(const std::string& text) { return text.size() > 600 ? text.substr(0, 600) + "..." : text; }
 
-void replaceAll(std::string& text, const std::string& what, const std::string& with) {
-  for (std::size_t at = text.find(what); at != std::string::npos; at = text.find(what, at + with.size()))
-    text.replace(at, what.size(), with);
-}
-
 class Player {
  public:
   Player(std::string program, std::vector<std::string> variables)
@@ -152,8 +131,8 @@
     std::string config = "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + addresses_["D"] +
                          "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":256,\"disk_mb\":1},"
                          "\"known\":{\"rev\":1,\"all\":true,\"targets\":[" +
-                         known_ + "]},\"settings\":" + kSettings + "}";
-    for (const auto& [what, with] : changes_) replaceAll(config, what, with);
+                         known_ + "]},\"settings\":" + lab::kSiteSettings + "}";
+    for (const auto& [what, with] : changes_) lab::replaceAll(config, what, with);
     std::ofstream(folder_ / "config.json") << config;
   }
   void reload() {
@@ -233,7 +212,7 @@
   }
 
   std::string filled(std::string text) const {
-    for (const auto& [name, address] : addresses_) replaceAll(text, "{" + name + "}", address);
+    for (const auto& [name, address] : addresses_) lab::replaceAll(text, "{" + name + "}", address);
     return text;
   }
   void speak(Peer& peer, const std::string& step) {
