--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,8 @@
 #include "config/config.h"
 
+#include <sys/stat.h>
+
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <fstream>
@@ -147,7 +150,12 @@
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
   if (!file || !(text << file.rdbuf())) refuse("BALANCER_CONFIG", "cannot read '" + path + "'");
-  return readConfig(environment, text.str());
+  Config config = readConfig(environment, text.str());
+  struct stat about {};
+  if (::stat(path.c_str(), &about) == 0)
+    config.writtenWallMs =
+        static_cast<double>(about.st_mtim.tv_sec) * 1e3 + static_cast<double>(about.st_mtim.tv_nsec) / 1e6;
+  return config;
 }
 
 Config readConfig(const Environment& environment, const std::string& text) {
@@ -187,6 +195,10 @@
     config.known = *known;
     config.known.all = true;
   }
+  for (const auto& [name, state] : config.operatorFile.membership.classes)
+    if (std::find(config.classes.begin(), config.classes.end(), name) == config.classes.end())
+      refuse("membership.classes." + name,
+             "the operator's file names a class that settings.classes does not");
   return config;
 }
 
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -2,12 +2,14 @@
 
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <fstream>
 #include <optional>
 #include <sstream>
 #include <vector>
 
 #include "myrtleloft/relay.h"
+#include "net/socket.h"
 
 namespace myrtleloft {
 namespace {
@@ -38,6 +40,46 @@
     }
     refuse(*node, key, "expected one of " + list);
   }
+  std::optional<bool> flag(const char* key) {
+    const toml::node* node = take(key);
+    if (!node) return std::nullopt;
+    const auto value = node->value_exact<bool>();
+    if (!value) refuse(*node, key, "expected true or false");
+    return value;
+  }
+  // Each text must pass `good`.
+  template <typename Good>
+  std::vector<std::string> texts(const char* key, const char* expected, const Good& good) {
+    std::vector<std::string> list;
+    const toml::node* node = take(key);
+    if (!node) return list;
+    const toml::array* array = node->as_array();
+    if (!array) refuse(*node, key, std::string("expected a list of ") + expected);
+    for (const toml::node& item : *array) {
+      const auto text = item.value_exact<std::string>();
+      if (!text || !good(*text)) refuse(item, key, std::string("expected ") + expected);
+      list.push_back(*text);
+    }
+    return list;
+  }
+  // A section below, any of whose keys may stand for one of the choices.
+  std::vector<std::pair<std::string, int>> choices(const char* key, const std::vector<const char*>& values) {
+    std::vector<std::pair<std::string, int>> all;
+    const toml::node* node = take(key);
+    if (!node) return all;
+    const toml::table* table = node->as_table();
+    if (!table) refuse(*node, key, "expected a section");
+    Section below(*table, path_ + "." + key, file_);
+    for (const auto& [name, value] : *table) {
+      const std::string text(name.str());
+      all.emplace_back(text, static_cast<int>(*below.choice(text.c_str(), values)));
+    }
+    return all;
+  }
+  // A fault at a key that was read, for what only several keys together can show.
+  [[noreturn]] void refuse(const char* key, const std::string& what) const {
+    refuse(*table_.get(key), key, what);
+  }
   // A fault for the first key that nobody asked for.
   void finish() const {
     for (const auto& [key, node] : table_) {
@@ -100,6 +142,29 @@
   section.finish();
 }
 
+// Spans that are left out move with those that are given: each state begins where the one before ends.
+void readMembership(Section& s, OperatorFile::Membership& m) {
+  constexpr std::int64_t kYearS = 366 * 24 * 3600, kMinuteMs = 60000;
+  m.keep = s.flag("keep").value_or(m.keep);
+  m.refuse = s.flag("refuse").value_or(m.refuse);
+  const auto fresh = s.whole("fresh_s", 1, kYearS), ageing = s.whole("ageing_s", 1, kYearS),
+             old = s.whole("old_s", 1, kYearS);
+  m.freshS = fresh.value_or(m.freshS);
+  m.ageingS = ageing.value_or(std::max(m.ageingS, m.freshS));
+  m.oldS = old.value_or(std::max(m.oldS, m.ageingS));
+  if (m.ageingS < m.freshS) s.refuse("ageing_s", "expected no less than fresh_s");
+  if (m.oldS < m.ageingS) s.refuse("old_s", "expected no less than ageing_s");
+  m.classes = s.choices("classes", {"fresh", "ageing", "old", "expired"});
+  m.guardPercent = static_cast<int>(s.whole("guard_percent", 0, 99).value_or(m.guardPercent));
+  m.guardHoldS = s.whole("guard_hold_s", 1, kYearS).value_or(m.guardHoldS);
+  m.directories = s.texts("directories", "an IPv4 address and port, as in \"10.0.0.5:8500\"",
+                          [](const std::string& text) { return parseAddress(text).has_value(); });
+  const auto least = s.whole("back_off_ms", 10, kMinuteMs), most = s.whole("most_back_off_ms", 10, kMinuteMs);
+  m.backOffMs = least.value_or(m.backOffMs);
+  m.mostBackOffMs = most.value_or(std::max(m.mostBackOffMs, m.backOffMs));
+  if (m.mostBackOffMs < m.backOffMs) s.refuse("most_back_off_ms", "expected no less than back_off_ms");
+}
+
 }  // namespace
 
 const char* nameOf(Durability durability) { return durability == Durability::kGroup ? "group" : "process"; }
@@ -115,10 +180,10 @@
   }
   OperatorFile file;
   for (const auto& [key, node] : root) {
-    if (key.str() == "journal") continue;
+    if (key.str() == "journal" || key.str() == "membership") continue;
     const toml::source_position at = key.source().begin;
     throw ConfigError(name + ":" + std::to_string(at.line) + ":" + std::to_string(at.column) + ": " +
-                      std::string(key.str()) + ": unknown; known here: journal");
+                      std::string(key.str()) + ": unknown; known here: journal, membership");
   }
   section(root, "journal", name, [&](Section& s) {
     if (const auto kb = s.whole("segment_kb", 4, 1024 * 1024))
@@ -130,6 +195,7 @@
     if (const auto at = s.choice("durability", {"process", "group"}))
       file.journal.durability = *at == 1 ? Durability::kGroup : Durability::kProcess;
   });
+  section(root, "membership", name, [&](Section& s) { readMembership(s, file.membership); });
   return file;
 }
 
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -10,8 +10,11 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace myrtleloft {
 
@@ -29,6 +32,18 @@
     int freePercent = 25;                 // of the disk; compaction runs while less is free
     Durability durability = Durability::kProcess;
   } journal;
+  // Spans in seconds. What the states mean stands in discovery/trust.h, which has the reasons for the
+  // defaults.
+  struct Membership {
+    bool keep = true;    // the list of endpoints, in the state folder
+    bool refuse = true;  // classes, while the list is too old for them
+    std::int64_t freshS = 600, ageingS = 6 * 3600, oldS = 3 * 24 * 3600;
+    std::vector<std::pair<std::string, int>> classes;  // the last state in which each is accepted, 0 to 3
+    int guardPercent = 0;                              // 0: off
+    std::int64_t guardHoldS = 60;
+    std::vector<std::string> directories;  // beside the configuration's, as ADDRESS:PORT
+    std::int64_t backOffMs = 100, mostBackOffMs = 100;
+  } membership;
 };
 
 // Throws ConfigError. `name` goes before each fault.
--- a/src/relay/counters.cpp
+++ b/src/counters/counters.cpp
@@ -1,4 +1,4 @@
-#include "relay/counters.h"
+#include "counters/counters.h"
 
 namespace myrtleloft {
 
@@ -6,7 +6,8 @@
   out << "counters in: connections=" << connectionsIn << " requests=" << requests
       << " malformed=" << malformed << " taken=" << taken << " fail-fast=" << failFast
       << " fail-fast-full=" << failFastFull << " fail-fast-unknown=" << failFastUnknown
-      << " hang-ups=" << hangUps << " evicted=" << evicted << " recovered=" << recovered << '\n'
+      << " fail-fast-stale=" << failFastStale << " hang-ups=" << hangUps << " evicted=" << evicted
+      << " recovered=" << recovered << '\n'
       << "counters out: connections=" << connectionsOut << " calls=" << calls << " sends=" << sends
       << " probes=" << probes << " spoilt=" << spoilt;
   static constexpr std::array kNames = {"good",          "bad",   "full",      "late",
@@ -16,8 +17,9 @@
       << "counters ends: delivered=" << delivered << " expired=" << expired << " dead=" << dead
       << " bounced=" << bounced << " notices=" << notices << " notice-retries=" << noticeRetries << '\n'
       << "counters rest: batches=" << batches << " lists=" << lists << " list-faults=" << listFaults
-      << " journal-faults=" << journalFaults << " compactions=" << compactions << " reloads=" << reloads
-      << " reload-faults=" << reloadFaults << std::endl;
+      << " lists-doubted=" << listsDoubted << " journal-faults=" << journalFaults
+      << " compactions=" << compactions << " reloads=" << reloads << " reload-faults=" << reloadFaults
+      << std::endl;
 }
 
 }  // namespace myrtleloft
--- a/src/discovery/destination_set.cpp
+++ b/src/discovery/destination_set.cpp
@@ -5,6 +5,9 @@
 namespace myrtleloft {
 namespace {
 
+constexpr char kReused = '\x1f';
+constexpr std::size_t kLongestUid = 1024;  // no name is longer; the kept list's records are bounded
+
 std::optional<int> indexOf(const std::vector<std::string>& names, const std::string& name) {
   const auto at = std::find(names.begin(), names.end(), name);
   if (at == names.end()) return std::nullopt;
@@ -24,7 +27,7 @@
              kind = value.string("model");
   const auto address = value.string("endpoint");
   const auto group = value.integer("pod_group");
-  if (!uid || uid->empty()) return "uid";
+  if (!uid || uid->empty() || uid->size() > kLongestUid || uid->find(kReused) != uid->npos) return "uid";
   const auto parsedState = state ? readState(*state) : std::nullopt;
   if (!parsedState) return "state";
   const auto zoneIndex = zone ? indexOf(names.zones, *zone) : std::nullopt;
@@ -69,30 +72,110 @@
   return list;
 }
 
-ListEvent DestinationSet::apply(const DestinationList& list, ListKind wholeKind) {
-  ListEvent event;
-  event.kind = list.all ? wholeKind : ListKind::kDiff;
-  if (list.all) endpoints_.clear();
+std::string_view uidOf(std::string_view target) { return target.substr(0, target.find(kReused)); }
+
+void DestinationSet::take(EndpointEntry endpoint, bool byChange, double wallMs, Applied& applied) {
+  const std::string uid = endpoint.entry.target;
+  const bool drains = endpoint.entry.state == RouteState::kStopping;
+  destinations_.insert(endpoint.entry.destination);
+  const auto [at, fresh] = endpoints_.try_emplace(uid);
+  EndpointEntry& known = at->second;
+  const bool another = !fresh && (known.entry.destination != endpoint.entry.destination ||
+                                  known.entry.kind != endpoint.entry.kind);
+  const bool same = !fresh && !another && !known.missing && known.address.text == endpoint.address.text &&
+                    known.entry.zone == endpoint.entry.zone && known.entry.state == endpoint.entry.state &&
+                    known.entry.rating == endpoint.entry.rating;
+  if (another) {
+    applied.event.entries.push_back(known.entry);
+    applied.event.entries.back().state = RouteState::kDeleted;
+    endpoint.entry.target = uid + kReused + std::to_string(++reused_);
+  } else if (!fresh) {
+    endpoint.entry.target = known.entry.target;
+  }
+  applied.event.entries.push_back(endpoint.entry);
+  if (same) return;
+  applied.changed.push_back(uid);
+  const double drainsSince = fresh || another ? 0 : known.drainsSinceWallMs;
+  // A kept list brings along when each was told; discovery's list does not know.
+  if (endpoint.toldWallMs == 0) {
+    endpoint.toldWallMs = wallMs;
+    endpoint.byChange = byChange;
+  }
+  if (endpoint.drainsSinceWallMs == 0) endpoint.drainsSinceWallMs = drainsSince > 0 ? drainsSince : wallMs;
+  if (!drains) endpoint.drainsSinceWallMs = 0;
+  known = std::move(endpoint);
+}
+
+Applied DestinationSet::apply(const DestinationList& list, ListKind wholeKind, double wallMs,
+                              bool keepMissing) {
+  Applied applied;
+  applied.event.kind = list.all ? wholeKind : ListKind::kDiff;
+  std::set<std::string_view> named;
   for (const EndpointEntry& endpoint : list.endpoints) {
-    const auto known = endpoints_.find(endpoint.entry.target);
+    const std::string& uid = endpoint.entry.target;
     if (endpoint.entry.state != RouteState::kDeleted) {
-      event.entries.push_back(endpoint.entry);
-      destinations_.insert(endpoint.entry.destination);
-      endpoints_.insert_or_assign(endpoint.entry.target, endpoint);
-    } else if (known != endpoints_.end()) {
+      if (list.all) named.insert(uid);
+      take(endpoint, !list.all, wallMs, applied);
+    } else if (const auto known = endpoints_.find(uid); known != endpoints_.end()) {
       // The module is told where it stood: a change may name nothing but the uid.
-      event.entries.push_back(known->second.entry);
-      event.entries.back().state = RouteState::kDeleted;
+      if (!list.all) {
+        applied.event.entries.push_back(known->second.entry);
+        applied.event.entries.back().state = RouteState::kDeleted;
+      }
+      applied.changed.push_back(uid);
       endpoints_.erase(known);
     }
   }
   rev_ = list.rev;
-  return event;
+  if (!list.all) return applied;
+  for (auto at = endpoints_.begin(); at != endpoints_.end();) {
+    if (named.count(at->first)) {
+      ++at;
+      continue;
+    }
+    if (!keepMissing || !at->second.missing) applied.changed.push_back(at->first);
+    if (!keepMissing) {
+      at = endpoints_.erase(at);
+      continue;
+    }
+    at->second.missing = true;
+    applied.event.entries.push_back(at->second.entry);
+    ++at;
+  }
+  return applied;
 }
 
-const EndpointEntry* DestinationSet::find(std::string_view uid) const {
+std::size_t DestinationSet::leftOutBy(const DestinationList& list) const {
+  std::set<std::string_view> named;
+  for (const EndpointEntry& endpoint : list.endpoints) named.insert(endpoint.entry.target);
+  return static_cast<std::size_t>(std::count_if(
+      endpoints_.begin(), endpoints_.end(), [&](const auto& known) { return !named.count(known.first); }));
+}
+
+Applied DestinationSet::dropMissing() {
+  Applied applied;
+  applied.event.kind = ListKind::kDiff;
+  for (auto at = endpoints_.begin(); at != endpoints_.end();) {
+    if (!at->second.missing) {
+      ++at;
+      continue;
+    }
+    applied.event.entries.push_back(at->second.entry);
+    applied.event.entries.back().state = RouteState::kDeleted;
+    applied.changed.push_back(at->first);
+    at = endpoints_.erase(at);
+  }
+  return applied;
+}
+
+const EndpointEntry* DestinationSet::findUid(std::string_view uid) const {
   const auto at = endpoints_.find(uid);
   return at == endpoints_.end() ? nullptr : &at->second;
 }
 
+const EndpointEntry* DestinationSet::find(std::string_view target) const {
+  const EndpointEntry* entry = findUid(uidOf(target));
+  return entry && entry->entry.target == target ? entry : nullptr;
+}
+
 }  // namespace myrtleloft
--- a/src/discovery/destination_set.h
+++ b/src/discovery/destination_set.h
@@ -16,10 +16,20 @@
 namespace myrtleloft {
 
 struct EndpointEntry {
-  ListEntry entry;  // as the decision module sees it; its target is the endpoint's uid
+  ListEntry entry;  // as the decision module sees it; its target is the endpoint's uid, see uidOf
   Address address;
+  // On the wall clock, in ms; 0: not known.
+  double toldWallMs = 0;         // when it was first told as it is now
+  double drainsSinceWallMs = 0;  // when it was first told to drain; 0: it does not
+  bool byChange = false;         // told by a change, not by a whole list
+  bool missing = false;          // left out by the last whole list, and kept for now
 };
 
+// The decision module takes an endpoint for the same as long as its target is. One whose uid comes again for
+// another destination, or as another kind, is another endpoint to it: it gets a target of its own, the uid
+// with a number behind a character that no uid has.
+std::string_view uidOf(std::string_view target);
+
 struct DestinationList {  // one answer of discovery
   std::int64_t rev = 0;
   bool all = false;
@@ -34,21 +44,40 @@
 // On failure nothing, and in `error` the faulty key. A list is taken whole or not at all.
 std::optional<DestinationList> readList(const json::Value& value, const ListNames& names, std::string& error);
 
+// What taking a list in came to.
+struct Applied {
+  ListEvent event;                   // what the decision module is to be told of it
+  std::vector<std::string> changed;  // uids that are new, other than before, or gone
+};
+
 class DestinationSet {
  public:
-  // What the decision module is to be told of it.
-  ListEvent apply(const DestinationList& list, ListKind wholeKind = ListKind::kSnapshot);
-  // nullptr: unknown, or gone from the list.
-  const EndpointEntry* find(std::string_view uid) const;
+  using Endpoints = std::map<std::string, EndpointEntry, std::less<>>;
+
+  // O(list) for a whole list, O(changes) for a change, each times the logarithm of the set. `keepMissing`:
+  // what a whole list leaves out stays, marked as missing.
+  Applied apply(const DestinationList& list, ListKind wholeKind, double wallMs, bool keepMissing = false);
+  // How many endpoints a whole list leaves out; O(set).
+  std::size_t leftOutBy(const DestinationList& list) const;
+  // Those marked as missing go.
+  Applied dropMissing();
+  const Endpoints& all() const { return endpoints_; }
+  // By target. nullptr: unknown, gone from the list, or by now another endpoint's uid.
+  const EndpointEntry* find(std::string_view target) const;
+  const EndpointEntry* findUid(std::string_view uid) const;
   // Whether any list so far named an endpoint for it: one that has none just now may get another.
   bool knows(std::int64_t destination) const { return destinations_.count(destination) != 0; }
   std::int64_t rev() const { return rev_; }
   bool empty() const { return endpoints_.empty(); }
 
  private:
-  std::map<std::string, EndpointEntry, std::less<>> endpoints_;
+  // Takes one entry in, and tells of it.
+  void take(EndpointEntry endpoint, bool byChange, double wallMs, Applied& applied);
+
+  Endpoints endpoints_;
   std::set<std::int64_t> destinations_;
   std::int64_t rev_ = 0;
+  std::uint64_t reused_ = 0;  // uids that came again as another endpoint
 };
 
 }  // namespace myrtleloft
--- /dev/null
+++ b/src/discovery/directories.cpp
@@ -0,0 +1,21 @@
+#include "discovery/directories.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace myrtleloft {
+
+Directories::Directories(std::size_t count, const BackOff& backOff, std::function<double()> random)
+    : count_(std::max<std::size_t>(1, count)), backOff_(backOff), random_(std::move(random)) {}
+
+double Directories::failed() {
+  current_ = (current_ + 1) % count_;
+  const std::uint64_t rounds = failures_++ / count_;
+  constexpr std::uint64_t kMostDoublings = 32;
+  const double most = std::min(
+      backOff_.mostMs, std::ldexp(backOff_.leastMs, static_cast<int>(std::min(rounds, kMostDoublings))));
+  return backOff_.leastMs + random_() * std::max(0.0, most - backOff_.leastMs);
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/discovery/kept_list.h
@@ -0,0 +1,127 @@
+// The list of endpoints as last told, in the state folder: what a process begins with when discovery is down.
+//
+//   KeptFound found = readKept(files, folder, names);       // found.there, found.list, found.told
+//   KeptList kept({files, clock, disk, log}, {folder, most, salt, names});
+//   kept.begin(found);
+//   kept.changed(uids); kept.confirmed(rev);                // after the set has taken an answer in
+//   if (now >= kept.dueMs()) kept.step(set);                // one slice
+//
+// The file `members` is a log like a segment of the journal: a header with a salt, then frames: endpoints,
+// uids that are gone, and commits. What stands behind the last commit does not count. A process writes the
+// list anew once, beside the old file, which it replaces when it is whole; from then on it appends what
+// changes, until that is more than the list itself. Slices are bounded, however long the list; a write that
+// fails is tried again later from the start, and meanwhile the file says how old it is.
+//
+// Damage, other than an end that was being written when the process ended, makes the whole file worthless: a
+// drain or a removal may have stood there. One thread; nothing throws. A step costs O(slice), the rest
+// O(uids).
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <ostream>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "discovery/destination_set.h"
+#include "discovery/trust.h"
+#include "journal/disk_share.h"
+#include "journal/files.h"
+#include "net/clock.h"
+
+namespace myrtleloft {
+
+constexpr const char* kKeptName = "members";
+constexpr std::uint32_t kKeptVersion = 1;
+
+struct KeptFound {
+  bool there = false;    // a list that can be used
+  bool whole = true;     // false: what was told last may be missing
+  std::string fault;     // why a file that is there cannot be used, or what of it could not
+  DestinationList list;  // `all` is set
+  Stamp told;            // when discovery last stood by it
+  std::size_t fileBytes = 0;
+  std::size_t unknownNames = 0;  // endpoints in zones or of kinds that the configuration knows no more
+};
+
+// Reads and changes nothing. O(bytes).
+KeptFound readKept(Files& files, const std::string& folder, const ListNames& names);
+
+struct KeptTuning {
+  double debounceMs = 100;  // after a commit, changes wait for so long and go together
+  double confirmMs = 30e3;  // how often a list that stays as it is is marked as confirmed
+  double restMs = 1000;     // after a failure; doubles up to the most
+  double mostRestMs = 60e3;
+  std::size_t endpointsPerSlice = 256;
+  std::size_t leastGrowth = 16384;  // bytes of changes for which a short list is not written anew yet
+};
+
+class KeptList {
+ public:
+  struct Parts {
+    Files& files;
+    const Clock& clock;
+    DiskShare& disk;
+    std::ostream& log;
+  };
+  struct Options {
+    std::string folder;
+    std::size_t mostBytes = 0;  // of both files while one replaces the other
+    std::uint64_t salt = 1;
+    ListNames names;
+    KeptTuning tuning;
+  };
+  struct Figures {
+    std::uint64_t commits = 0, rewrites = 0, slices = 0, faults = 0, writtenBytes = 0;
+  };
+
+  KeptList(const Parts& parts, Options options) : parts_(parts), options_(std::move(options)) {}
+
+  // What was found stays until the list is first written.
+  void begin(const KeptFound& found);
+  // These endpoints are new, other than before, or gone.
+  void changed(const std::vector<std::string>& uids);
+  // Discovery stands by the whole list, as of now.
+  void confirmed();
+  // When there is something to do, on the steady clock; infinite: nothing.
+  double dueMs() const;
+  void step(const DestinationSet& set);
+
+  const Figures& figures() const { return figures_; }
+  std::size_t fileBytes() const { return current_.bytes; }
+
+ private:
+  struct File {
+    std::shared_ptr<OutFile> out;
+    std::size_t bytes = 0;
+  };
+
+  std::string path(const char* name) const { return options_.folder + "/" + name; }
+  void rewrite(const DestinationSet& set);
+  void append(const DestinationSet& set);
+  // The next dirty uids as frames, and a commit once none is left.
+  std::string takeDirty(const DestinationSet& set);
+  bool write(File& file, const std::string& frames);
+  bool grow(const File& file, std::size_t bytes);
+  void drop(File& file);
+  void fail(const char* what, int error);
+  void committed();
+
+  Parts parts_;
+  Options options_;
+  File current_, next_;
+  bool mine_ = false;                         // `current_` was written by this process
+  bool rewriting_ = false;                    // `next_` is being written
+  std::string cursor_;                        // the last uid written to `next_`
+  std::size_t baseBytes_ = 0, leftover_ = 0;  // bytes of a `members.new` that could not be removed
+  std::set<std::string, std::less<>> dirty_;
+  Stamp told_;            // by discovery, last
+  bool stamped_ = false;  // told_ is later than the last commit
+  double lastCommitMs_ = -1e18, restUntilMs_ = -1e18, restMs_ = 0;
+  std::string lastFault_;
+  Figures figures_;
+};
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/discovery/membership.h
@@ -0,0 +1,106 @@
+// What the relay believes of its endpoints: the set, where it came from, how old it is, and what follows from
+// that. Takes in discovery's answers, whichever directory gave them; holds the kept list; says which classes
+// are refused for the list's age. Its one touch of the outside is the kept list's file.
+//
+//   Membership membership(parts, options);
+//   ListEvent first = membership.begin(config.known, config.writtenWallMs);
+//   if (auto event = membership.told(list, directory)) ...   // nothing: the list was not believed
+//   if (auto event = membership.tick()) ...                  // when dueMs() has come
+//   if (auto refusal = membership.refuses(cls)) ...          // fail-fast
+//
+// What is believed:
+// - A change that does not follow on what is known (its rev is smaller) is not; `wantsWhole` then asks for
+// all.
+// - A whole list with a smaller rev is believed from the directory that was asked before: it has been set
+// back,
+//   and it is the truth. From another one it is not while the present list is fresh: that one lags behind.
+// - What a whole list leaves out goes, unless the operator's guard (removal_guard.h) keeps it for a while.
+//
+// One thread. Costs as DestinationSet and KeptList.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "counters/counters.h"
+#include "discovery/destination_set.h"
+#include "discovery/kept_list.h"
+#include "discovery/removal_guard.h"
+#include "discovery/trust.h"
+#include "net/clock.h"
+
+namespace myrtleloft {
+
+class Membership {
+ public:
+  struct Parts {
+    Files& files;
+    const Clock& clock;
+    DiskShare& disk;
+    Counters& counters;
+    std::ostream& log;
+  };
+  struct Class {
+    std::string name;
+    Repeat repeat = Repeat::kOnce;
+  };
+  struct Options {
+    KeptList::Options kept;
+    bool keeps = true;  // false: neither reads nor writes a kept list
+    TrustTuning trust;
+    GuardTuning guard;
+    std::vector<Class> classes;  // by index
+  };
+  struct Refusal {
+    double comeBackMs = 0;
+    Trust trust = Trust::kFresh;
+  };
+
+  Membership(const Parts& parts, Options options);
+
+  // The list to begin with: the kept one, or `known`, which its configuration told at `knownWallMs` at the
+  // latest; 0: not known when.
+  ListEvent begin(const DestinationList& known, double knownWallMs);
+  // An answer of directory number `directory`. Nothing where it changes nothing, or is not believed.
+  std::optional<ListEvent> told(const DestinationList& list, std::size_t directory);
+  // Whether the next question must be for the whole list.
+  bool wantsWhole() const { return wantsWhole_; }
+  // The last answer was not believed: asking at once would bring the same.
+  bool lastDoubted() const { return doubted_; }
+  // When `tick` has something to do, on the steady clock; infinite: nothing.
+  double dueMs() const;
+  // A slice of the kept list, or the end of the guard.
+  std::optional<ListEvent> tick();
+
+  // Whether new requests of that class are refused for the age of the list. O(1) but for clocks.
+  std::optional<Refusal> refuses(int cls);
+  Trust trust() const;
+  // Of the whole list; what the guard keeps is older.
+  ListAge age() const;
+  const DestinationSet& set() const { return set_; }
+  const KeptList& kept() const { return kept_; }
+
+ private:
+  Stamp now() const;
+  void tellTrust();
+
+  Parts parts_;
+  Options options_;
+  DestinationSet set_;
+  KeptList kept_;
+  ListTrust trust_;
+  RemovalGuard guard_;
+  std::string machineRun_;
+  Stamp confirmed_;            // when discovery last stood by the list
+  bool capped_ = false;        // what was told last may be missing: no better than old
+  bool spoken_ = false;        // discovery has answered this process
+  std::size_t directory_ = 0;  // that was believed last
+  bool wantsWhole_ = false, doubted_ = false;
+  Trust toldTrust_ = Trust::kFresh;
+};
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/discovery/trust.h
@@ -0,0 +1,101 @@
+// How far a list of endpoints may be trusted, by its age; which of two lists to begin with; and which classes
+// a relay refuses while its list is not to be trusted with them. Without I/O: times are passed in.
+//
+//   const ListAge age = ageOf(stamp, now);                    // stamp: when it was last confirmed
+//   const Trust trust = listTrust.of(age);
+//   if (!listTrust.accepts(trust, cls)) ... fail-fast, come back in listTrust.comeBackMs(trust)
+//
+// The states follow "serving stale data" (RFC 8767): what is stale is better than nothing, for a bounded time
+// and not for everything. There the bound is one to three days; here it depends on what a wrong endpoint
+// costs. A request that may be repeated costs a second call. A keyed one is dropped where it comes twice, but
+// only by endpoints that remember its key. One that may run once is lost with the first wrong call, or stays
+// in doubt.
+//
+// All O(1); safe for several threads.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "myrtleloft/dispatcher.h"
+
+namespace myrtleloft {
+
+// When something was, by each clock that could tell. The wall clock may be set; the machine's may not, but it
+// means nothing after the machine's next start.
+struct Stamp {
+  double wallMs = 0;
+  double machineMs = 0;
+  std::string machineRun;  // empty: not known
+};
+
+struct ListAge {
+  bool known = false;  // false: all that tells it is a clock that must have been set
+  double ms = 0;       // at least 0
+};
+
+// Within one run of the machine by its own clock, whatever happened to the wall clock; else by the wall
+// clock. A list from the future (by more than a clock's own step of a second) has no known age.
+ListAge ageOf(const Stamp& stamp, const Stamp& now);
+
+enum class Trust {
+  kFresh,   // discovery spoke just now
+  kAgeing,  // longer ago than discovery is ever away in good order
+  kOld,     // endpoints have come and gone since; also a list of unknown age
+  kExpired  // it says little of today
+};
+const char* nameOf(Trust trust);
+
+struct TrustTuning {
+  // Discovery away for this long is its own restart; what moved in it moved without notice anyway. In ms.
+  double freshMs = 10 * 60e3;
+  // An outage that people see to within a working shift.
+  double ageingMs = 6 * 3600e3;
+  // The upper bound of RFC 8767, 5.
+  double oldMs = 3 * 24 * 3600e3;
+  // Whether anything is refused for the list's age at all.
+  bool refuses = true;
+  // The last state in which a class is accepted, for classes that the operator names; by the repeat rule
+  // otherwise: once kFresh, by_key kAgeing, repeatable kOld.
+  struct Override {
+    std::string cls;
+    Trust last = Trust::kFresh;
+  };
+  std::vector<Override> classes;
+};
+
+class ListTrust {
+ public:
+  explicit ListTrust(TrustTuning tuning = {}) : tuning_(std::move(tuning)) {}
+
+  Trust of(const ListAge& age) const;
+  // The last state in which such a class is accepted.
+  Trust lastFor(std::string_view name, Repeat repeat) const;
+  bool accepts(Trust trust, std::string_view name, Repeat repeat) const;
+  // When a refused client should come back, in ms: nobody can know when discovery returns, so the longer it
+  // has been away, the longer. 0 in state kFresh.
+  double comeBackMs(Trust trust) const;
+  const TrustTuning& tuning() const { return tuning_; }
+
+ private:
+  TrustTuning tuning_;
+};
+
+// One of the lists that a start may begin with.
+struct ListOffer {
+  bool there = false;
+  std::int64_t rev = 0;
+  Stamp told;         // when discovery last stood by it, at the latest
+  bool whole = true;  // false: its end was cut off, so that what was told last may be missing
+};
+enum class Beginning { kNothing, kKept, kKnown };
+
+// The kept list and the one of the configuration. The later rev wins; of equal ones the kept list, which
+// knows since when something drains and when it was confirmed. A later rev that was told before the kept list
+// was last confirmed comes from a directory that has been set back since: then the kept list wins too, if the
+// times can be compared.
+Beginning beginWith(const ListOffer& kept, const ListOffer& known, const Stamp& now);
+
+}  // namespace myrtleloft
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -1,15 +1,21 @@
 #include "discovery/watch.h"
 
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
 #include "config/json.h"
 
 namespace myrtleloft {
 namespace {
 
-// A watch goes on where the next call comes within 200 ms of the last answer.
-constexpr double kAgainMs = 100;
 // A change that a silent discovery could not tell counts as told 2 s after the call's wait at the latest.
 constexpr int kWaitMs = 10000;
 constexpr double kSilenceMs = kWaitMs + 1000.0;
+// Where another could be asked: a whole list comes without waiting, so a directory silent for so long is
+// down.
+constexpr double kWholeSilenceMs = 2000;
+constexpr double kBetweenSlicesMs = 2;  // of the kept list
 constexpr ClientConnection::AnswerLimits kListLimits{4 * 1024 * 1024, 5000};
 
 }  // namespace
@@ -21,57 +27,83 @@
 
 void DiscoveryWatch::fetch() {
   whole_ = true;
-  loop_.cancel(timer_);
+  parts_.loop.cancel(timer_);
   connection_.reset();
   ask();
 }
 
 void DiscoveryWatch::ask() {
-  loop_.cancel(timer_);
+  parts_.loop.cancel(timer_);
   if (!connection_ || !connection_->reusable())
-    connection_ = std::make_unique<ClientConnection>(loop_, discovery_, kListLimits);
+    connection_ = std::make_unique<ClientConnection>(parts_.loop, address(), kListLimits);
   if (!connection_->open()) {
-    timer_ = loop_.after(kAgainMs, [this] { ask(); });
+    timer_ = parts_.loop.after(options_.backOff.leastMs, [this] { ask(); });
     return;
   }
   std::string target = "/discovery/hosts";
-  if (!whole_ && !set_.empty())
-    target += "?after=" + std::to_string(set_.rev()) + "&wait_ms=" + std::to_string(kWaitMs);
-  connection_->send(writeRequest("GET", target, discovery_.text, {}, ""),
+  const DestinationSet& set = parts_.membership.set();
+  const bool watches = !whole_ && !parts_.membership.wantsWhole() && !set.empty();
+  if (watches) target += "?after=" + std::to_string(set.rev()) + "&wait_ms=" + std::to_string(kWaitMs);
+  connection_->send(writeRequest("GET", target, address().text, {}, ""),
                     [this](const ClientConnection::Result& result) { onResult(result); });
-  timer_ = loop_.after(kSilenceMs, [this] {  // silent: the last list stays, and is asked for again
-    connection_.reset();
+  const bool quick = !watches && !options_.others.empty();
+  timer_ = parts_.loop.after(quick ? kWholeSilenceMs : kSilenceMs, [this] {  // silent: the last list stays
+    failed();
     ask();
   });
 }
 
+// The next directory's turn.
+void DiscoveryWatch::failed() {
+  connection_.reset();
+  const double pauseMs = turn_.failed();
+  if (!options_.others.empty()) whole_ = true;
+  timer_ = parts_.loop.after(pauseMs, [this] { ask(); });
+}
+
 void DiscoveryWatch::onResult(const ClientConnection::Result& result) {
-  loop_.cancel(timer_);
-  if (accept(result)) {
-    whole_ = false;
-    timer_ = loop_.after(0, [this] { ask(); });
-  } else {
-    timer_ = loop_.after(kAgainMs, [this] { ask(); });
-  }
+  parts_.loop.cancel(timer_);
+  if (!accept(result)) return failed();
+  turn_.answered();
+  whole_ = false;
+  // Again soon: a watch goes on where the next call comes within 200 ms of the last answer. A list that was
+  // not believed will be the same in a moment.
+  const bool doubted = parts_.membership.lastDoubted();
+  timer_ = parts_.loop.after(doubted ? options_.backOff.leastMs : 0, [this] { ask(); });
 }
 
 bool DiscoveryWatch::accept(const ClientConnection::Result& result) {
   if (result.end != ClientConnection::End::kAnswered) return false;
   std::string error = "status " + std::to_string(result.answer.status);
   const auto value = result.answer.status == 200 ? json::parse(result.answer.body, error) : std::nullopt;
-  const auto list = value ? readList(*value, names_, error) : std::nullopt;
+  const auto list = value ? readList(*value, options_.names, error) : std::nullopt;
   if (!list) {  // the last list stays
-    ++counters_.listFaults;
-    if (error != lastError_) log_ << "discovery's list not taken: " << error << std::endl;
+    ++parts_.counters.listFaults;
+    if (error != lastError_) parts_.log << "discovery's list not taken: " << error << std::endl;
     lastError_ = error;  // it is asked for ten times a second: said once is enough
     return false;
   }
   lastError_.clear();
-  ListEvent event = set_.apply(*list);
-  if (!list->all && event.entries.empty()) return true;
-  ++counters_.lists;
-  changed_(std::move(event));
+  if (auto event = parts_.membership.told(*list, turn_.current())) {
+    ++parts_.counters.lists;
+    changed_(std::move(*event));
+  }
+  armTick();
   return true;
 }
 
+void DiscoveryWatch::tick() {
+  tickTimer_ = Loop::kNoTimer;
+  if (auto event = parts_.membership.tick()) changed_(std::move(*event));
+  armTick();
+}
+
+void DiscoveryWatch::armTick() {
+  parts_.loop.cancel(tickTimer_);
+  const double dueMs = parts_.membership.dueMs();
+  if (!std::isfinite(dueMs)) return;
+  const double waitMs = std::max(kBetweenSlicesMs, dueMs - parts_.loop.nowMs());
+  tickTimer_ = parts_.loop.after(waitMs, [this] { tick(); });
+}
+
 }  // namespace myrtleloft
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -1,24 +1,46 @@
-// The watch on discovery's list: one call after the other, whatever becomes of each.
+// The watch on discovery's list: one call after the other, whatever becomes of each, to one of several
+// directories in turn. Decides nothing: what is believed is Membership's, whom to ask when is Directories'.
 #pragma once
 
 #include <functional>
 #include <memory>
 #include <ostream>
+#include <random>
+#include <string>
+#include <vector>
 
-#include "discovery/destination_set.h"
+#include "counters/counters.h"
+#include "discovery/directories.h"
+#include "discovery/membership.h"
 #include "net/client_connection.h"
 #include "net/loop.h"
-#include "relay/counters.h"
 
 namespace myrtleloft {
 
 class DiscoveryWatch {
  public:
   using Changed = std::function<void(ListEvent)>;
+  struct Parts {
+    Loop& loop;
+    Membership& membership;
+    Counters& counters;
+    std::ostream& log;
+  };
+  struct Options {
+    ListNames names;
+    std::vector<Address> others;  // directories beside the configuration's
+    BackOff backOff;
+    std::uint64_t seed = 0;
+  };
 
-  DiscoveryWatch(Loop& loop, const Address& discovery, const ListNames& names, DestinationSet& set,
-                 Counters& counters, std::ostream& log)
-      : loop_(loop), discovery_(discovery), names_(names), set_(set), counters_(counters), log_(log) {}
+  // `discovery`: the configuration's, which may change.
+  DiscoveryWatch(const Parts& parts, const Address& discovery, Options options)
+      : parts_(parts),
+        discovery_(discovery),
+        options_(std::move(options)),
+        random_(options_.seed),
+        turn_(1 + options_.others.size(), options_.backOff,
+              [this] { return std::uniform_real_distribution<double>(0, 1)(random_); }) {}
 
   void start(Changed changed);
   // Asks for the whole list with the next call, which starts at once on a connection of its own: also what is
@@ -28,19 +50,25 @@
  private:
   void ask();
   void onResult(const ClientConnection::Result& result);
+  // Whether it could be read; what it changes is told.
   bool accept(const ClientConnection::Result& result);
+  void failed();
+  void tick();
+  void armTick();
+  const Address& address() const {
+    return turn_.current() == 0 ? discovery_ : options_.others[turn_.current() - 1];
+  }
 
-  Loop& loop_;
-  const Address& discovery_;  // the configuration's, which may change
-  ListNames names_;
-  DestinationSet& set_;
-  Counters& counters_;
-  std::ostream& log_;
+  Parts parts_;
+  const Address& discovery_;
+  Options options_;
+  std::mt19937_64 random_;
+  Directories turn_;
   Changed changed_;
   bool whole_ = false;
   std::string lastError_;
   std::unique_ptr<ClientConnection> connection_;
-  Loop::Timer timer_ = Loop::kNoTimer;
+  Loop::Timer timer_ = Loop::kNoTimer, tickTimer_ = Loop::kNoTimer;
 };
 
 }  // namespace myrtleloft
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -66,7 +66,10 @@
   return settings_.classes.at(static_cast<std::size_t>(cls)).hardLimitMs;
 }
 
-void Exchange::onList(ListEvent event) { push(std::move(event)); }
+void Exchange::onList(ListEvent event) {
+  push(std::move(event));
+  parts_.outbound.reconsider(destinations());
+}
 
 void Exchange::onRequest(IncomingRequest request, AnswerTo answer) {
   const auto known = open_.find(request.id);
@@ -83,10 +86,13 @@
     return answer({Answer::Kind::kFailFast, kComeBackMs});
   }
   // No list ever named it: held until its time is up, it would only take the room of others.
-  if (!parts_.destinations.knows(request.destination)) {
+  if (!destinations().knows(request.destination)) {
     ++parts_.counters.failFastUnknown;
     return answer({Answer::Kind::kFailFast, kComeBackMs});
   }
+  // Its endpoint may be another's by now, and this class cannot afford that.
+  if (const auto refusal = parts_.membership.refuses(request.cls))
+    return answer({Answer::Kind::kFailFast, refusal->comeBackMs});
   // None may be held for longer than its class allows. A little more is a clock's; much more is no time at
   // all. (One that gave itself 10^23 s was taken on, and would have been owed its end for good.)
   const double mostMs = hardLimitMs(request.cls);
@@ -196,7 +202,7 @@
                        [&](const FetchListAction&) { fetchList_(); },
                        [&](const FreeLinksAction& a) { parts_.outbound.freeIdle(a.target); },
                        [&](const ProbeAction& a) {
-                         if (const EndpointEntry* e = parts_.destinations.find(a.target))
+                         if (const EndpointEntry* e = destinations().find(a.target))
                            parts_.outbound.probe(*e);
                        }},
                action);
@@ -256,11 +262,12 @@
 
 void Exchange::plan(const SendAction& action, std::vector<Plan>& plans) {
   const auto at = open_.find(action.id);
-  const EndpointEntry* endpoint = parts_.destinations.find(action.target);
+  const EndpointEntry* endpoint = destinations().find(action.target);
   // Not taken on after all, or gone from the list. The module must hear of it, or the slot that it set aside
   // for the call would stay taken for good.
   if (at == open_.end() || !endpoint) return notSent(action.id, action.target);
   const OwedRequest& owed = at->second.owed;
+  if (endpoint->entry.destination != owed.destination) return notSent(action.id, action.target);
   const double leftMs = std::max(1.0, at->second.notAfterMs - parts_.loop.nowMs());
   const double capMs = action.capMs > 0 ? std::min(action.capMs, leftMs) : leftMs;
   const bool toItsEnd = capMs > leftMs - 2 * std::max(1.0, settings_.resolutionMs);
@@ -276,7 +283,7 @@
 }
 
 void Exchange::carryOut(Plan& plan) {
-  const EndpointEntry& endpoint = *parts_.destinations.find(plan.uid);
+  const EndpointEntry& endpoint = *destinations().find(plan.uid);
   const Doubt doubt{plan.uid, endpoint.entry.zone, parts_.clock.wallMs(), 0};
   std::vector<CallItem> items;
   for (CallItem& item : plan.items) {
@@ -332,12 +339,13 @@
 }
 
 void Exchange::callOut(Plan& plan) {
-  const EndpointEntry* endpoint = parts_.destinations.find(plan.uid);
+  const EndpointEntry* endpoint = destinations().find(plan.uid);
   std::vector<CallItem> items;
   for (CallItem& item : plan.items) {
     const auto at = open_.find(item.id);
-    // Over while it waited for the disk, or the endpoint has gone: the call never left.
-    if (at != open_.end() && at->second.owed.verdict == Verdict::kNone && endpoint)
+    // Over while it waited for the disk, or the endpoint has gone or drains by now: the call never left.
+    const bool open = endpoint && endpoint->entry.state == RouteState::kRunning;
+    if (at != open_.end() && at->second.owed.verdict == Verdict::kNone && open)
       items.push_back(std::move(item));
     else
       neverLeft(item.id, plan.uid);
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -11,14 +11,14 @@
 #include <vector>
 
 #include "config/config.h"
-#include "discovery/destination_set.h"
+#include "counters/counters.h"
+#include "discovery/membership.h"
 #include "exchange/request.h"
 #include "journal/journal.h"
 #include "myrtleloft/dispatcher.h"
 #include "net/loop.h"
 #include "notices/notices.h"
 #include "outbound/outbound.h"
-#include "relay/counters.h"
 
 namespace myrtleloft {
 
@@ -27,7 +27,7 @@
   struct Parts {
     Loop& loop;
     const Clock& clock;
-    const DestinationSet& destinations;
+    Membership& membership;
     Journal& journal;
     Notices& notices;
     Outbound& outbound;
@@ -103,6 +103,8 @@
   std::size_t batchOf(int kind) const;
   double hardLimitMs(int cls) const;
 
+  const DestinationSet& destinations() const { return parts_.membership.set(); }
+
   Parts parts_;
   Settings settings_;
   std::function<void()> fetchList_;
--- a/src/inbound/inbound.h
+++ b/src/inbound/inbound.h
@@ -8,11 +8,11 @@
 #include <string>
 #include <vector>
 
+#include "counters/counters.h"
 #include "exchange/request.h"
 #include "net/http.h"
 #include "net/loop.h"
 #include "net/socket.h"
-#include "relay/counters.h"
 
 namespace myrtleloft {
 
--- /dev/null
+++ b/src/journal/archive.h
@@ -0,0 +1,80 @@
+// cereal's archives over plain texts: fixed-size numbers in this machine's order, texts behind their length.
+//
+//   std::string bytes;
+//   TextOut(bytes)(record);                 // appends
+//   TextIn in(bytes);
+//   in(record);                             // throws a std::exception where the bytes are too short
+//   in.left()                               // bytes not read yet
+//
+// Lengths are 32 bits: nothing here is longer. Safe for several threads; O(size).
+#pragma once
+
+// Before any of cereal's headers, and the same everywhere.
+#define CEREAL_SIZE_TYPE std::uint32_t
+#include <cereal/cereal.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <cstring>
+#include <exception>
+#include <string>
+#include <string_view>
+
+namespace myrtleloft {
+
+// cereal's own archives write to streams, at several times the cost of the write(2) that follows.
+class TextOut : public cereal::OutputArchive<TextOut, cereal::AllowEmptyClassElision> {
+ public:
+  explicit TextOut(std::string& out) : OutputArchive(this), out_(out) {}
+  void bytes(const void* data, std::size_t size) { out_.append(static_cast<const char*>(data), size); }
+
+ private:
+  std::string& out_;
+};
+
+struct TooShort : std::exception {};
+
+class TextIn : public cereal::InputArchive<TextIn, cereal::AllowEmptyClassElision> {
+ public:
+  explicit TextIn(std::string_view in) : InputArchive(this), in_(in) {}
+  void bytes(void* data, std::size_t size) {
+    if (size > in_.size()) throw TooShort();
+    std::memcpy(data, in_.data(), size);
+    in_.remove_prefix(size);
+  }
+  std::size_t left() const { return in_.size(); }
+
+ private:
+  std::string_view in_;
+};
+
+template <typename T, std::enable_if_t<std::is_arithmetic_v<T>, int> = 0>
+void CEREAL_SAVE_FUNCTION_NAME(TextOut& ar, const T& value) {
+  ar.bytes(&value, sizeof value);
+}
+template <typename T, std::enable_if_t<std::is_arithmetic_v<T>, int> = 0>
+void CEREAL_LOAD_FUNCTION_NAME(TextIn& ar, T& value) {
+  ar.bytes(&value, sizeof value);
+}
+template <typename T>
+void CEREAL_SAVE_FUNCTION_NAME(TextOut& ar, const cereal::SizeTag<T>& tag) {
+  ar(tag.size);
+}
+template <typename T>
+void CEREAL_LOAD_FUNCTION_NAME(TextIn& ar, cereal::SizeTag<T>& tag) {
+  ar(tag.size);
+  // Each element takes a byte at least: a length beyond what is left would only reserve memory.
+  if (tag.size > ar.left()) throw TooShort();
+}
+template <typename T>
+void CEREAL_SAVE_FUNCTION_NAME(TextOut& ar, const cereal::BinaryData<T>& data) {
+  ar.bytes(data.data, static_cast<std::size_t>(data.size));
+}
+template <typename T>
+void CEREAL_LOAD_FUNCTION_NAME(TextIn& ar, cereal::BinaryData<T>& data) {
+  ar.bytes(data.data, static_cast<std::size_t>(data.size));
+}
+
+}  // namespace myrtleloft
+
+CEREAL_SETUP_ARCHIVE_TRAITS(myrtleloft::TextIn, myrtleloft::TextOut)
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -454,6 +454,12 @@
   return false;
 }
 
+bool Journal::take(std::size_t bytes) {
+  if (bytes > 0 && !planner_.permits(room(), bytes, 0)) return false;
+  used_ += bytes;
+  return true;
+}
+
 // ---- compaction ----
 JournalRoom Journal::room() const {
   JournalRoom room;
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -19,6 +19,7 @@
 // Costs: `taken`, `attempt`, `harmless`, `verdict`, `ended` O(size) and one write(2); `slice` O(slice).
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <list>
@@ -28,6 +29,7 @@
 #include <string_view>
 #include <vector>
 
+#include "journal/disk_share.h"
 #include "journal/files.h"
 #include "journal/planner.h"
 #include "journal/records.h"
@@ -54,7 +56,7 @@
   std::uint64_t takenBytes = 0, writtenBytes = 0, carriedBytes = 0;
 };
 
-class Journal {
+class Journal : public DiskShare {
  public:
   struct Parts {
     Files& files;
@@ -64,7 +66,7 @@
   };
 
   Journal(const Parts& parts, JournalOptions options);
-  ~Journal();
+  ~Journal() override;
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
 
@@ -86,6 +88,10 @@
   // Nothing is owed any more; the pointer is let go. A record that cannot be written is tried again later.
   bool ended(OwedRequest& owed);
 
+  // Room for others' files in the folder; those there at `open` count already.
+  bool take(std::size_t bytes) override;
+  void giveBack(std::size_t bytes) override { used_ -= std::min(used_, bytes); }
+
   // Whether there is something to compact.
   bool wantsSlice() const;
   // Carries some live requests over, or removes one segment. What it costs is bounded by the planner's slice,
--- a/src/journal/records.cpp
+++ b/src/journal/records.cpp
@@ -1,83 +1,9 @@
 #include "journal/records.h"
 
-// Lengths as 32 bits: no text here is longer, and five of them stand in each request.
-#define CEREAL_SIZE_TYPE std::uint32_t
-#include <cereal/cereal.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
-#include <cstring>
 #include <exception>
 #include <utility>
 
-namespace myrtleloft {
-namespace {
-
-enum class Type : char {
-  kTaken = 'T',
-  kAttempt = 'A',
-  kHarmless = 'H',
-  kVerdict = 'V',
-  kEnded = 'E',
-  kReleased = 'R'
-};
-
-// cereal's own archives write to streams, at several times the cost of the write(2) that follows.
-class TextOut : public cereal::OutputArchive<TextOut, cereal::AllowEmptyClassElision> {
- public:
-  explicit TextOut(std::string& out) : OutputArchive(this), out_(out) {}
-  void bytes(const void* data, std::size_t size) { out_.append(static_cast<const char*>(data), size); }
-
- private:
-  std::string& out_;
-};
-
-struct TooShort : std::exception {};
-
-class TextIn : public cereal::InputArchive<TextIn, cereal::AllowEmptyClassElision> {
- public:
-  explicit TextIn(std::string_view in) : InputArchive(this), in_(in) {}
-  void bytes(void* data, std::size_t size) {
-    if (size > in_.size()) throw TooShort();
-    std::memcpy(data, in_.data(), size);
-    in_.remove_prefix(size);
-  }
-  std::size_t left() const { return in_.size(); }
-
- private:
-  std::string_view in_;
-};
-
-template <typename T, std::enable_if_t<std::is_arithmetic_v<T>, int> = 0>
-void CEREAL_SAVE_FUNCTION_NAME(TextOut& ar, const T& value) {
-  ar.bytes(&value, sizeof value);
-}
-template <typename T, std::enable_if_t<std::is_arithmetic_v<T>, int> = 0>
-void CEREAL_LOAD_FUNCTION_NAME(TextIn& ar, T& value) {
-  ar.bytes(&value, sizeof value);
-}
-template <typename T>
-void CEREAL_SAVE_FUNCTION_NAME(TextOut& ar, const cereal::SizeTag<T>& tag) {
-  ar(tag.size);
-}
-template <typename T>
-void CEREAL_LOAD_FUNCTION_NAME(TextIn& ar, cereal::SizeTag<T>& tag) {
-  ar(tag.size);
-  // Each element takes a byte at least: a length beyond what is left would only reserve memory.
-  if (tag.size > ar.left()) throw TooShort();
-}
-template <typename T>
-void CEREAL_SAVE_FUNCTION_NAME(TextOut& ar, const cereal::BinaryData<T>& data) {
-  ar.bytes(data.data, static_cast<std::size_t>(data.size));
-}
-template <typename T>
-void CEREAL_LOAD_FUNCTION_NAME(TextIn& ar, cereal::BinaryData<T>& data) {
-  ar.bytes(data.data, static_cast<std::size_t>(data.size));
-}
-
-}  // namespace
-}  // namespace myrtleloft
-
-CEREAL_SETUP_ARCHIVE_TRAITS(myrtleloft::TextIn, myrtleloft::TextOut)
+#include "journal/archive.h"
 
 namespace myrtleloft {
 
@@ -118,6 +44,15 @@
 
 namespace {
 
+enum class Type : char {
+  kTaken = 'T',
+  kAttempt = 'A',
+  kHarmless = 'H',
+  kVerdict = 'V',
+  kEnded = 'E',
+  kReleased = 'R'
+};
+
 template <typename R>
 void put(Type type, const R& record, std::string& out) {
   out += static_cast<char>(type);
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -40,6 +40,7 @@
   // Idle, and the peer has not closed it.
   bool reusable() const;
   bool connected() const { return connected_; }
+  bool begun() const { return written_ > 0; }  // of the present call, its first byte is written
   bool lastByteWritten() const { return connected_ && written_ == out_.size(); }
   bool answerBegun() const { return reader_.midMessage(); }
   // Of an answer that has only begun; its status is 0 until its first line is in.
--- a/src/notices/notices.h
+++ b/src/notices/notices.h
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
+#include "counters/counters.h"
 #include "journal/journal.h"
 #include "net/client_connection.h"
 #include "net/loop.h"
-#include "relay/counters.h"
 
 namespace myrtleloft {
 
--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -119,6 +119,23 @@
   }
 }
 
+void Outbound::reconsider(const DestinationSet& set) {
+  std::vector<std::uint64_t> moved;
+  for (const auto& [number, call] : calls_) {
+    const EndpointEntry* endpoint = set.find(call.uid);
+    const bool there = endpoint && endpoint->address.text == call.address;
+    const bool drains = there && endpoint->entry.state == RouteState::kStopping;
+    if (there && !drains) continue;
+    // A drain counts from a call's first byte, a wrong address up to its last.
+    if (drains ? !call.connection->begun() : !call.connection->lastByteWritten()) moved.push_back(number);
+  }
+  for (const std::uint64_t number : moved) giveUp(number, Outcome::kNop);
+  for (auto& [uid, idle] : idle_) {
+    const EndpointEntry* endpoint = set.find(uid);
+    std::erase_if(idle, [&](const Idle& i) { return !endpoint || i.address != endpoint->address.text; });
+  }
+}
+
 void Outbound::freeIdle(const std::string& uid) { idle_.erase(uid); }
 
 // A bulk call shares one fate: the first request that is to be given up earlier than its end takes all with
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -7,11 +7,11 @@
 #include <string>
 #include <vector>
 
+#include "counters/counters.h"
 #include "discovery/destination_set.h"
 #include "myrtleloft/dispatcher.h"
 #include "net/client_connection.h"
 #include "net/loop.h"
-#include "relay/counters.h"
 
 namespace myrtleloft {
 
@@ -54,6 +54,10 @@
   // Gives up the call that carries this request, with all its items.
   void abandon(const std::string& id);
   void probe(const EndpointEntry& endpoint);
+  // The list has changed: calls that have not left yet and whose endpoint is gone, drains or has moved are
+  // reported as not sent, and idle connections to addresses that are not its any more are closed. Calls that
+  // have left are seen to their end: whoever has them may have run them.
+  void reconsider(const DestinationSet& set);
   void freeIdle(const std::string& uid);
   std::size_t callsOut() const { return calls_.size(); }
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -7,13 +7,13 @@
 #include <random>
 
 #include "config/config.h"
+#include "counters/counters.h"
 #include "discovery/watch.h"
 #include "exchange/exchange.h"
 #include "inbound/inbound.h"
 #include "journal/journal.h"
 #include "notices/notices.h"
 #include "outbound/outbound.h"
-#include "relay/counters.h"
 
 namespace myrtleloft {
 namespace {
@@ -62,6 +62,41 @@
   return options;
 }
 
+// The list's two files, the one and the one that replaces it, have a tenth of the disk.
+constexpr std::size_t kListPerDisk = 10;
+
+Membership::Options membershipOptions(const Config& config) {
+  const OperatorFile::Membership& m = config.operatorFile.membership;
+  Membership::Options options;
+  options.keeps = m.keep;
+  options.kept.folder = config.stateFolder;
+  options.kept.mostBytes = config.diskBytes / kListPerDisk;
+  options.kept.names = config.names;
+  std::random_device random;
+  options.kept.salt = std::uint64_t{random()} << 32 | random();
+  options.trust.refuses = m.refuse;
+  options.trust.freshMs = static_cast<double>(m.freshS) * 1e3;
+  options.trust.ageingMs = static_cast<double>(m.ageingS) * 1e3;
+  options.trust.oldMs = static_cast<double>(m.oldS) * 1e3;
+  for (const auto& [name, state] : m.classes)
+    options.trust.classes.push_back({name, static_cast<Trust>(state)});
+  options.guard.share = m.guardPercent / 100.0;
+  options.guard.holdMs = static_cast<double>(m.guardHoldS) * 1e3;
+  for (std::size_t i = 0; i < config.classes.size(); ++i)
+    options.classes.push_back({config.classes[i], config.settings.classes[i].repeat});
+  return options;
+}
+
+DiscoveryWatch::Options watchOptions(const Config& config) {
+  const OperatorFile::Membership& m = config.operatorFile.membership;
+  DiscoveryWatch::Options options;
+  options.names = config.names;
+  for (const std::string& text : m.directories) options.others.push_back(parseAddress(text).value());
+  options.backOff = {static_cast<double>(m.backOffMs), static_cast<double>(m.mostBackOffMs)};
+  options.seed = config.settings.seed;
+  return options;
+}
+
 }  // namespace
 
 class Relay::Impl {
@@ -76,12 +111,13 @@
                     ? std::make_unique<ThreadSyncer>(files_, config_.stateFolder)
                     : nullptr),
         journal_({files_, clock_, log_, syncer_.get()}, journalOptions(config_)),
+        membership_({files_, clock_, journal_, counters_, log_}, membershipOptions(config_)),
         notices_(loop_, config_.discovery, counters_, log_),
         outbound_(loop_, counters_,
                   {config_.settings.connectTimeoutMs, config_.settings.connIdleMs, idleConnections(config_),
                    config_.reportColumns}),
-        watch_(loop_, config_.discovery, config_.names, destinations_, counters_, log_),
-        exchange_({loop_, clock_, destinations_, journal_, notices_, outbound_, counters_, log_},
+        watch_({loop_, membership_, counters_, log_}, config_.discovery, watchOptions(config_)),
+        exchange_({loop_, clock_, membership_, journal_, notices_, outbound_, counters_, log_},
                   config_.settings, [this] { watch_.fetch(); }),
         inbound_(loop_, exchange_, counters_, {config_.classes, config_.tenants},
                  clientConnections(config_)) {
@@ -124,6 +160,14 @@
          << " reserved=" << room.reserved << " segments=" << room.segments << " released=" << f.released
          << " slices=" << f.slices << " taken-bytes=" << f.takenBytes << " written-bytes=" << f.writtenBytes
          << " carried-bytes=" << f.carriedBytes << " faults=" << f.faults << std::endl;
+    const KeptList::Figures& k = membership_.kept().figures();
+    const ListAge age = membership_.age();
+    log_ << "counters membership: rev=" << membership_.set().rev()
+         << " endpoints=" << membership_.set().all().size()
+         << " age-s=" << (age.known ? static_cast<std::int64_t>(age.ms / 1000) : -1)
+         << " trust=" << nameOf(membership_.trust()) << " kept-bytes=" << membership_.kept().fileBytes()
+         << " commits=" << k.commits << " rewrites=" << k.rewrites << " slices=" << k.slices
+         << " written-bytes=" << k.writtenBytes << " faults=" << k.faults << std::endl;
   }
 
  private:
@@ -142,7 +186,7 @@
     Recovered found;
     if (!journal_.open(found, error)) return false;
     log_ << config_.name << ": " << found.owed.size() << " requests owed from before" << std::endl;
-    exchange_.recover(std::move(found), destinations_.apply(config_.known, ListKind::kDisk));
+    exchange_.recover(std::move(found), membership_.begin(config_.known, config_.writtenWallMs));
     watch_.start([this](ListEvent event) { exchange_.onList(std::move(event)); });
     return true;
   }
@@ -207,11 +251,11 @@
   Counters counters_;
   Loop loop_;
   Fd signals_;
-  DestinationSet destinations_;
   PosixFiles posixFiles_;
   Files& files_;
   std::unique_ptr<ThreadSyncer> syncer_;  // none at the level `process`
   Journal journal_;
+  Membership membership_;
   Notices notices_;
   Outbound outbound_;
   DiscoveryWatch watch_;
--- /dev/null
+++ b/tests/membership_site.h
@@ -0,0 +1,213 @@
+// One relay's membership over processes: a disk that outlasts them, clocks set by hand, the decision module
+// behind.
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "discovery/membership.h"
+#include "journal/planner.h"
+#include "lab/faulty_files.h"
+#include "myrtleloft/dispatcher.h"
+
+namespace myrtleloft {
+
+struct HandClocks : Clock {
+  double steadyMs() const override { return nowMs; }
+  double wallMs() const override { return wall + nowMs; }
+  double machineMs() const override { return machine + nowMs; }
+  std::string machineRun() const override { return run; }
+  double nowMs = 0, wall = 1.7e12, machine = 5e6;
+  std::string run = "first";
+};
+
+// A tenth of a disk, counted.
+struct CountedShare : DiskShare {
+  bool take(std::size_t bytes) override {
+    if (used + bytes > most) return false;
+    used += bytes;
+    return true;
+  }
+  void giveBack(std::size_t bytes) override { used -= bytes; }
+  std::size_t used = 0, most = static_cast<std::size_t>(-1);
+};
+
+inline const ListNames kNames{{"norte", "sur"}, {"large", "other"}};
+inline const std::vector<Membership::Class> kThreeClasses = {{"status-update", Repeat::kRepeatable},
+                                                             {"caption-order", Repeat::kByKey},
+                                                             {"billing-charge", Repeat::kOnce}};
+
+inline EndpointEntry endpoint(const std::string& uid, std::int64_t destination = 7, int port = 3000,
+                              RouteState state = RouteState::kRunning) {
+  EndpointEntry e;
+  e.entry.target = uid;
+  e.entry.destination = destination;
+  e.entry.state = state;
+  e.address = parseAddress("127.0.0.1:" + std::to_string(port)).value();
+  return e;
+}
+
+inline DestinationList listOf(std::int64_t rev, std::vector<EndpointEntry> endpoints, bool all = true) {
+  return {rev, all, std::move(endpoints)};
+}
+
+// What a set holds, as one text.
+inline std::string textOf(const DestinationSet::Endpoints& endpoints) {
+  std::string text;
+  for (const auto& [uid, e] : endpoints)
+    text += uid + '@' + e.address.text + '/' + std::to_string(e.entry.destination) +
+            (e.entry.state == RouteState::kStopping ? "-drains" : "") + (e.missing ? "-missing" : "") + '\n';
+  return text;
+}
+inline std::string textOf(const DestinationList& list) {
+  DestinationSet set;
+  set.apply(list, ListKind::kDisk, 0);
+  return textOf(set.all());
+}
+
+// One process: membership and module, with sends as the exchange would carry them out.
+class Process {
+ public:
+  Process(lab::Disk& disk, HandClocks& clock, Membership::Options options = {})
+      : files(disk),
+        clock_(clock),
+        membership(parts(disk), filled(std::move(options))),
+        module_(settings()) {}
+
+  // The list to begin with goes to the module, as at a start.
+  void begin(const DestinationList& known = {}, double knownWallMs = 0) {
+    events_.emplace_back(membership.begin(known, knownWallMs));
+    batch();
+  }
+  void told(const DestinationList& list, std::size_t directory = 0) {
+    if (auto event = membership.told(list, directory)) events_.emplace_back(std::move(*event));
+    batch();
+  }
+  // Lets time pass in batches of 5 ms, the kept list's slices included.
+  void pass(double ms) {
+    for (const double until = clock_.nowMs + ms; clock_.nowMs < until;) {
+      clock_.nowMs = std::min(until, clock_.nowMs + 5);
+      if (clock_.nowMs >= membership.dueMs())
+        if (auto event = membership.tick()) events_.emplace_back(std::move(*event));
+      batch();
+    }
+  }
+  // Until nothing is due within a minute.
+  void settle() {
+    while (membership.dueMs() < clock_.nowMs + 20e3) {
+      clock_.nowMs = std::max(clock_.nowMs + 2, membership.dueMs());
+      if (auto event = membership.tick()) events_.emplace_back(std::move(*event));
+    }
+    batch();
+  }
+  // A client hands one in. false: refused for the list's age.
+  bool handIn(const std::string& id, int cls, std::int64_t destination = 7) {
+    if (const auto refusal = membership.refuses(cls)) {
+      lastRefusal = refusal;
+      return false;
+    }
+    MessageEvent event;
+    event.id = id;
+    event.cls = cls;
+    event.destination = destination;
+    event.notAfterMs = clock_.nowMs + 10e3;
+    destinationOf_[id] = destination;
+    events_.emplace_back(std::move(event));
+    batch();
+    return true;
+  }
+  // What comes back of the call that is out.
+  void outcome(const std::string& id, Outcome outcome) {
+    const auto out = out_.extract(id);
+    events_.emplace_back(OutcomeEvent{id, attempts_[id] - 1, out.mapped(), outcome, 1, false, 0, {}});
+    batch();
+  }
+  void batch() {
+    const std::vector<Event> events = std::exchange(events_, {});
+    for (const Action& action : module_.onBatch(clock_.nowMs, events)) {
+      if (const auto* send = std::get_if<SendAction>(&action)) {
+        const EndpointEntry* e = membership.set().find(send->target);
+        ++attempts_[send->id];
+        if (!e || e->entry.state != RouteState::kRunning ||
+            e->entry.destination != destinationOf_.at(send->id))
+          wrong.push_back(send->id + " to " + send->target);
+        sent.push_back({send->id, std::string(uidOf(send->target)), e ? e->address.text : ""});
+        out_[send->id] = send->target;
+      } else if (const auto* refuse = std::get_if<RefuseAction>(&action)) {
+        ended.insert(refuse->id);
+      } else if (const auto* failed = std::get_if<FailAction>(&action)) {
+        ended.insert(failed->id);
+      }
+    }
+  }
+
+  struct Sent {
+    std::string id, uid, address;
+  };
+  lab::FaultyFiles files;
+  CountedShare share;
+  Counters counters;
+  std::ostringstream log;
+
+ private:
+  static Settings settings() {
+    Settings s;
+    s.seed = 5;
+    s.resolutionMs = 5;
+    s.callSlots = 64;
+    s.maxOpen = 1000;
+    s.sendCap = 12;
+    s.maxRetryAfterMs = 3000;
+    s.drainGraceMs = 2000;
+    s.coldMs = 11000;
+    s.coldShare = 0.14;
+    s.kindApart = {true, true};
+    s.kindBatch = {1, 1};
+    for (const Membership::Class& c : kThreeClasses) {
+      ClassSettings cls;
+      cls.repeat = c.repeat;
+      cls.targetMs = 2000;
+      cls.hardLimitMs = 16000;
+      cls.memorySpanMs = 5000;
+      s.classes.push_back(cls);
+    }
+    return s;
+  }
+  Membership::Parts parts(lab::Disk& disk) {
+    for (const auto& [path, bytes] : disk.files) share.used += inBlocks(bytes.size());
+    return {files, clock_, share, counters, log};
+  }
+  static Membership::Options filled(Membership::Options options) {
+    options.kept.folder = "/s";
+    if (options.kept.mostBytes == 0) options.kept.mostBytes = 1 << 26;
+    options.kept.names = kNames;
+    options.kept.salt = 77;
+    options.classes = kThreeClasses;
+    return options;
+  }
+
+  HandClocks& clock_;
+
+ public:
+  Membership membership;
+  std::vector<Sent> sent;
+  std::vector<std::string> wrong;  // sends that the list did not allow
+  std::set<std::string> ended;
+  std::optional<Membership::Refusal> lastRefusal;
+
+ private:
+  Dispatcher module_;
+  std::vector<Event> events_;
+  std::map<std::string, std::string> out_;  // target of the call that is out
+  std::map<std::string, std::int64_t> destinationOf_;
+  std::map<std::string, int> attempts_;
+};
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,617 @@
+// Lists of each age, kept, torn, damaged and contradicted: what is believed, what is refused, where calls go.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <cerrno>
+#include <cmath>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "discovery/directories.h"
+#include "journal/journal.h"
+#include "tests/membership_site.h"
+
+using namespace myrtleloft;
+using lab::Disk;
+
+namespace {
+
+constexpr double kSecond = 1000, kHour = 3600 * kSecond, kDay = 24 * kHour, kYear = 365 * kDay;
+
+DestinationList threeEndpoints() {
+  return listOf(40, {endpoint("a", 7, 3001), endpoint("b", 7, 3002), endpoint("c", 8, 3003)});
+}
+
+// A folder that a process left which had been told of that list.
+Disk diskWith(const DestinationList& list, HandClocks& clock) {
+  Disk disk;
+  Process process(disk, clock);
+  process.begin();
+  process.told(list);
+  process.settle();
+  return disk;
+}
+
+bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+}  // namespace
+
+// ---- trust ----
+TEST_CASE("the older a list is, the less is accepted, and what may run once goes first") {
+  CHECK(rc::check("monotone in age, class and state", [] {
+    TrustTuning tuning;
+    tuning.freshMs = *rc::gen::inRange(1, 1000);
+    tuning.ageingMs = tuning.freshMs + *rc::gen::inRange(0, 1000);
+    tuning.oldMs = tuning.ageingMs + *rc::gen::inRange(0, 1000);
+    const ListTrust trust(tuning);
+    const double younger = *rc::gen::inRange(0, 4000), older = younger + *rc::gen::inRange(0, 4000);
+    const Trust a = trust.of({true, younger}), b = trust.of({true, older});
+    RC_ASSERT(a <= b);
+    for (const Membership::Class& c : kThreeClasses)
+      if (trust.accepts(b, c.name, c.repeat)) RC_ASSERT(trust.accepts(a, c.name, c.repeat));
+    if (trust.accepts(b, "x", Repeat::kOnce)) RC_ASSERT(trust.accepts(b, "x", Repeat::kByKey));
+    if (trust.accepts(b, "x", Repeat::kByKey)) RC_ASSERT(trust.accepts(b, "x", Repeat::kRepeatable));
+    RC_ASSERT(trust.comeBackMs(a) <= trust.comeBackMs(b));
+    RC_ASSERT((trust.comeBackMs(b) > 0) == (b != Trust::kFresh));
+  }));
+  const ListTrust trust;
+  CHECK(trust.of({false, 0}) == Trust::kOld);
+  TrustTuning named;
+  named.classes = {{"billing-charge", Trust::kExpired}};
+  CHECK(ListTrust(named).accepts(Trust::kExpired, "billing-charge", Repeat::kOnce));
+  CHECK_FALSE(ListTrust(named).accepts(Trust::kAgeing, "other-charge", Repeat::kOnce));
+  named.refuses = false;
+  CHECK(ListTrust(named).accepts(Trust::kExpired, "other-charge", Repeat::kOnce));
+}
+
+TEST_CASE("age is the machine's own while it runs; after that a clock set back tells nothing") {
+  const Stamp then{1e12, 1000, "run"};
+  CHECK(ageOf(then, {1e12 - kYear, 4000, "run"}).ms == 3000);
+  CHECK(ageOf(then, {1e12 + kYear, 4000, "run"}).ms == 3000);
+  CHECK(ageOf(then, {1e12 + kDay, 20, "another"}).ms == kDay);
+  CHECK(ageOf(then, {1e12 + kDay, 500, "run"}).ms == kDay);  // the same name, but it has begun anew
+  CHECK_FALSE(ageOf(then, {1e12 - kYear, 20, "another"}).known);
+  CHECK(ageOf(then, {1e12 - 500, 20, "another"}).known);  // a clock's own step
+  CHECK_FALSE(ageOf({0, 0, ""}, {1e12, 0, ""}).known);
+}
+
+TEST_CASE("which list to begin with") {
+  const Stamp now{1e12, 0, ""}, hourAgo{1e12 - kHour, 0, ""}, dayAgo{1e12 - kDay, 0, ""};
+  const Stamp future{1e12 + kDay, 0, ""};
+  const auto offer = [](std::int64_t rev, const Stamp& told, bool whole = true) {
+    return ListOffer{true, rev, told, whole};
+  };
+  CHECK(beginWith({}, {}, now) == Beginning::kNothing);
+  CHECK(beginWith({}, offer(1, hourAgo), now) == Beginning::kKnown);
+  CHECK(beginWith(offer(1, hourAgo), {}, now) == Beginning::kKept);
+  CHECK(beginWith(offer(9, dayAgo), offer(9, hourAgo), now) == Beginning::kKept);
+  CHECK(beginWith(offer(9, dayAgo), offer(10, hourAgo), now) == Beginning::kKnown);
+  CHECK(beginWith(offer(10, dayAgo), offer(9, hourAgo), now) == Beginning::kKept);
+  // A configuration written before the kept list was confirmed, with a later rev: the directory was set back.
+  CHECK(beginWith(offer(9, hourAgo), offer(10, dayAgo), now) == Beginning::kKept);
+  // No times to compare: the rev decides.
+  CHECK(beginWith(offer(9, future), offer(10, dayAgo), now) == Beginning::kKnown);
+  // Its end is lost: the later rev is the surer one.
+  CHECK(beginWith(offer(9, hourAgo, false), offer(10, dayAgo), now) == Beginning::kKnown);
+}
+
+// ---- the kept list ----
+TEST_CASE("a kept list is at each moment one that was told, whatever operation the process ends in") {
+  // A day of changes; what the set held at each commit, by what the file then says.
+  const auto day = [](Process& process, std::vector<std::string>& states) {
+    process.begin();
+    states.push_back("");
+    std::uint64_t commits = 0;
+    const auto note = [&] {
+      if (process.membership.kept().figures().commits == commits) return;
+      commits = process.membership.kept().figures().commits;
+      states.push_back(textOf(process.membership.set().all()));
+    };
+    std::vector<EndpointEntry> many;
+    for (int i = 0; i < 80; ++i) many.push_back(endpoint("e" + std::to_string(i), i % 3, 3000 + i));
+    process.told(listOf(1, many));
+    process.settle();
+    note();
+    for (int i = 0; i < 60; ++i) {
+      const std::string uid = "e" + std::to_string(i * 7 % 80);
+      const RouteState state = i % 3 == 0   ? RouteState::kStopping
+                               : i % 3 == 1 ? RouteState::kDeleted
+                                            : RouteState::kRunning;
+      process.told(listOf(2 + i, {endpoint(uid, i % 3, 4000 + i, state)}, false));
+      process.settle();
+      note();
+      if (i == 30) {
+        many.resize(50);
+        process.told(listOf(33, many));
+        process.settle();
+        note();
+      }
+    }
+  };
+  HandClocks clock;
+  std::uint64_t operations = 0;
+  std::vector<std::string> states;
+  Disk whole;
+  Membership::Options options;
+  options.kept.tuning.leastGrowth = 2000;
+  {
+    Process process(whole, clock, options);
+    day(process, states);
+    operations = process.files.operations();
+    CHECK(process.membership.kept().figures().rewrites >= 2);
+    CHECK(process.share.used == whole.used());
+  }
+  const std::set<std::string> told(states.begin(), states.end());
+  REQUIRE(operations > 60);
+  for (std::uint64_t n = 1; n <= operations; ++n) {
+    for (const std::size_t torn : {std::size_t{0}, std::size_t{5}, std::size_t{150}}) {
+      Disk disk;
+      HandClocks again;
+      {
+        Process process(disk, again, options);
+        process.files.crashAt(n, torn);
+        std::vector<std::string> ignored;
+        day(process, ignored);
+      }
+      lab::FaultyFiles files(disk);
+      const KeptFound found = readKept(files, "/s", kNames);
+      CAPTURE(n);
+      CAPTURE(torn);
+      REQUIRE((found.there || found.fault.empty()));  // never damaged by the process's own end
+      REQUIRE(told.count(found.there ? textOf(found.list) : ""));
+      // The next process goes on from there, and gives back what was left behind.
+      Process next(disk, again, options);
+      next.begin();
+      next.told(threeEndpoints());
+      next.settle();
+      REQUIRE(disk.files.size() == 1);
+      REQUIRE(next.share.used == disk.used());
+    }
+  }
+}
+
+TEST_CASE("a kept list with any bit flipped is not believed as whole") {
+  HandClocks clock;
+  Disk disk;
+  {
+    Process process(disk, clock);
+    process.begin();
+    process.told(threeEndpoints());
+    process.settle();
+    process.told(listOf(41, {endpoint("b", 7, 3002, RouteState::kStopping)}, false));
+    process.settle();
+  }
+  const std::string good = disk.files.at("/s/members");
+  lab::FaultyFiles files(disk);
+  const std::string told = textOf(readKept(files, "/s", kNames).list);
+  CHECK(has(told, "b@127.0.0.1:3002/7-drains"));
+  std::size_t refused = 0, cut = 0;
+  for (std::size_t bit = 0; bit < good.size() * 8; bit += 3) {
+    std::string& bytes = disk.files["/s/members"];
+    bytes = good;
+    bytes[bit / 8] = static_cast<char>(bytes[bit / 8] ^ (1 << bit % 8));
+    const KeptFound found = readKept(files, "/s", kNames);
+    CAPTURE(bit);
+    refused += !found.there;
+    cut += found.there && !found.whole;
+    if (!found.there) REQUIRE(!found.fault.empty());
+    // One of the header's two copies is enough.
+    if (found.there && found.whole) REQUIRE(textOf(found.list) == told);
+  }
+  CHECK(refused > good.size());
+  // And one that is cut off anywhere is no more than an earlier one, and says so.
+  for (std::size_t size = 0; size < good.size(); ++size) {
+    disk.files["/s/members"] = good.substr(0, size);
+    const KeptFound found = readKept(files, "/s", kNames);
+    if (found.there && found.whole) CHECK(textOf(found.list) == textOf(threeEndpoints()));
+  }
+}
+
+TEST_CASE("a list in slices: bounded each, within the disk's share, and whole again after each fault") {
+  HandClocks clock;
+  std::vector<EndpointEntry> many;
+  for (int i = 0; i < 3000; ++i)
+    many.push_back(endpoint("s-" + std::to_string(100000 + i), i % 40, 2000 + i));
+  SUBCASE("each slice writes so many endpoints at most") {
+    Disk disk;
+    Process process(disk, clock);
+    process.begin();
+    process.told(listOf(1, many));
+    std::size_t most = 0;
+    for (std::size_t before = 0; process.membership.dueMs() <= clock.nowMs + 100; clock.nowMs += 2) {
+      process.membership.tick();
+      const std::size_t written = process.membership.kept().figures().writtenBytes;
+      most = std::max(most, written - before);
+      before = written;
+      // Changes meanwhile, before and behind the place that the writing has come to.
+      if (clock.nowMs == 4)
+        process.told(listOf(2,
+                            {endpoint("s-100000", 1, 2000, RouteState::kStopping),
+                             endpoint("s-102999", 1, 4999, RouteState::kDeleted)},
+                            false));
+    }
+    CHECK(most < 256 * 120);
+    CHECK(process.membership.kept().figures().slices >= 3000 / 256);
+    lab::FaultyFiles files(disk);
+    const KeptFound found = readKept(files, "/s", kNames);
+    CHECK(textOf(found.list) == textOf(process.membership.set().all()));
+    CHECK(found.list.rev == 2);
+    CHECK(disk.files.at("/s/members").size() < 3000 * 110);
+  }
+  SUBCASE("too long for its share: refused, told once, nothing left behind") {
+    Disk disk;
+    Membership::Options options;
+    options.kept.mostBytes = 100000;
+    Process process(disk, clock, options);
+    process.begin();
+    process.told(listOf(1, many));
+    process.pass(5000);
+    CHECK(disk.files.empty());
+    CHECK(process.share.used == 0);
+    const std::string log = process.log.str();
+    const std::size_t first = log.find("cannot find room for the list of endpoints");
+    CHECK(first != std::string::npos);
+    CHECK(log.find("cannot find room", first + 1) == std::string::npos);
+  }
+  SUBCASE("a fault at each operation") {
+    for (std::uint64_t n = 1; n <= 12; ++n) {
+      for (const int error : {ENOSPC, EIO, EROFS}) {
+        Disk disk;
+        Process process(disk, clock);
+        process.files.failAt(n, 2, error, 40);
+        process.begin();
+        process.told(threeEndpoints());
+        process.settle();
+        process.told(listOf(41, {endpoint("b", 7, 3002, RouteState::kStopping)}, false));
+        process.settle();
+        process.pass(10000);
+        CAPTURE(n);
+        lab::FaultyFiles files(disk);
+        REQUIRE(textOf(readKept(files, "/s", kNames).list) == textOf(process.membership.set().all()));
+        REQUIRE(process.share.used == disk.used());
+      }
+    }
+  }
+}
+
+TEST_CASE("the journal has the first claim on the disk") {
+  Disk disk;
+  lab::FaultyFiles files(disk);
+  HandClocks clock;
+  std::ostringstream log;
+  Journal journal({files, clock, log}, {"/s", 64000, 0, {}, "first", 5});
+  Recovered found;
+  std::string error;
+  REQUIRE(journal.open(found, error));
+  std::vector<std::unique_ptr<OwedRequest>> held;
+  for (int i = 0; i < 1000; ++i) {
+    auto request = std::make_unique<OwedRequest>();
+    request->id = "m" + std::to_string(i);
+    request->body = std::string(300, 'b');
+    if (!journal.taken(*request)) break;
+    held.push_back(std::move(request));
+  }
+  // What is promised to those held is not given away; what is free beyond it is.
+  std::size_t given = 0;
+  while (journal.take(kDiskBlock)) given += kDiskBlock;
+  CHECK(given > 0);
+  for (auto& request : held) {
+    REQUIRE(journal.attempt(*request, {"E1", 0, 1, 0}));
+    REQUIRE(journal.harmless(*request));
+    REQUIRE(journal.verdict(*request, Verdict::kBounced, 5));
+    REQUIRE(journal.ended(*request));
+  }
+  journal.giveBack(given);
+  CHECK(journal.room().used == disk.used());
+}
+
+// ---- starts with lists of each age ----
+namespace {
+
+struct Age {
+  const char* name;
+  double ms;
+  std::array<bool, 3> accepted;  // status-update, caption-order, billing-charge
+};
+constexpr std::array<Age, 4> kAges = {{{"10 s", 10 * kSecond, {true, true, true}},
+                                       {"1 h", kHour, {true, true, false}},
+                                       {"1 day", kDay, {true, false, false}},
+                                       {"1 week", 7 * kDay, {false, false, false}}}};
+
+// Hands in one of each class and sees that just the right ones are refused, with when to come back and why.
+void handInEach(Process& process, const std::array<bool, 3>& accepted, const std::string& suffix = "") {
+  std::uint64_t refused = process.counters.failFastStale;
+  for (int cls = 0; cls < 3; ++cls) {
+    const auto at = static_cast<std::size_t>(cls);
+    CAPTURE(cls);
+    process.lastRefusal.reset();
+    CHECK(process.handIn(kThreeClasses[at].name + suffix, cls) == accepted[at]);
+    if (accepted[at]) continue;
+    CHECK(process.lastRefusal->comeBackMs > 0);
+    CHECK(process.counters.failFastStale == ++refused);
+    CHECK(has(process.log.str(), "refused are:"));
+    CHECK(has(process.log.str(), kThreeClasses[at].name));
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a start without discovery, by the age of the list") {
+  for (const Age& age : kAges) {
+    CAPTURE(age.name);
+    HandClocks clock;
+    DestinationList list = threeEndpoints();
+    SUBCASE("all as it was, after the machine's own restart or within one run") {
+      for (const bool rebooted : {false, true}) {
+        Disk disk = diskWith(list, clock);
+        clock.nowMs += age.ms;
+        if (rebooted) clock.run = "another", clock.machine = -clock.nowMs;
+        Process process(disk, clock);
+        process.begin();
+        handInEach(process, age.accepted);
+        process.pass(1000);
+        CHECK(process.wrong.empty());
+        CHECK(process.sent.size() >= (age.accepted[0] ? 1 : 0));
+      }
+    }
+    SUBCASE("an endpoint drains in it: nothing new goes there, however old the list") {
+      list.endpoints[0].entry.state = RouteState::kStopping;
+      Disk disk = diskWith(list, clock);
+      clock.nowMs += age.ms;
+      Membership::Options trusting;
+      trusting.trust.refuses = false;
+      Process process(disk, clock, trusting);
+      process.begin();
+      for (int i = 0; i < 40; ++i) {
+        REQUIRE(process.handIn("m" + std::to_string(i), i % 3));
+        process.pass(20);
+      }
+      CHECK(process.wrong.empty());
+      CHECK(!process.sent.empty());
+      for (const Process::Sent& sent : process.sent) CHECK(sent.uid == "b");
+      CHECK(process.membership.set().findUid("a")->drainsSinceWallMs > 0);
+    }
+    SUBCASE("discovery comes back with contrary news, while held messages go out") {
+      for (const double after : {0.0, 1000.0, 10000.0}) {
+        Disk disk = diskWith(list, clock);
+        clock.nowMs += age.ms;
+        Membership::Options trusting;
+        trusting.trust.refuses = false;
+        Process process(disk, clock, trusting);
+        process.begin();
+        for (int i = 0; i < 20; ++i) process.handIn("h" + std::to_string(i), i % 2);
+        process.pass(after);
+        // a is gone, b's uid serves another destination, its address belongs to another uid, d is new.
+        process.told(listOf(60, {endpoint("b", 9, 3009), endpoint("c", 8, 3003), endpoint("e", 9, 3002),
+                                 endpoint("d", 7, 3004)}));
+        const std::size_t before = process.sent.size();
+        for (int i = 0; i < 20; ++i) process.handIn("n" + std::to_string(i), i % 3);
+        process.pass(2000);
+        CHECK(process.wrong.empty());
+        REQUIRE(process.sent.size() > before);
+        for (std::size_t i = before; i < process.sent.size(); ++i) CHECK(process.sent[i].uid == "d");
+        CHECK(process.membership.trust() == Trust::kFresh);
+      }
+    }
+    SUBCASE("discovery comes back with an empty list") {
+      Disk disk = diskWith(list, clock);
+      clock.nowMs += age.ms;
+      Process process(disk, clock);
+      process.begin();
+      process.told(listOf(60, {}));
+      CHECK(process.membership.set().empty());
+      process.handIn("m", 0);
+      process.pass(15000);
+      CHECK(process.sent.empty());
+      CHECK(process.ended.count("m") == 1);  // it has its end all the same
+    }
+    SUBCASE("the list's end is cut off: no better than old") {
+      Disk disk;
+      {
+        Process before(disk, clock);
+        before.begin();
+        before.told(list);
+        before.settle();
+        before.told(listOf(41, {endpoint("b", 7, 3002, RouteState::kStopping)}, false));
+        before.settle();
+      }
+      std::string& bytes = disk.files["/s/members"];
+      bytes.resize(bytes.size() - 5);
+      clock.nowMs += age.ms;
+      Process process(disk, clock);
+      process.begin();
+      const bool expired = !age.accepted[0];
+      handInEach(process, {!expired, false, false});
+      CHECK(has(process.log.str(), "the kept list is not whole"));
+      process.told(listOf(42, list.endpoints));
+      handInEach(process, {true, true, true}, "-again");
+    }
+    SUBCASE("a flipped bit: it begins with the configuration's list, by that one's age") {
+      Disk disk = diskWith(list, clock);
+      disk.files["/s/members"][300] ^= 4;
+      clock.nowMs += age.ms;
+      Process process(disk, clock);
+      process.begin(listOf(12, {endpoint("k", 7, 3020)}), clock.wallMs() - age.ms);
+      CHECK(has(process.log.str(), "the kept list is not used: damage at byte"));
+      CHECK(process.membership.set().findUid("k"));
+      handInEach(process, age.accepted);
+    }
+    SUBCASE("a clock set back by a year: of unknown age, unless the machine has run since") {
+      Disk disk = diskWith(list, clock);
+      clock.nowMs += age.ms;
+      clock.wall -= kYear;
+      {
+        Process process(disk, clock);
+        process.begin();
+        handInEach(process, age.accepted);
+      }
+      clock.run = "another";
+      Process process(disk, clock);
+      process.begin();
+      CHECK(has(process.log.str(), "of unknown age, old"));
+      handInEach(process, {true, false, false});
+    }
+  }
+}
+
+TEST_CASE("no list at all: nothing is sent, and all is accepted once discovery speaks") {
+  HandClocks clock;
+  Disk disk;
+  Process process(disk, clock);
+  process.begin();
+  CHECK(process.membership.set().empty());
+  handInEach(process, {true, false, false});
+  process.told(threeEndpoints());
+  handInEach(process, {true, true, true}, "-then");
+  process.pass(1000);
+  CHECK(process.wrong.empty());
+}
+
+TEST_CASE("a list ages while the relay runs, and is fresh again with discovery's next word") {
+  HandClocks clock;
+  Disk disk;
+  Process process(disk, clock);
+  process.begin();
+  process.told(threeEndpoints());
+  handInEach(process, {true, true, true}, "0");
+  clock.nowMs += kHour;
+  handInEach(process, {true, true, false}, "1");
+  clock.nowMs += kDay;
+  handInEach(process, {true, false, false}, "2");
+  process.told(listOf(40, {}, false));  // a watch that ended without news confirms all of it
+  handInEach(process, {true, true, true}, "3");
+}
+
+// ---- a directory that lies ----
+TEST_CASE("a uid that comes again for another destination is another endpoint, and its calls stay apart") {
+  HandClocks clock;
+  Disk disk;
+  Process process(disk, clock);
+  process.begin();
+  process.told(listOf(1, {endpoint("a", 7, 3001)}));
+  process.handIn("m1", 0, 7);
+  process.outcome("m1", Outcome::kGood);
+  for (int turn = 0; turn < 4; ++turn) {
+    const std::int64_t serves = turn % 2 ? 7 : 8, not_ = 15 - serves;
+    process.told(listOf(2 + turn, {endpoint("a", serves, 3001)}, turn % 3 == 0));
+    CHECK(process.handIn("to" + std::to_string(turn), 0, serves));
+    CHECK(process.handIn("not" + std::to_string(turn), 0, not_));
+    process.pass(500);
+    CHECK(process.wrong.empty());
+    CHECK(process.sent.back().id == "to" + std::to_string(turn));
+    process.outcome("to" + std::to_string(turn), Outcome::kGood);
+    process.pass(20000);
+  }
+  // The same uid twice in one list: the last word counts.
+  process.told(listOf(9, {endpoint("a", 7, 3001), endpoint("a", 8, 3002)}));
+  process.handIn("last", 0, 8);
+  process.pass(500);
+  CHECK(process.sent.back().address == "127.0.0.1:3002");
+  CHECK(process.wrong.empty());
+}
+
+TEST_CASE("revs that run backwards, and directories that contradict each other") {
+  HandClocks clock;
+  Disk disk;
+  Process process(disk, clock);
+  process.begin();
+  process.told(threeEndpoints(), 0);
+  // A change that does not follow is not taken in; the whole list is asked for.
+  process.told(listOf(12, {endpoint("b", 7, 3002, RouteState::kDeleted)}, false), 0);
+  CHECK(process.membership.wantsWhole());
+  CHECK(process.membership.lastDoubted());
+  CHECK(process.membership.set().findUid("b"));
+  // Another directory that lags behind is not believed, while this one's word is fresh.
+  process.told(listOf(30, {endpoint("z", 7, 3050)}), 1);
+  CHECK_FALSE(process.membership.set().findUid("z"));
+  // The same directory, restored from a backup: the truth.
+  process.told(listOf(30, {endpoint("z", 7, 3050)}), 0);
+  CHECK(process.membership.set().findUid("z"));
+  CHECK_FALSE(process.membership.wantsWhole());
+  CHECK(process.counters.listsDoubted == 2);
+  // Later the other one is all there is.
+  clock.nowMs += kHour;
+  process.told(listOf(20, {endpoint("y", 7, 3051)}), 1);
+  CHECK(process.membership.set().findUid("y"));
+  // From another directory a change alone is nothing: their revs may count different things.
+  process.told(listOf(35, {endpoint("x", 7, 3052)}, false), 0);
+  CHECK_FALSE(process.membership.set().findUid("x"));
+  CHECK(process.membership.wantsWhole());
+}
+
+TEST_CASE("the guard keeps what is left out at once, not what is told to be gone, and not for ever") {
+  HandClocks clock;
+  Disk disk;
+  Membership::Options options;
+  options.guard = {0.5, 60e3, 3};
+  Process process(disk, clock, options);
+  process.begin();
+  std::vector<EndpointEntry> ten;
+  for (int i = 0; i < 10; ++i) ten.push_back(endpoint("e" + std::to_string(i), 7, 3000 + i));
+  process.told(listOf(1, ten));
+  process.told(listOf(2, {}));
+  CHECK(process.membership.set().all().size() == 10);
+  CHECK(has(process.log.str(), "leaves out 10 of 10 endpoints at once; they are kept for now"));
+  // In so many words: at once.
+  process.told(listOf(
+      3, {endpoint("e0", 7, 3000, RouteState::kDeleted), endpoint("e1", 7, 3001, RouteState::kStopping)},
+      false));
+  CHECK_FALSE(process.membership.set().findUid("e0"));
+  process.handIn("m", 0);
+  process.pass(1000);
+  CHECK(process.wrong.empty());
+  CHECK(process.sent.size() == 1);
+  // What comes back is no longer missing; the rest goes when the guard's time is over, a repeated lie or not.
+  process.told(listOf(4, {ten[2], ten[3]}));
+  process.pass(30e3);
+  process.told(listOf(5, {ten[2], ten[3]}));
+  process.pass(31e3);
+  CHECK(textOf(process.membership.set().all()) == "e2@127.0.0.1:3002/7\ne3@127.0.0.1:3003/7\n");
+  // A few, or the half, is believed at once.
+  process.told(listOf(6, ten));
+  process.told(listOf(7, {ten.begin(), ten.begin() + 5}));
+  CHECK(process.membership.set().all().size() == 5);
+}
+
+TEST_CASE(
+    "ten thousand changes and flapping entries: the file stays bounded, and says what is so in the end") {
+  HandClocks clock;
+  Disk disk;
+  Process process(disk, clock);
+  process.begin();
+  process.told(threeEndpoints());
+  for (int i = 0; i < 10000; ++i) {
+    const bool drains = i % 2 == 0;
+    process.told(listOf(
+        41 + i, {endpoint("a", 7, 3001, drains ? RouteState::kStopping : RouteState::kRunning)}, false));
+    if (i % 50 == 0) process.pass(5);
+  }
+  process.settle();
+  const KeptList::Figures& figures = process.membership.kept().figures();
+  CHECK(figures.commits < 30);  // a second of changes, a commit each 100 ms
+  CHECK(disk.files.at("/s/members").size() < 40000);
+  lab::FaultyFiles files(disk);
+  CHECK(textOf(readKept(files, "/s", kNames).list) == textOf(process.membership.set().all()));
+}
+
+TEST_CASE("directories have their turn, with a pause that grows within its bounds") {
+  CHECK(rc::check("turns and pauses", [] {
+    const auto count = *rc::gen::inRange<std::size_t>(1, 5);
+    const BackOff backOff{100, *rc::gen::element(100.0, 1000.0, 60000.0)};
+    std::vector<double> drawn;
+    Directories turn(count, backOff, [&] { return drawn.emplace_back(*rc::gen::inRange(0, 1000) / 1000.0); });
+    for (std::size_t i = 0; i < 40; ++i) {
+      RC_ASSERT(turn.current() == i % count);
+      const double pause = turn.failed();
+      const double most = std::min(backOff.mostMs, 100 * std::pow(2.0, static_cast<double>(i / count)));
+      RC_ASSERT(pause >= 100);
+      RC_ASSERT(pause <= std::max(100.0, most));
+    }
+    const std::size_t stays = turn.current();
+    turn.answered();
+    RC_ASSERT(turn.current() == stays);
+    RC_ASSERT(turn.failed() == 100);
+  }));
+}
