Show and check the kept list from the command line, and test it on the real program

Need: operators have to see what a start without discovery would begin with and refuse, and the new section of their file must be as strict as the others.

Change: `myrtleloft list show|check [--json]`; `config check` tells of the membership; one place for how the tools print.

--- a/include/myrtleloft/command_line.h
+++ b/include/myrtleloft/command_line.h
@@ -13,7 +13,7 @@
   kExitCannot = 1,      // could not start, or the folder cannot be used (another process holds it, no room)
   kExitUsage = 2,       // a fault in the arguments or in a configuration file; the text names it
   kExitUnforeseen = 3,  // something that should not happen
-  kExitDamaged = 4      // `journal verify` found damage
+  kExitDamaged = 4      // `journal verify` or `list` found damage
 };
 
 // Without arguments, serves. Never throws.
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "cli/journal_tool.h"
+#include "cli/list_tool.h"
 #include "config/config.h"
 #include "journal/planner.h"
 
@@ -18,6 +19,7 @@
 int checkConfig(const Environment& environment, std::ostream& out) {
   const Config config = readConfig(environment);
   const OperatorFile::Journal& journal = config.operatorFile.journal;
+  const OperatorFile::Membership& membership = config.operatorFile.membership;
   const std::size_t chosen = JournalPlanner().segmentBytes(config.diskBytes);
   out << "name " << config.name << ", listens on " << config.listen.text << ", discovery at "
       << config.discovery.text << '\n'
@@ -26,16 +28,23 @@
       << config.diskBytes << " bytes of disk\n"
       << "journal: segments of " << (journal.segmentBytes ? journal.segmentBytes : chosen)
       << " bytes, slices of " << journal.sliceBytes << " bytes at most, " << journal.freePercent
-      << "% to be kept free, durability " << nameOf(journal.durability) << '\n';
+      << "% to be kept free, durability " << nameOf(journal.durability) << '\n'
+      << "membership: " << (membership.keep ? "kept in" : "not kept; ")
+      << (membership.keep ? " at most a tenth of the disk; " : "") << "fresh for " << membership.freshS
+      << " s, ageing for " << membership.ageingS << " s, old for " << membership.oldS << " s; "
+      << (membership.refuse ? "refuses by age" : "refuses nothing") << "; guard "
+      << (membership.guardPercent > 0 ? std::to_string(membership.guardPercent) + "%" : "off") << "; "
+      << membership.directories.size() << " directories beside the configuration's\n";
   return kExitGood;
 }
 
 // What the arguments ask for; set by CLI11's callbacks.
 struct Asked {
-  enum class What { kServe, kCheckConfig, kInspect, kVerify, kDump, kCompact };
+  enum class What { kServe, kCheckConfig, kInspect, kVerify, kDump, kCompact, kShowList, kCheckList };
   What what = What::kServe;
   std::string operatorFile;
   JournalTool tool;
+  ListTool list;
 };
 
 void describe(CLI::App& app, Asked& asked) {
@@ -43,7 +52,8 @@
   app.require_subcommand(0, 1);
   app.footer(
       "Without a command, serves. Exit codes: 0 good, 1 cannot start or cannot use the folder, 2 a fault in "
-      "arguments or configuration, 3 unforeseen, 4 the journal is damaged (journal verify).");
+      "arguments or configuration, 3 unforeseen, 4 the journal or the kept list is damaged (journal verify, "
+      "list show, list check).");
 
   const auto operatorOption = [&](CLI::App& at) {
     at.add_option("--operator", asked.operatorFile,
@@ -72,6 +82,18 @@
   tool("inspect", "segments, what is owed, what is damaged", Asked::What::kInspect);
   tool("verify", "read it as a start would; 4 where it is damaged", Asked::What::kVerify);
   tool("dump", "each record, without bodies and keys", Asked::What::kDump);
+  CLI::App* list = app.add_subcommand("list", "look at the kept list of endpoints of a folder");
+  list->require_subcommand(1);
+  const auto listTool = [&](const char* name, const char* help, Asked::What what) {
+    CLI::App* command = list->add_subcommand(name, help);
+    command->add_option("folder", asked.list.folder, "the state folder")->required();
+    command->add_flag("--json", asked.list.json, "for programs: JSON, one object a line");
+    operatorOption(*command);
+    command->callback([&asked, what] { asked.what = what; });
+  };
+  listTool("show", "each endpoint, and how old the list is", Asked::What::kShowList);
+  listTool("check", "what a start without discovery would refuse now; 4 where the list is damaged",
+           Asked::What::kCheckList);
   CLI::App* compact =
       tool("compact", "carry over all that is owed, and remove the rest", Asked::What::kCompact);
   compact->add_option("--disk-mb", asked.tool.diskMb, "its limit, as limits.disk_mb in the configuration")
@@ -93,6 +115,12 @@
       return dumpJournal(asked.tool, out, err);
     case Asked::What::kCompact:
       return compactJournal(asked.tool, out, err);
+    case Asked::What::kShowList:
+      asked.list.operatorFile = asked.operatorFile;
+      return showList(asked.list, out, err);
+    case Asked::What::kCheckList:
+      asked.list.operatorFile = asked.operatorFile;
+      return checkList(asked.list, out, err);
   }
   return kExitUnforeseen;
 }
--- a/src/cli/journal_tool.cpp
+++ b/src/cli/journal_tool.cpp
@@ -5,23 +5,16 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
-#include <nlohmann/json.hpp>
 #include <random>
 #include <type_traits>
 
+#include "cli/output.h"
 #include "journal/journal.h"
 #include "myrtleloft/command_line.h"
 
 namespace myrtleloft {
 namespace {
 
-using Json = nlohmann::ordered_json;
-
-std::string line(const Json& json) {
-  // Ids are what clients sent: bytes that are no UTF-8 are shown as replacement characters.
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 const char* nameOf(Verdict verdict) {
   return verdict == Verdict::kDead ? "dead" : verdict == Verdict::kBounced ? "bounced" : "none";
 }
@@ -72,7 +65,8 @@
 void tellDamage(const JournalTool& tool, const Recovered& found, std::ostream& out) {
   for (const Damage& d : found.damage) {
     if (tool.json)
-      out << line({{"damage", d.what}, {"file", d.file}, {"offset", d.offset}, {"bytes", d.bytes}}) << '\n';
+      out << jsonLine({{"damage", d.what}, {"file", d.file}, {"offset", d.offset}, {"bytes", d.bytes}})
+          << '\n';
     else
       out << d.file << " is " << d.what << " at byte " << d.offset << ", " << d.bytes << " bytes\n";
   }
@@ -127,15 +121,6 @@
   Json& json_;
 };
 
-// "key=value ..." of an object's plain members.
-std::string plain(const Json& json) {
-  std::string text;
-  for (const auto& [key, value] : json.items())
-    text +=
-        (text.empty() ? "" : " ") + key + "=" + (value.is_string() ? value.get<std::string>() : line(value));
-  return text;
-}
-
 }  // namespace
 
 int inspectJournal(const JournalTool& tool, std::ostream& out, std::ostream& err) {
@@ -151,7 +136,7 @@
                        {"state", s.stale        ? "released"
                                  : s.headerGood ? "good"
                                                 : "header damaged"}};
-    out << (tool.json ? line(json) : plain(json)) << '\n';
+    out << lineOf(json, tool.json) << '\n';
   }
   tellDamage(tool, found, out);
   const Totals t = totalsOf(found);
@@ -164,7 +149,7 @@
                      {"torn_bytes", found.torn},
                      {"damaged_parts", found.damage.size()},
                      {"version_one", found.versionOne}};
-  out << (tool.json ? line(json) : plain(json)) << '\n';
+  out << lineOf(json, tool.json) << '\n';
   return kExitGood;
 }
 
@@ -180,7 +165,7 @@
                      {"put_in_doubt", found.doubted},
                      {"only_names_left", found.bodiesLost},
                      {"torn_bytes", found.torn}};
-  out << (tool.json ? line(json) : plain(json)) << '\n';
+  out << lineOf(json, tool.json) << '\n';
   return found.damage.empty() ? kExitGood : kExitDamaged;
 }
 
@@ -189,7 +174,7 @@
       tool, [&](std::uint64_t segment, std::size_t offset, std::size_t bytes, const Record& record) {
         Json json = {{"segment", segment}, {"offset", offset}, {"bytes", bytes}};
         std::visit(Describe(json), record);
-        out << (tool.json ? line(json) : plain(json)) << '\n';
+        out << lineOf(json, tool.json) << '\n';
       });
   if (!reading.fault.empty()) return refuse(reading.fault, err);
   tellDamage(tool, reading.found, out);
@@ -229,7 +214,7 @@
                      {"bytes_before", used},
                      {"bytes_after", journal.room().used},
                      {"segments_removed", journal.figures().released}};
-  out << (tool.json ? line(json) : plain(json)) << '\n';
+  out << lineOf(json, tool.json) << '\n';
   return kExitGood;
 }
 
--- a/src/discovery/kept_list.cpp
+++ b/src/discovery/kept_list.cpp
@@ -97,7 +97,7 @@
 
 class Reading {
  public:
-  Reading(std::string_view bytes, std::uint64_t salt, const ListNames& names, KeptFound& found)
+  Reading(std::string_view bytes, std::uint64_t salt, const ListNames* names, KeptFound& found)
       : bytes_(bytes), salt_(salt), names_(names), found_(found) {}
 
   bool run() {
@@ -139,7 +139,9 @@
   bool take(std::string_view payload) {
     switch (static_cast<Type>(payload.front())) {
       case Type::kBegin:
-        return get(payload, begin_) && begin_.version <= kKeptVersion;
+        if (!get(payload, begin_) || begin_.version > kKeptVersion) return false;
+        found_.names = {begin_.zones, begin_.kinds};
+        return true;
       case Type::kPut: {
         std::vector<KeptEndpoint> endpoints;
         if (!get(payload, endpoints)) return false;
@@ -171,8 +173,9 @@
     if (!address || e.uid.empty()) return false;
     entry.address = *address;
     entry.entry.target = e.uid;
-    entry.entry.zone = indexIn(names_.zones, begin_.zones, e.zone);
-    entry.entry.kind = indexIn(names_.kinds, begin_.kinds, e.kind);
+    const ListNames& names = names_ ? *names_ : found_.names;
+    entry.entry.zone = indexIn(names.zones, begin_.zones, e.zone);
+    entry.entry.kind = indexIn(names.kinds, begin_.kinds, e.kind);
     if (entry.entry.zone < 0 || entry.entry.kind < 0) {
       found_.unknownNames += unknown_.insert(e.uid).second;
       return true;
@@ -190,7 +193,7 @@
 
   std::string_view bytes_;
   std::uint64_t salt_;
-  const ListNames& names_;
+  const ListNames* names_;
   KeptFound& found_;
   std::size_t end_ = 0;  // of the last commit
   KeptBegin begin_;
@@ -201,7 +204,7 @@
 
 }  // namespace
 
-KeptFound readKept(Files& files, const std::string& folder, const ListNames& names) {
+KeptFound readKept(Files& files, const std::string& folder, const ListNames* names) {
   KeptFound found;
   std::string bytes;
   const int fault = files.read(folder + "/" + kKeptName, bytes);
--- a/src/discovery/kept_list.h
+++ b/src/discovery/kept_list.h
@@ -1,6 +1,6 @@
 // The list of endpoints as last told, in the state folder: what a process begins with when discovery is down.
 //
-//   KeptFound found = readKept(files, folder, names);       // found.there, found.list, found.told
+//   KeptFound found = readKept(files, folder, &names);      // found.there, found.list, found.told
 //   KeptList kept({files, clock, disk, log}, {folder, most, salt, names});
 //   kept.begin(found);
 //   kept.changed(uids); kept.confirmed(rev);                // after the set has taken an answer in
@@ -42,12 +42,13 @@
   std::string fault;     // why a file that is there cannot be used, or what of it could not
   DestinationList list;  // `all` is set
   Stamp told;            // when discovery last stood by it
+  ListNames names;       // the file's own
   std::size_t fileBytes = 0;
   std::size_t unknownNames = 0;  // endpoints in zones or of kinds that the configuration knows no more
 };
 
-// Reads and changes nothing. O(bytes).
-KeptFound readKept(Files& files, const std::string& folder, const ListNames& names);
+// Reads and changes nothing. Without `names`, the file's own zones and kinds count. O(bytes).
+KeptFound readKept(Files& files, const std::string& folder, const ListNames* names);
 
 struct KeptTuning {
   double debounceMs = 100;  // after a commit, changes wait for so long and go together
--- a/src/discovery/membership.cpp
+++ b/src/discovery/membership.cpp
@@ -20,7 +20,7 @@
 ListEvent Membership::begin(const DestinationList& known, double knownWallMs) {
   KeptFound found;
   if (options_.keeps) {
-    found = readKept(parts_.files, options_.kept.folder, options_.kept.names);
+    found = readKept(parts_.files, options_.kept.folder, &options_.kept.names);
     if (!found.fault.empty())
       parts_.log << "discovery: the kept list is "
                  << (found.there ? "not whole, what was told last may be missing: " : "not used: ")
--- /dev/null
+++ b/src/relay/membership_options.h
@@ -0,0 +1,11 @@
+// The operator's section [membership] as the parts of src/discovery/ take it.
+#pragma once
+
+#include "config/operator_file.h"
+#include "discovery/trust.h"
+
+namespace myrtleloft {
+
+TrustTuning trustTuning(const OperatorFile::Membership& membership);
+
+}  // namespace myrtleloft
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -14,6 +14,7 @@
 #include "journal/journal.h"
 #include "notices/notices.h"
 #include "outbound/outbound.h"
+#include "relay/membership_options.h"
 
 namespace myrtleloft {
 namespace {
@@ -74,12 +75,7 @@
   options.kept.names = config.names;
   std::random_device random;
   options.kept.salt = std::uint64_t{random()} << 32 | random();
-  options.trust.refuses = m.refuse;
-  options.trust.freshMs = static_cast<double>(m.freshS) * 1e3;
-  options.trust.ageingMs = static_cast<double>(m.ageingS) * 1e3;
-  options.trust.oldMs = static_cast<double>(m.oldS) * 1e3;
-  for (const auto& [name, state] : m.classes)
-    options.trust.classes.push_back({name, static_cast<Trust>(state)});
+  options.trust = trustTuning(m);
   options.guard.share = m.guardPercent / 100.0;
   options.guard.holdMs = static_cast<double>(m.guardHoldS) * 1e3;
   for (std::size_t i = 0; i < config.classes.size(); ++i)
--- a/tests/command_line_test.cpp
+++ b/tests/command_line_test.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "config/operator_file.h"
+#include "discovery/kept_list.h"
 #include "journal/journal.h"
 #include "journal/segment.h"
 
@@ -185,6 +186,86 @@
   CHECK_EQ(ran.code, 2);
 }
 
+TEST_CASE("the section [membership]: defaults, each key, and what does not go together") {
+  const OperatorFile::Membership plain = parseOperatorFile("", "f").membership;
+  CHECK((plain.keep && plain.refuse && plain.guardPercent == 0 && plain.directories.empty()));
+  const OperatorFile::Membership m =
+      parseOperatorFile(
+          "[membership]\nkeep = false\nrefuse = false\nfresh_s = 30000\nguard_percent = 40\n"
+          "guard_hold_s = 9\ndirectories = [\"127.0.0.1:8500\"]\nback_off_ms = 200\nmost_back_off_ms = 9000\n"
+          "[membership.classes]\nbilling-charge = \"old\"\n",
+          "f")
+          .membership;
+  CHECK((!m.keep && !m.refuse && m.guardPercent == 40 && m.guardHoldS == 9));
+  CHECK((m.freshS == 30000 && m.ageingS == 30000 && m.oldS == 259200));  // the later ones move along
+  CHECK((m.backOffMs == 200 && m.mostBackOffMs == 9000));
+  CHECK(m.directories == std::vector<std::string>{"127.0.0.1:8500"});
+  REQUIRE(m.classes.size() == 1);
+  CHECK((m.classes[0].first == "billing-charge" && m.classes[0].second == 2));
+  const auto fault = [](const char* lines) { return faultOf(std::string("[membership]\n") + lines); };
+  CHECK(has(fault("ageing_s = 5\n"),
+            "f.toml:2:12: membership.ageing_s: expected no less than fresh_s, found 5"));
+  CHECK(has(fault("old_s = 700\n"), "f.toml:2:9: membership.old_s: expected no less than ageing_s"));
+  CHECK(
+      has(fault("back_off_ms = 500\nmost_back_off_ms = 400\n"), "f.toml:3:20: membership.most_back_off_ms"));
+  CHECK(has(fault("keep = 1\n"), "membership.keep: expected true or false, found 1"));
+  CHECK(has(fault("directories = \"x\"\n"), "membership.directories: expected a list"));
+  CHECK(has(fault("directories = [\"127.0.0.1:1\", \"nowhere\"]\n"),
+            "f.toml:2:31: membership.directories: expected"));
+  CHECK(has(fault("guard_percent = 100\n"), "expected a whole number from 0 to 99"));
+  CHECK(has(fault("[membership.classes]\na = \"never\"\n"),
+            "f.toml:3:5: membership.classes.a: expected one of"));
+  CHECK(has(fault("fresh = 3\n"), "membership.fresh: unknown; known here: keep, refuse, fresh_s"));
+}
+
+TEST_CASE("the kept list of a folder is shown and checked, by the operator's spans") {
+  std::string folder = (fs::temp_directory_path() / "list-XXXXXX").string();
+  REQUIRE(::mkdtemp(folder.data()));
+  CHECK_EQ(run({"list", "show", folder.c_str()}).code, kExitCannot);
+  struct : DiskShare {
+    bool take(std::size_t) override { return true; }
+    void giveBack(std::size_t) override {}
+  } share;
+  struct Yesterday : Clock {
+    double wallMs() const override { return Clock::wallMs() - 86400e3; }
+    std::string machineRun() const override { return "another"; }
+  } clock;
+  PosixFiles files;
+  std::ostringstream log;
+  DestinationSet set;
+  DestinationList list{41, true, {}};
+  for (const char* uid : {"a", "b"}) {
+    EndpointEntry& e = list.endpoints.emplace_back();
+    e.entry.target = uid;
+    e.entry.destination = 7;
+    e.address = parseAddress("127.0.0.1:3000").value();
+  }
+  list.endpoints[1].entry.state = RouteState::kStopping;
+  KeptList kept({files, clock, share, log}, {folder, 1 << 20, 5, {{"norte"}, {"large"}}, {}});
+  kept.changed(set.apply(list, ListKind::kSnapshot, 1e12).changed);
+  kept.confirmed();
+  kept.step(set);
+
+  Ran ran = run({"list", "show", folder.c_str()});
+  CHECK_EQ(ran.code, kExitGood);
+  CHECK(has(ran.out, "uid=a endpoint=127.0.0.1:3000 destination=7 az=norte model=large state=active"));
+  CHECK(has(ran.out, "uid=b"));
+  CHECK(has(ran.out, "drains_since_ms=1000000000000.0"));
+  CHECK(has(ran.out, "rev=41 endpoints=2 draining=1"));
+  ran = run({"list", "check", folder.c_str()});
+  CHECK(has(ran.out, "trust=old whole=true once=refused by_key=refused repeatable=accepted"));
+  const std::string file = folder + "/o.toml";
+  std::ofstream(file) << "[membership]\nfresh_s = 100000\n[membership.classes]\nx = \"fresh\"\n";
+  ran = run({"list", "check", folder.c_str(), "--json", "--operator", file.c_str()});
+  CHECK(has(ran.out, "\"trust\":\"fresh\",\"whole\":true,\"once\":\"accepted\""));
+  CHECK(has(ran.out, "\"x\":\"accepted\""));
+  std::fstream(folder + "/members", std::ios::in | std::ios::out).seekp(200).put('!');
+  ran = run({"list", "check", folder.c_str()});
+  CHECK_EQ(ran.code, kExitDamaged);
+  CHECK(has(ran.err, "damage at byte"));
+  fs::remove_all(folder);
+}
+
 TEST_CASE("the files under deploy/ are good") {
   CHECK(readOperatorFile(MYRTLELOFT_DEPLOY "/example.toml").journal.sliceBytes == 256 * 1024);
   CHECK(readOperatorFile(MYRTLELOFT_DEPLOY "/vina-grabaciones.toml").journal.durability ==
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -156,7 +156,7 @@
         day(process, ignored);
       }
       lab::FaultyFiles files(disk);
-      const KeptFound found = readKept(files, "/s", kNames);
+      const KeptFound found = readKept(files, "/s", &kNames);
       CAPTURE(n);
       CAPTURE(torn);
       REQUIRE((found.there || found.fault.empty()));  // never damaged by the process's own end
@@ -185,14 +185,14 @@
   }
   const std::string good = disk.files.at("/s/members");
   lab::FaultyFiles files(disk);
-  const std::string told = textOf(readKept(files, "/s", kNames).list);
+  const std::string told = textOf(readKept(files, "/s", &kNames).list);
   CHECK(has(told, "b@127.0.0.1:3002/7-drains"));
   std::size_t refused = 0, cut = 0;
   for (std::size_t bit = 0; bit < good.size() * 8; bit += 3) {
     std::string& bytes = disk.files["/s/members"];
     bytes = good;
     bytes[bit / 8] = static_cast<char>(bytes[bit / 8] ^ (1 << bit % 8));
-    const KeptFound found = readKept(files, "/s", kNames);
+    const KeptFound found = readKept(files, "/s", &kNames);
     CAPTURE(bit);
     refused += !found.there;
     cut += found.there && !found.whole;
@@ -204,7 +204,7 @@
   // And one that is cut off anywhere is no more than an earlier one, and says so.
   for (std::size_t size = 0; size < good.size(); ++size) {
     disk.files["/s/members"] = good.substr(0, size);
-    const KeptFound found = readKept(files, "/s", kNames);
+    const KeptFound found = readKept(files, "/s", &kNames);
     if (found.there && found.whole) CHECK(textOf(found.list) == textOf(threeEndpoints()));
   }
 }
@@ -235,7 +235,7 @@
     CHECK(most < 256 * 120);
     CHECK(process.membership.kept().figures().slices >= 3000 / 256);
     lab::FaultyFiles files(disk);
-    const KeptFound found = readKept(files, "/s", kNames);
+    const KeptFound found = readKept(files, "/s", &kNames);
     CHECK(textOf(found.list) == textOf(process.membership.set().all()));
     CHECK(found.list.rev == 2);
     CHECK(disk.files.at("/s/members").size() < 3000 * 110);
@@ -269,7 +269,7 @@
         process.pass(10000);
         CAPTURE(n);
         lab::FaultyFiles files(disk);
-        REQUIRE(textOf(readKept(files, "/s", kNames).list) == textOf(process.membership.set().all()));
+        REQUIRE(textOf(readKept(files, "/s", &kNames).list) == textOf(process.membership.set().all()));
         REQUIRE(process.share.used == disk.used());
       }
     }
@@ -593,7 +593,7 @@
   CHECK(figures.commits < 30);  // a second of changes, a commit each 100 ms
   CHECK(disk.files.at("/s/members").size() < 40000);
   lab::FaultyFiles files(disk);
-  CHECK(textOf(readKept(files, "/s", kNames).list) == textOf(process.membership.set().all()));
+  CHECK(textOf(readKept(files, "/s", &kNames).list) == textOf(process.membership.set().all()));
 }
 
 TEST_CASE("directories have their turn, with a pause that grows within its bounds") {
--- /dev/null
+++ b/tests/outbound_test.cpp
@@ -0,0 +1,90 @@
+// Calls that have not left when the list changes.
+#include "outbound/outbound.h"
+
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace myrtleloft;
+
+namespace {
+
+// A listener whose queue is full: connections to it stay half-way up.
+struct Deaf {
+  Deaf() : fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in raw{};
+    raw.sin_family = AF_INET;
+    raw.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(fd.get(), reinterpret_cast<sockaddr*>(&raw), sizeof raw);
+    ::listen(fd.get(), 0);
+    address = parseAddress(localAddress(fd)).value();
+    for (int i = 0; i < 4; ++i) queue.push_back(connectTo(address));
+  }
+  Fd fd;
+  Address address;
+  std::vector<Fd> queue;
+};
+
+struct Outcomes : CallListener {
+  void onOutcomes(const std::string& uid, double, const std::vector<CallOutcome>& outcomes,
+                  const Report&) override {
+    for (const CallOutcome& o : outcomes) all.push_back({uid, o});
+  }
+  void onProbed(const std::string&, double, Outcome, const Report&) override {}
+  std::vector<std::pair<std::string, CallOutcome>> all;
+};
+
+EndpointEntry at(const char* uid, const Address& address, RouteState state = RouteState::kRunning) {
+  EndpointEntry e;
+  e.entry.target = uid;
+  e.entry.destination = 7;
+  e.entry.state = state;
+  e.address = address;
+  return e;
+}
+
+}  // namespace
+
+TEST_CASE("calls that have not left come back at once when their endpoint is gone, drains or has moved") {
+  const Clock clock;
+  Loop loop(clock);
+  Counters counters;
+  Outbound outbound(loop, counters, {60000, 10000, 8, {}});
+  Outcomes outcomes;
+  outbound.listen(outcomes);
+  Deaf deaf;
+  const Address elsewhere = parseAddress("127.0.0.1:9").value();
+  const std::vector<std::string> uids = {"gone", "drains", "moved", "stays"};
+  DestinationList list{1, true, {}};
+  for (const std::string& uid : uids) list.endpoints.push_back(at(uid.c_str(), deaf.address));
+  DestinationSet set;
+  set.apply(list, ListKind::kSnapshot, 1);
+  for (const std::string& uid : uids) outbound.call(*set.find(uid), {{"m-" + uid, "", "body", 60000, true}});
+  outbound.reconsider(set);  // nothing has changed
+  CHECK(outcomes.all.empty());
+  set.apply({2,
+             true,
+             {at("drains", deaf.address, RouteState::kStopping), at("moved", elsewhere),
+              at("stays", deaf.address)}},
+            ListKind::kSnapshot, 2);
+  outbound.reconsider(set);
+  REQUIRE(outcomes.all.size() == 3);
+  for (std::size_t i = 0; i < 3; ++i) {
+    CHECK(outcomes.all[i].first == uids[i]);
+    CHECK(outcomes.all[i].second.id == "m-" + uids[i]);
+    CHECK(outcomes.all[i].second.outcome == Outcome::kNop);  // proven never to have run
+    CHECK_FALSE(outcomes.all[i].second.ended);
+  }
+  CHECK(outbound.callsOut() == 1);
+  // Served by another destination under the same address: it is another endpoint.
+  EndpointEntry other = at("stays", deaf.address);
+  other.entry.destination = 8;
+  set.apply({3, false, {other}}, ListKind::kSnapshot, 3);
+  outbound.reconsider(set);
+  CHECK(outcomes.all.size() == 4);
+  CHECK(outbound.callsOut() == 0);
+}
