Read JSON by nlohmann's library, and Base64 by cereal's, instead of own code

Need: nothing is written by hand for which there is a well-known library; and src/config/ and src/discovery/ included each other over the JSON reader.

Change: src/json/ builds the same tree from nlohmann's events and keeps the strictness (names twice, half surrogates, depth, numbers as written); UTF-8 is checked as well. Base64 from cereal's header. discovery no longer includes config.

--- a/src/discovery/destination_set.h
+++ b/src/discovery/destination_set.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "config/json.h"
+#include "json/json.h"
 #include "myrtleloft/dispatcher.h"
 #include "net/socket.h"
 
--- a/src/config/json.h
+++ b/src/json/json.h
@@ -1,4 +1,5 @@
-// A small strict JSON reader (RFC 8259), and the one bit of writing that the relay needs.
+// JSON (RFC 8259) read strictly, by nlohmann's library: no name twice in an object, no half surrogates, no
+// bytes that are not UTF-8, nested 32 deep at most. And the one bit of writing that the relay needs.
 #pragma once
 
 #include <cstdint>
@@ -27,7 +28,7 @@
 
 // On failure nothing, and in `error` what is wrong and where.
 std::optional<Value> parse(std::string_view text, std::string& error);
-// The text as a JSON string, quotes included.
+// The text as a JSON string, quotes included; what is not UTF-8 becomes replacement characters.
 std::string quote(std::string_view text);
 
 }  // namespace myrtleloft::json
--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <ostream>
 
-#include "config/json.h"
+#include "json/json.h"
 
 namespace myrtleloft {
 namespace {
--- a/src/outbound/answers.cpp
+++ b/src/outbound/answers.cpp
@@ -1,10 +1,11 @@
 #include "outbound/answers.h"
 
+#include <cereal/external/base64.hpp>
 #include <charconv>
 #include <cmath>
 #include <optional>
 
-#include "config/json.h"
+#include "json/json.h"
 
 namespace myrtleloft {
 namespace {
@@ -35,17 +36,7 @@
 }  // namespace
 
 std::string base64(std::string_view bytes) {
-  static constexpr std::string_view kDigits =
-      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  std::string out;
-  for (std::size_t i = 0; i < bytes.size(); i += 3) {
-    std::uint32_t three = 0;
-    for (std::size_t k = 0; k < 3; ++k)
-      three = three << 8 | (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k]) : 0);
-    for (std::size_t k = 0; k < 4; ++k)
-      out += i + k > bytes.size() ? '=' : kDigits[three >> (18 - 6 * k) & 63];
-  }
-  return out;
+  return cereal::base64::encode(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size());
 }
 
 std::string writeBulk(const std::vector<CallItem>& items) {
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -3,8 +3,8 @@
 
 #include <filesystem>
 
-#include "config/json.h"
 #include "exchange/recovered.h"
+#include "json/json.h"
 #include "net/http.h"
 #include "outbound/answers.h"
 #include "player.h"
@@ -66,7 +66,19 @@
                           "[1] 2", "nul", "{a:1}", "\"\\x\""})
     CHECK_FALSE(json::parse(bad, error));
   CHECK_FALSE(json::parse(std::string(100, '['), error));
-  CHECK_EQ(json::quote("a\"\\\n"), "\"a\\\"\\\\\\u000a\"");
+  CHECK_FALSE(json::parse("{\"a\":{\"b\":1,\"c\":[2],\"b\":3}}", error));
+  CHECK(error.find("'b' stands twice") != std::string::npos);
+  CHECK_FALSE(json::parse("[1,\n 2,, 3]", error));
+  CHECK(error.find("line 2, column 4") != std::string::npos);
+  CHECK_FALSE(json::parse("\"\xff\"", error));  // no UTF-8
+  // Numbers stay as they were written; the next value after a nested one goes where it belongs.
+  const auto order = json::parse(R"([[1.50,[]],{"x":[{}]},-0.0,12345678901234567890123])", error);
+  REQUIRE(order);
+  REQUIRE(order->items.size() == 4);
+  CHECK_EQ(order->items[0].items[0].text, "1.50");
+  CHECK_EQ(order->items[3].text, "12345678901234567890123");
+  CHECK(order->items[1].find("x", json::Value::Type::kArray)->items.size() == 1);
+  CHECK_EQ(json::quote("a\"\\\n"), "\"a\\\"\\\\\\n\"");
 }
 
 TEST_CASE("an endpoint's answer means what the protocol's table says") {
