--- /dev/null
+++ b/lab/stand_ins.cpp
@@ -0,0 +1,171 @@
+#include "lab/stand_ins.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace myrtleloft::lab {
+namespace {
+
+constexpr const char* kListening = "listening on ";
+
+std::string answer(const std::string& status, const std::string& body = "") {
+  return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// The number behind `name=` in a request's first line; -1: none.
+std::int64_t argument(const std::string& start, const std::string& name) {
+  const std::size_t at = start.find(name + "=");
+  return at == std::string::npos ? -1 : std::atoll(start.c_str() + at + name.size() + 1);
+}
+
+// The text behind "name":" in a line of JSON.
+std::string member(const std::string& line, const std::string& name) {
+  const std::string mark = "\"" + name + "\":\"";
+  const std::size_t at = line.find(mark);
+  if (at == std::string::npos) return "";
+  const std::size_t from = at + mark.size();
+  return line.substr(from, line.find('"', from) - from);
+}
+
+}  // namespace
+
+double steadyMs() {
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+Endpoint::Endpoint(Hub& hub, std::string name, int serves) : uid(std::move(name)), destination(serves) {
+  address =
+      hub.listen({[this, &hub](Hub::Id from, const Message& m) {
+                    calls.push_back({steadyMs(), m.header("x-request-id"), status == 200});
+                    hub.send(from, answer(status == 200 ? "200 OK" : std::to_string(status) + " Refused"));
+                  },
+                  {},
+                  {}});
+}
+
+std::size_t Endpoint::callsSince(double ms) const {
+  return static_cast<std::size_t>(
+      std::count_if(calls.begin(), calls.end(), [ms](const Call& call) { return call.atMs >= ms; }));
+}
+
+Directory::Directory(Hub& hub) : hub_(hub) {
+  address_ = hub.listen({[this](Hub::Id from, const Message& m) { onMessage(from, m); },
+                         [this](Hub::Id from) { asked_.erase(from); },
+                         {}});
+}
+
+void Directory::tell(std::vector<Entry> entries) { tell(std::move(entries), rev_ + 1); }
+
+void Directory::tell(std::vector<Entry> entries, std::int64_t rev) {
+  entries_ = std::move(entries);
+  rev_ = rev;
+}
+
+void Directory::become(Mode mode) {
+  mode_ = mode;
+  for (auto& [from, asked] : asked_) asked.dueMs = steadyMs() + (mode == Mode::kSlow ? slowMs : 0);
+}
+
+void Directory::turn() {
+  if (mode_ == Mode::kSilent) return;
+  for (auto at = asked_.begin(); at != asked_.end();) {
+    // A watch whose rev is the present one waits.
+    if (steadyMs() < at->second.dueMs || at->second.after == rev_) {
+      ++at;
+      continue;
+    }
+    hub_.send(at->first, answer("200 OK", mode_ == Mode::kSpoilt ? "{\"rev\":" : list()));
+    at = asked_.erase(at);
+  }
+}
+
+void Directory::onMessage(Hub::Id from, const Message& m) {
+  if (m.start.starts_with("GET /discovery/hosts")) {
+    asked_[from] = {steadyMs() + (mode_ == Mode::kSlow ? slowMs : 0), argument(m.start, "after")};
+    return;
+  }
+  std::istringstream lines(m.body);
+  for (std::string line; std::getline(lines, line);)
+    notices_.emplace(member(line, "ref"), member(line, "result"));
+  hub_.send(from, "HTTP/1.1 204 No Content\r\n\r\n");
+}
+
+std::string Directory::list() const {
+  std::string text = "{\"rev\":" + std::to_string(rev_) + ",\"all\":true,\"targets\":[";
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    const Entry& e = entries_[i];
+    text += std::string(i ? "," : "") + R"({"uid":")" + e.uid + R"(","endpoint":")" + e.address +
+            R"(","az":")" + e.zone + R"(","model":")" + e.kind + R"(","pod_group":)" +
+            std::to_string(e.destination) + R"(,"state":")" + e.state +
+            R"(","capacity_hint":1000.0,"boot_ms":0})";
+  }
+  return text + "]}";
+}
+
+Program::Program(Hub& hub, std::string program, std::string folder, const std::string& config,
+                 const std::string& operatorFile)
+    : hub_(hub), program_(std::move(program)), folder_(std::move(folder)), operatorFile_(operatorFile) {
+  std::filesystem::create_directories(folder_ + "/state");
+  std::ofstream(folder_ + "/config.json") << config;
+}
+
+Program::~Program() { kill(); }
+
+void Program::start() {
+  address_.clear();
+  began_ = log_.size();
+  std::array<int, 2> ends{};
+  if (::pipe2(ends.data(), O_CLOEXEC) != 0) return;
+  child_ = ::fork();
+  if (child_ == 0) {
+    ::dup2(ends[1], STDERR_FILENO);
+    ::setenv("BALANCER_CONFIG", (folder_ + "/config.json").c_str(), 1);
+    ::setenv("BALANCER_STATE", (folder_ + "/state").c_str(), 1);
+    if (!operatorFile_.empty()) ::setenv("BALANCER_OPERATOR", operatorFile_.c_str(), 1);
+    ::execl(program_.c_str(), program_.c_str(), nullptr);
+    ::_exit(127);
+  }
+  ::close(ends[1]);
+  hub_.adopt(ends[0], {{}, {}, [this](Hub::Id, std::string& text) {
+                         log_ += std::exchange(text, "");
+                         const std::size_t at = log_.find(kListening, began_);
+                         if (!address_.empty() || at == std::string::npos) return;
+                         const std::size_t from = at + std::string(kListening).size();
+                         const std::size_t end = log_.find('\n', from);
+                         if (end != std::string::npos) address_ = log_.substr(from, end - from);
+                       }});
+}
+
+void Program::signal(int number) const {
+  if (child_ > 0) ::kill(child_, number);
+}
+
+void Program::kill() {
+  if (child_ <= 0) return;
+  ::kill(child_, SIGKILL);
+  ::waitpid(child_, nullptr, 0);
+  child_ = -1;
+}
+
+bool Program::ended(int& code) {
+  if (child_ <= 0) return true;
+  int status = 0;
+  if (::waitpid(child_, &status, WNOHANG) != child_) return false;
+  code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  child_ = -1;
+  return true;
+}
+
+}  // namespace myrtleloft::lab
--- /dev/null
+++ b/lab/stand_ins.h
@@ -0,0 +1,126 @@
+// The relay's surroundings as stand-ins on loopback: a directory that can be down, slow, silent or lie,
+// endpoints that record each call, and the relay's own process. They speak HTTP through lab/hub.h and share
+// no code with the relay.
+//
+//   Hub hub;
+//   Endpoint a(hub, "a", 7);
+//   Directory directory(hub);
+//   directory.tell({a.entry()});
+//   Program relay(hub, "build/myrtleloft", folder, config);
+//   relay.start();
+//   hub.run([&] { return relay.ready(); }, 2000);
+//
+// One thread; each must outlive the hub's last turn.
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lab/hub.h"
+
+namespace myrtleloft::lab {
+
+double steadyMs();
+
+struct Entry {
+  std::string uid, address, state = "active";  // "active", "leaving"; of changes also "left"
+  int destination = 0;
+  std::string zone = "norte", kind = "other";
+};
+
+class Endpoint {
+ public:
+  struct Call {
+    double atMs = 0;
+    std::string id;
+    bool run = false;  // else it was turned away
+  };
+  // Runs each call and answers 200, or turns it away with `status`.
+  Endpoint(Hub& hub, std::string uid, int destination);
+
+  Entry entry(const std::string& state = "active") const { return {uid, address, state, destination}; }
+  // Calls recorded from that moment on.
+  std::size_t callsSince(double ms) const;
+
+  const std::string uid;
+  const int destination;
+  std::string address;
+  int status = 200;
+  std::vector<Call> calls;
+};
+
+// Discovery, and the platform that takes notices at the same address.
+class Directory {
+ public:
+  enum class Mode {
+    kUp,
+    kSilent,  // takes questions and answers none
+    kSlow,    // each answer after `slowMs`
+    kSpoilt   // answers what is no list
+  };
+  explicit Directory(Hub& hub);
+
+  const std::string& address() const { return address_; }
+  // The whole list from now on, with the next rev; watches out are answered with it.
+  void tell(std::vector<Entry> entries);
+  // A rev of its own: backwards, too.
+  void tell(std::vector<Entry> entries, std::int64_t rev);
+  void become(Mode mode);
+  // Answers what is due; to be called often.
+  void turn();
+  Mode mode() const { return mode_; }
+  // By id: "dead" or "bounced".
+  const std::map<std::string, std::string>& notices() const { return notices_; }
+
+  double slowMs = 500;
+
+ private:
+  struct Asked {
+    double dueMs = 0;
+    std::int64_t after = -1;
+  };
+  void onMessage(Hub::Id from, const Message& m);
+  std::string list() const;
+
+  Hub& hub_;
+  std::string address_;
+  Mode mode_ = Mode::kUp;
+  std::vector<Entry> entries_;
+  std::int64_t rev_ = 0;
+  std::map<Hub::Id, Asked> asked_;
+  std::map<std::string, std::string> notices_;
+};
+
+// A relay's process, its log, and where it listens.
+class Program {
+ public:
+  // `config`: the text of BALANCER_CONFIG's file; `folder` gets it and the state.
+  Program(Hub& hub, std::string program, std::string folder, const std::string& config,
+          const std::string& operatorFile = "");
+  ~Program();
+  Program(const Program&) = delete;
+  Program& operator=(const Program&) = delete;
+
+  void start();
+  void signal(int number) const;
+  // SIGKILL, and waits for it.
+  void kill();
+  // Whether it has ended; `code` is its exit code then, -1 after a signal.
+  bool ended(int& code);
+  bool ready() const { return !address_.empty(); }
+  const std::string& address() const { return address_; }
+  const std::string& log() const { return log_; }
+
+ private:
+  Hub& hub_;
+  std::string program_, folder_, operatorFile_, address_, log_;
+  std::size_t began_ = 0;
+  pid_t child_ = -1;
+};
+
+}  // namespace myrtleloft::lab
