--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -180,10 +180,10 @@
   }
   OperatorFile file;
   for (const auto& [key, node] : root) {
-    if (key.str() == "journal" || key.str() == "membership") continue;
+    if (key.str() == "journal" || key.str() == "membership" || key.str() == "log") continue;
     const toml::source_position at = key.source().begin;
     throw ConfigError(name + ":" + std::to_string(at.line) + ":" + std::to_string(at.column) + ": " +
-                      std::string(key.str()) + ": unknown; known here: journal, membership");
+                      std::string(key.str()) + ": unknown; known here: journal, membership, log");
   }
   section(root, "journal", name, [&](Section& s) {
     if (const auto kb = s.whole("segment_kb", 4, 1024 * 1024))
@@ -195,6 +195,13 @@
     if (const auto at = s.choice("durability", {"process", "group"}))
       file.journal.durability = *at == 1 ? Durability::kGroup : Durability::kProcess;
   });
+  section(root, "log", name, [&](Section& s) {
+    if (const auto at = s.choice("format", {"plain", "logfmt", "json"}))
+      file.log.format = static_cast<int>(*at);
+    if (const auto at = s.choice("level", {"debug", "info", "warning", "error"}))
+      file.log.level = static_cast<int>(*at);
+    file.log.againMs = s.whole("again_ms", 0, 3600000).value_or(file.log.againMs);
+  });
   section(root, "membership", name, [&](Section& s) { readMembership(s, file.membership); });
   return file;
 }
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -44,6 +44,11 @@
     std::vector<std::string> directories;  // beside the configuration's, as ADDRESS:PORT
     std::int64_t backOffMs = 100, mostBackOffMs = 100;
   } membership;
+  struct Log {
+    int format = 0;  // plain, logfmt, json
+    int level = 1;   // debug, info, warning, error
+    std::int64_t againMs = 1000;
+  } log;
 };
 
 // Throws ConfigError. `name` goes before each fault.
--- a/src/discovery/kept_list.cpp
+++ b/src/discovery/kept_list.cpp
@@ -385,7 +385,9 @@
   restMs_ = std::clamp(2 * restMs_, options_.tuning.restMs, options_.tuning.mostRestMs);
   restUntilMs_ = parts_.clock.steadyMs() + restMs_;
   const std::string fault = std::string("cannot ") + what + " the list of endpoints: " + std::strerror(error);
-  if (fault != lastFault_) parts_.log << "discovery: " << fault << std::endl;
+  if (fault != lastFault_)
+    parts_.log.write(LogLevel::kError, "list.fault", "discovery: " + fault,
+                     {{"what", what}, {"error", std::strerror(error)}});
   lastFault_ = fault;
 }
 
--- a/src/discovery/kept_list.h
+++ b/src/discovery/kept_list.h
@@ -19,7 +19,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <ostream>
 #include <set>
 #include <string>
 #include <string_view>
@@ -29,6 +28,7 @@
 #include "discovery/trust.h"
 #include "journal/disk_share.h"
 #include "journal/files.h"
+#include "log/log.h"
 #include "net/clock.h"
 
 namespace myrtleloft {
@@ -65,7 +65,7 @@
     Files& files;
     const Clock& clock;
     DiskShare& disk;
-    std::ostream& log;
+    Log log;
   };
   struct Options {
     std::string folder;
--- a/src/discovery/membership.cpp
+++ b/src/discovery/membership.cpp
@@ -22,14 +22,18 @@
   if (options_.keeps) {
     found = readKept(parts_.files, options_.kept.folder, &options_.kept.names);
     if (!found.fault.empty())
-      parts_.log << "discovery: the kept list is "
-                 << (found.there ? "not whole, what was told last may be missing: " : "not used: ")
-                 << found.fault << std::endl;
+      parts_.log.write(LogLevel::kWarning, found.there ? "list.cut-off" : "list.unusable",
+                       std::string("discovery: the kept list is ") +
+                           (found.there ? "not whole, what was told last may be missing: " : "not used: ") +
+                           found.fault,
+                       {{"fault", found.fault}});
     if (found.unknownNames > 0)
-      parts_.log
-          << "discovery: " << found.unknownNames
-          << " endpoints of the kept list are in zones or of kinds that the configuration does not name"
-          << std::endl;
+      parts_.log.write(
+          LogLevel::kWarning, "list.unknown-names",
+          "discovery: " + std::to_string(found.unknownNames) +
+              " endpoints of the kept list are in zones or of kinds that the configuration does not "
+              "name",
+          {{"endpoints", found.unknownNames}});
     kept_.begin(found);
   }
   const ListOffer kept{found.there, found.list.rev, found.told, found.whole};
@@ -39,13 +43,18 @@
   confirmed_ = useKept ? found.told : told.told;
   capped_ = useKept && !found.whole;
   if (beginning != Beginning::kNothing) {
-    parts_.log << "discovery: beginning with the " << (useKept ? "kept list" : "list of the configuration")
-               << ", rev " << (useKept ? found.list.rev : known.rev) << ", ";
-    if (const ListAge a = age(); a.known)
-      parts_.log << "last confirmed " << std::llround(a.ms / 1000) << " s ago";
-    else
-      parts_.log << "of unknown age";
-    parts_.log << ", " << nameOf(trust()) << std::endl;
+    const std::int64_t rev = useKept ? found.list.rev : known.rev;
+    const ListAge a = age();
+    const std::string seconds = a.known ? std::to_string(std::llround(a.ms / 1000)) : "unknown";
+    parts_.log.write(
+        LogLevel::kInfo, "list.begin",
+        std::string("discovery: beginning with the ") +
+            (useKept ? "kept list" : "list of the configuration") + ", rev " + std::to_string(rev) +
+            (a.known ? ", last confirmed " + seconds + " s ago, " : ", of unknown age, ") + nameOf(trust()),
+        {{"from", useKept ? "kept" : "configuration"},
+         {"rev", rev},
+         {"age_s", seconds},
+         {"trust", nameOf(trust())}});
   }
   return set_.apply(useKept ? found.list : known, ListKind::kDisk, confirmed_.wallMs).event;
 }
@@ -56,20 +65,28 @@
   const bool back = list.rev < set_.rev() && !set_.empty();
   if (back && !list.all) {
     ++parts_.counters.listsDoubted;
-    parts_.log << "discovery: a change of rev " << list.rev << " does not follow on rev " << set_.rev()
-               << "; asking for the whole list" << std::endl;
+    parts_.log.repeated(parts_.clock.steadyMs(), LogLevel::kWarning, "list.gap",
+                        "discovery: a change of rev " + std::to_string(list.rev) +
+                            " does not follow on rev " + std::to_string(set_.rev()) +
+                            "; asking for the whole list",
+                        {{"rev", list.rev}, {"known", set_.rev()}});
     wantsWhole_ = true;
     return std::nullopt;
   }
   if (back && another && trust() == Trust::kFresh) {
     ++parts_.counters.listsDoubted;
-    parts_.log << "discovery: directory " << directory << " has rev " << list.rev << ", rev " << set_.rev()
-               << " was told by another; not believed while that is fresh" << std::endl;
+    parts_.log.repeated(parts_.clock.steadyMs(), LogLevel::kWarning, "list.contradicted",
+                        "discovery: directory " + std::to_string(directory) + " has rev " +
+                            std::to_string(list.rev) + ", rev " + std::to_string(set_.rev()) +
+                            " was told by another; not believed while that is fresh",
+                        {{"directory", directory}, {"rev", list.rev}, {"known", set_.rev()}});
     return std::nullopt;
   }
   if (back)
-    parts_.log << "discovery: the directory has gone back from rev " << set_.rev() << " to " << list.rev
-               << std::endl;
+    parts_.log.repeated(parts_.clock.steadyMs(), LogLevel::kWarning, "list.back",
+                        "discovery: the directory has gone back from rev " + std::to_string(set_.rev()) +
+                            " to " + std::to_string(list.rev),
+                        {{"rev", list.rev}, {"known", set_.rev()}});
   // Revs of two directories may count different things: after a change of directory only all of it counts.
   if (another && !list.all) {
     wantsWhole_ = true;
@@ -84,8 +101,10 @@
     if (missing == 0) guard_.close();
     if (keep && !held) {
       ++parts_.counters.listsDoubted;
-      parts_.log << "discovery: a list leaves out " << missing << " of " << set_.all().size()
-                 << " endpoints at once; they are kept for now" << std::endl;
+      parts_.log.write(LogLevel::kWarning, "list.guard",
+                       "discovery: a list leaves out " + std::to_string(missing) + " of " +
+                           std::to_string(set_.all().size()) + " endpoints at once; they are kept for now",
+                       {{"missing", missing}, {"endpoints", set_.all().size()}});
     }
   }
   wantsWhole_ = doubted_ = false;
@@ -114,8 +133,10 @@
   if (!guard_.over(nowMs)) return std::nullopt;
   guard_.close();
   Applied applied = set_.dropMissing();
-  parts_.log << "discovery: " << applied.changed.size() << " endpoints that were left out go now"
-             << std::endl;
+  parts_.log.write(
+      LogLevel::kWarning, "list.guard-over",
+      "discovery: " + std::to_string(applied.changed.size()) + " endpoints that were left out go now",
+      {{"endpoints", applied.changed.size()}});
   if (options_.keeps) kept_.changed(applied.changed);
   if (applied.event.entries.empty()) return std::nullopt;
   return std::move(applied.event);
@@ -131,14 +152,13 @@
 void Membership::tellTrust() {
   const Trust state = trust();
   if (state == toldTrust_) return;
-  parts_.log << "discovery: the list is " << nameOf(state) << "; refused are:";
-  bool any = false;
-  for (const Class& c : options_.classes) {
-    if (trust_.accepts(state, c.name, c.repeat)) continue;
-    parts_.log << ' ' << c.name;
-    any = true;
-  }
-  parts_.log << (any ? "" : " none") << std::endl;
+  std::string refused;
+  for (const Class& c : options_.classes)
+    if (!trust_.accepts(state, c.name, c.repeat)) refused += " " + c.name;
+  if (refused.empty()) refused = " none";
+  parts_.log.write(state == Trust::kFresh ? LogLevel::kInfo : LogLevel::kWarning, "list.trust",
+                   std::string("discovery: the list is ") + nameOf(state) + "; refused are:" + refused,
+                   {{"trust", nameOf(state)}, {"refused", refused.substr(1)}});
   toldTrust_ = state;
 }
 
--- a/src/discovery/membership.h
+++ b/src/discovery/membership.h
@@ -22,7 +22,6 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
-#include <ostream>
 #include <string>
 #include <vector>
 
@@ -31,6 +30,7 @@
 #include "discovery/kept_list.h"
 #include "discovery/removal_guard.h"
 #include "discovery/trust.h"
+#include "log/log.h"
 #include "net/clock.h"
 
 namespace myrtleloft {
@@ -42,7 +42,7 @@
     const Clock& clock;
     DiskShare& disk;
     Counters& counters;
-    std::ostream& log;
+    Log log;
   };
   struct Class {
     std::string name;
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -79,7 +79,9 @@
   const auto list = value ? readList(*value, options_.names, error) : std::nullopt;
   if (!list) {  // the last list stays
     ++parts_.counters.listFaults;
-    if (error != lastError_) parts_.log << "discovery's list not taken: " << error << std::endl;
+    if (error != lastError_)
+      parts_.log.write(LogLevel::kWarning, "list.unreadable", "discovery's list not taken: " + error,
+                       {{"fault", error}, {"directory", turn_.current()}});
     lastError_ = error;  // it is asked for ten times a second: said once is enough
     return false;
   }
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -4,7 +4,6 @@
 
 #include <functional>
 #include <memory>
-#include <ostream>
 #include <random>
 #include <string>
 #include <vector>
@@ -24,7 +23,7 @@
     Loop& loop;
     Membership& membership;
     Counters& counters;
-    std::ostream& log;
+    Log log;
   };
   struct Options {
     ListNames names;
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -4,7 +4,6 @@
 
 #include <deque>
 #include <map>
-#include <ostream>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -32,7 +31,6 @@
     Notices& notices;
     Outbound& outbound;
     Counters& counters;
-    std::ostream& log;
   };
   Exchange(const Parts& parts, const Settings& settings, std::function<void()> fetchList);
 
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -12,7 +12,6 @@
 
 constexpr const char* kTakeOver = "journal.takeover";
 constexpr const char* kOldLeftover = "journal.new";  // of a version 1 process that ended while compacting
-constexpr double kTellMs = 1000;                     // at most one line about faults in so long
 constexpr std::size_t kMostReleased = 4;             // segments removed in one slice
 constexpr std::size_t kEndsAtOnce = 64;
 constexpr std::size_t kLookAtClock = 16;  // records of a slice between two looks
@@ -32,15 +31,9 @@
   ++figures_.faults;
   const double now = parts_.clock.steadyMs();
   restUntilMs_ = now + planner_.tuning().restMs;
-  if (now < toldMs_ + kTellMs) {
-    ++untold_;
-    return false;
-  }
-  parts_.log << "journal: cannot " << what << ' ' << name << ": " << std::strerror(error);
-  if (untold_ > 0) parts_.log << " (and " << untold_ << " faults before)";
-  parts_.log << std::endl;
-  toldMs_ = now;
-  untold_ = 0;
+  parts_.log.repeated(now, LogLevel::kError, "journal.fault",
+                      std::string("journal: cannot ") + what + ' ' + name + ": " + std::strerror(error),
+                      {{"what", what}, {"file", name}, {"error", std::strerror(error)}});
   return false;
 }
 
@@ -61,11 +54,15 @@
     return false;
   }
   for (const Damage& d : found.damage)
-    parts_.log << "journal: " << d.file << " is " << d.what << " at byte " << d.offset << ", " << d.bytes
-               << " bytes" << std::endl;
+    parts_.log.write(LogLevel::kError, "journal.damage",
+                     "journal: " + d.file + " is " + d.what + " at byte " + std::to_string(d.offset) + ", " +
+                         std::to_string(d.bytes) + " bytes",
+                     {{"file", d.file}, {"offset", d.offset}, {"bytes", d.bytes}, {"what", d.what}});
   if (!found.damage.empty())
-    parts_.log << "journal: damage put " << found.doubted << " requests in doubt, and left only the name of "
-               << found.bodiesLost << std::endl;
+    parts_.log.write(LogLevel::kError, "journal.doubt",
+                     "journal: damage put " + std::to_string(found.doubted) +
+                         " requests in doubt, and left only the name of " + std::to_string(found.bodiesLost),
+                     {{"doubted", found.doubted}, {"bodies_lost", found.bodiesLost}});
   const std::vector<Spoilt> spoilt = readDamage(found);
   adopt(found);
   if (found.versionOne && !takeOver(found, error)) return false;
@@ -166,7 +163,10 @@
     link(request.owed.ticket, segment);
     setLive(entries_[request.owed.ticket], recordBytes(request.owed));
   }
-  parts_.log << "journal: taken over from version 1, " << found.owed.size() << " requests owed" << std::endl;
+  parts_.log.write(
+      LogLevel::kInfo, "journal.taken-over",
+      "journal: taken over from version 1, " + std::to_string(found.owed.size()) + " requests owed",
+      {{"owed", found.owed.size()}});
   return true;
 }
 
@@ -231,7 +231,8 @@
       fault("write", name, error);
       return;
     }
-    parts_.log << "journal: kept the damaged bytes in " << name << std::endl;
+    parts_.log.write(LogLevel::kWarning, "journal.kept-damage", "journal: kept the damaged bytes in " + name,
+                     {{"file", name}});
   }
 }
 
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -24,7 +24,6 @@
 #include <deque>
 #include <list>
 #include <memory>
-#include <ostream>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +34,7 @@
 #include "journal/records.h"
 #include "journal/recovery.h"
 #include "journal/syncer.h"
+#include "log/log.h"
 #include "net/clock.h"
 
 namespace myrtleloft {
@@ -61,7 +61,7 @@
   struct Parts {
     Files& files;
     const Clock& clock;
-    std::ostream& log;
+    Log log;
     Syncer* syncer = nullptr;  // with one, the level is `group`
   };
 
@@ -192,8 +192,7 @@
   std::vector<std::shared_ptr<OutFile>> unsynced_;  // the sealed ones among them first
   bool newNames_ = false, syncing_ = false;
   std::uint64_t distrustTo_ = 0;  // a sync failed: segments up to this one are to be written anew; 0: none
-  double restUntilMs_ = 0, toldMs_ = -1e18;
-  std::uint64_t untold_ = 0;
+  double restUntilMs_ = 0;
   JournalFigures figures_;
 };
 
--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ostream>
 
 #include "json/json.h"
 
@@ -66,7 +65,11 @@
   // One notice that cannot be read must not hold back the others: alone it is set aside.
   const bool unreadable = status == 400 && posted == 1;
   if (confirmed || unreadable) {
-    if (unreadable) log_ << "notice not accepted: " << waiting_.front().line << std::flush;
+    if (unreadable) {
+      const std::string& line = waiting_.front().line;
+      log_.write(LogLevel::kError, "notice.refused",
+                 "notice not accepted: " + line.substr(0, line.size() - 1), {{"ref", waiting_.front().id}});
+    }
     if (confirmed) counters_.notices += posted;
     oneByOne_ = unreadable || (oneByOne_ && waiting_.size() > posted);
     for (std::size_t i = 0; i < posted; ++i) {
--- a/src/notices/notices.h
+++ b/src/notices/notices.h
@@ -9,6 +9,7 @@
 
 #include "counters/counters.h"
 #include "journal/journal.h"
+#include "log/log.h"
 #include "net/client_connection.h"
 #include "net/loop.h"
 
@@ -18,7 +19,7 @@
  public:
   using Confirmed = std::function<void(const std::string& id)>;
 
-  Notices(Loop& loop, const Address& platform, Counters& counters, std::ostream& log)
+  Notices(Loop& loop, const Address& platform, Counters& counters, Log log)
       : loop_(loop), platform_(platform), counters_(counters), log_(log) {}
 
   void onConfirmed(Confirmed confirmed) { confirmed_ = std::move(confirmed); }
@@ -39,7 +40,7 @@
   Loop& loop_;
   const Address& platform_;  // the configuration's, which may change
   Counters& counters_;
-  std::ostream& log_;
+  Log log_;
   Confirmed confirmed_;
   std::deque<Notice> waiting_;  // those posted first, then those that came since
   std::size_t posted_ = 0;      // 0: no call is out
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <random>
+#include <sstream>
 
 #include "config/config.h"
 #include "counters/counters.h"
@@ -63,6 +64,12 @@
   return options;
 }
 
+LogOptions logOptions(const Config& config) {
+  const OperatorFile::Log& log = config.operatorFile.log;
+  return {static_cast<LogFormat>(log.format), static_cast<LogLevel>(log.level), config.name,
+          static_cast<double>(log.againMs)};
+}
+
 // The list's two files, the one and the one that replaces it, have a tenth of the disk.
 constexpr std::size_t kListPerDisk = 10;
 
@@ -98,9 +105,9 @@
 class Relay::Impl {
  public:
   Impl(const Environment& environment, std::ostream& log, const RelayParts& parts)
-      : log_(log),
-        clock_(parts.clock ? *parts.clock : systemClock_),
+      : clock_(parts.clock ? *parts.clock : systemClock_),
         live_(environment),
+        log_(log, logOptions(config_), clock_),
         loop_(clock_),
         files_(parts.files ? *parts.files : posixFiles_),
         syncer_(config_.operatorFile.journal.durability == Durability::kGroup
@@ -113,8 +120,8 @@
                   {config_.settings.connectTimeoutMs, config_.settings.connIdleMs, idleConnections(config_),
                    config_.reportColumns}),
         watch_({loop_, membership_, counters_, log_}, config_.discovery, watchOptions(config_)),
-        exchange_({loop_, clock_, membership_, journal_, notices_, outbound_, counters_, log_},
-                  config_.settings, [this] { watch_.fetch(); }),
+        exchange_({loop_, clock_, membership_, journal_, notices_, outbound_, counters_}, config_.settings,
+                  [this] { watch_.fetch(); }),
         inbound_(loop_, exchange_, counters_, {config_.classes, config_.tenants},
                  clientConnections(config_)) {
     outbound_.listen(exchange_);
@@ -125,11 +132,13 @@
     enter(Phase::kStarting);
     std::string error;
     if (!takeSignals() || !inbound_.open(config_.listen, error) || !recover(error)) {
-      log_ << config_.name << ": " << (error.empty() ? "signals cannot be taken" : error) << std::endl;
+      if (error.empty()) error = "signals cannot be taken";
+      log_.write(LogLevel::kError, "relay.failed", config_.name + ": " + error, {{"error", error}});
       enter(Phase::kStopped);
       return 1;
     }
-    log_ << config_.name << ": listening on " << inbound_.listening() << std::endl;
+    log_.write(LogLevel::kInfo, "relay.listening", config_.name + ": listening on " + inbound_.listening(),
+               {{"address", inbound_.listening()}});
     enter(Phase::kServing);
     inbound_.setReady(true);
     while (phase_ != Phase::kStopped) loop_.runOnce();
@@ -149,27 +158,30 @@
 
   Phase phase() const { return phase_; }
   void printCounters() const {
-    counters_.print(log_);
+    std::ostringstream out;
+    counters_.print(out);
     const JournalFigures& f = journal_.figures();
     const JournalRoom room = journal_.room();
-    log_ << "counters journal: bytes=" << room.used << " of=" << room.disk << " owed=" << room.live
-         << " reserved=" << room.reserved << " segments=" << room.segments << " released=" << f.released
-         << " slices=" << f.slices << " taken-bytes=" << f.takenBytes << " written-bytes=" << f.writtenBytes
-         << " carried-bytes=" << f.carriedBytes << " faults=" << f.faults << std::endl;
+    out << "counters journal: bytes=" << room.used << " of=" << room.disk << " owed=" << room.live
+        << " reserved=" << room.reserved << " segments=" << room.segments << " released=" << f.released
+        << " slices=" << f.slices << " taken-bytes=" << f.takenBytes << " written-bytes=" << f.writtenBytes
+        << " carried-bytes=" << f.carriedBytes << " faults=" << f.faults << '\n';
     const KeptList::Figures& k = membership_.kept().figures();
     const ListAge age = membership_.age();
-    log_ << "counters membership: rev=" << membership_.set().rev()
-         << " endpoints=" << membership_.set().all().size()
-         << " age-s=" << (age.known ? static_cast<std::int64_t>(age.ms / 1000) : -1)
-         << " trust=" << nameOf(membership_.trust()) << " kept-bytes=" << membership_.kept().fileBytes()
-         << " commits=" << k.commits << " rewrites=" << k.rewrites << " slices=" << k.slices
-         << " written-bytes=" << k.writtenBytes << " faults=" << k.faults << std::endl;
+    out << "counters membership: rev=" << membership_.set().rev()
+        << " endpoints=" << membership_.set().all().size()
+        << " age-s=" << (age.known ? static_cast<std::int64_t>(age.ms / 1000) : -1)
+        << " trust=" << nameOf(membership_.trust()) << " kept-bytes=" << membership_.kept().fileBytes()
+        << " commits=" << k.commits << " rewrites=" << k.rewrites << " slices=" << k.slices
+        << " written-bytes=" << k.writtenBytes << " faults=" << k.faults << '\n';
+    log_.pairs(out.str());
   }
 
  private:
   void enter(Phase phase) {
     phase_ = phase;
-    log_ << config_.name << ": " << nameOf(phase) << std::endl;
+    log_.write(LogLevel::kInfo, "relay.phase", config_.name + ": " + nameOf(phase),
+               {{"phase", nameOf(phase)}});
   }
 
   bool recover(std::string& error) {
@@ -181,7 +193,9 @@
     if (syncer_) loop_.watch(syncer_->fd(), POLLIN, [this](short) { exchange_.onSynced(); });
     Recovered found;
     if (!journal_.open(found, error)) return false;
-    log_ << config_.name << ": " << found.owed.size() << " requests owed from before" << std::endl;
+    log_.write(LogLevel::kInfo, "relay.owed",
+               config_.name + ": " + std::to_string(found.owed.size()) + " requests owed from before",
+               {{"owed", found.owed.size()}});
     exchange_.recover(std::move(found), membership_.begin(config_.known, config_.writtenWallMs));
     watch_.start([this](ListEvent event) { exchange_.onList(std::move(event)); });
     return true;
@@ -228,22 +242,24 @@
     const std::string before = config_.discovery.text, fault = live_.reload();
     if (!fault.empty()) {
       ++counters_.reloadFaults;
-      log_ << config_.name << ": the configuration stays as it was: " << fault << std::endl;
+      log_.write(LogLevel::kError, "config.refused",
+                 config_.name + ": the configuration stays as it was: " + fault, {{"fault", fault}});
       return;
     }
     ++counters_.reloads;
-    log_ << config_.name << ": configuration read again, discovery at " << config_.discovery.text
-         << std::endl;
+    log_.write(LogLevel::kInfo, "config.reloaded",
+               config_.name + ": configuration read again, discovery at " + config_.discovery.text,
+               {{"discovery", config_.discovery.text}});
     if (config_.discovery.text == before) return;
     watch_.fetch();
     notices_.moved();
   }
 
-  std::ostream& log_;
   Clock systemClock_;
   const Clock& clock_;
   LiveConfig live_;
   const Config& config_ = live_.get();
+  Log log_;
   Counters counters_;
   Loop loop_;
   Fd signals_;
--- a/tests/command_line_test.cpp
+++ b/tests/command_line_test.cpp
@@ -215,6 +215,9 @@
   CHECK(has(fault("guard_percent = 100\n"), "expected a whole number from 0 to 99"));
   CHECK(has(fault("[membership.classes]\na = \"never\"\n"),
             "f.toml:3:5: membership.classes.a: expected one of"));
+  CHECK(has(faultOf("[log]\nformat = \"xml\"\n"),
+            "log.format: expected one of \"plain\", \"logfmt\", \"json\""));
+  CHECK_EQ(parseOperatorFile("[log]\nformat = \"json\"\nlevel = \"error\"\n", "f").log.level, 3);
   CHECK(has(fault("fresh = 3\n"), "membership.fresh: unknown; known here: keep, refuse, fresh_s"));
 }
 
--- /dev/null
+++ b/tests/log_test.cpp
@@ -0,0 +1,71 @@
+// The log's formats, what comes from outside in them, and faults that repeat.
+#include "log/log.h"
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+
+using namespace myrtleloft;
+
+namespace {
+
+struct FixedClock : Clock {
+  double wallMs() const override { return 1764581400123; }  // 2025-12-01T09:30:00.123Z
+};
+
+std::string written(const LogOptions& options, const std::string& text, const Log::Fields& fields) {
+  const FixedClock clock;
+  std::ostringstream out;
+  Log(out, options, clock).write(LogLevel::kWarning, "list.gap", text, fields);
+  return out.str();
+}
+
+}  // namespace
+
+TEST_CASE("a line in each format, and none that text from outside could begin") {
+  const std::string text = "a \"b\"\nlevel=error c=d";
+  const Log::Fields fields = {{"rev", 41}, {"file", "x y"}, {"plain", "abc"}, {"whole", true}, {"part", 0.5}};
+  CHECK_EQ(written({}, text, fields), "a \"b\" level=error c=d\n");
+  CHECK_EQ(
+      written({LogFormat::kLogfmt, LogLevel::kInfo, "n3", 0}, text, fields),
+      "time=2025-12-01T09:30:00.123Z level=warning relay=n3 event=list.gap rev=41 file=\"x y\" plain=abc "
+      "whole=true part=0.5 msg=\"a \\\"b\\\" level=error c=d\"\n");
+  const std::string line = written({LogFormat::kJson, LogLevel::kInfo, "n3", 0}, text, fields);
+  CHECK(line.find('\n') == line.size() - 1);
+  const auto json = nlohmann::json::parse(line);
+  CHECK(json["time"] == "2025-12-01T09:30:00.123Z");
+  CHECK(json["level"] == "warning");
+  CHECK(json["event"] == "list.gap");
+  CHECK(json["rev"] == 41);
+  CHECK(json["file"] == "x y");
+  CHECK(json["msg"] == "a \"b\" level=error c=d");
+  // Bytes that are no text must not spoil the line.
+  CHECK(nlohmann::json::accept(
+      written({LogFormat::kJson, LogLevel::kInfo, "", 0}, "\xff\x01", {{"id", "\xfe"}})));
+  CHECK(written({LogFormat::kLogfmt, LogLevel::kError, "", 0}, text, fields).empty());
+}
+
+TEST_CASE("a fault that repeats is said once in a while, with how often it came") {
+  const FixedClock clock;
+  std::ostringstream out;
+  const Log log(out, {}, clock);
+  const Log copy = log;
+  log.repeated(0, LogLevel::kError, "journal.fault", "x", {});
+  for (int ms = 1; ms < 1000; ++ms) copy.repeated(ms, LogLevel::kError, "journal.fault", "x", {});
+  log.repeated(500, LogLevel::kError, "list.gap", "another", {});
+  log.repeated(1000, LogLevel::kError, "journal.fault", "x", {});
+  log.repeated(5000, LogLevel::kError, "journal.fault", "x", {});
+  CHECK_EQ(out.str(), "x\nanother\nx (and 999 before)\nx\n");
+}
+
+TEST_CASE("counters become events with fields") {
+  const FixedClock clock;
+  std::ostringstream out;
+  Log(out, {LogFormat::kJson, LogLevel::kInfo, "", 0}, clock).pairs("counters in: requests=3 trust=old\n");
+  const auto json = nlohmann::json::parse(out.str());
+  CHECK(json["event"] == "counters.in");
+  CHECK(json["requests"] == 3);
+  CHECK(json["trust"] == "old");
+}
