--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -76,6 +76,7 @@
     const std::size_t arrow = line.find_first_of("<>");
     if (verb == "endpoint") return endpoint(name, rest);
     if (verb == "config") return change(line.substr(line.find(' ') + 1));
+    if (verb == "written") return void(writtenDaysAgo_ = std::stoi(name));
     if (verb == "variable") return variables_.push_back(filled(name));
     if (verb == "listener") return listen(name);
     if (verb == "start") return start();
@@ -142,6 +143,8 @@
 
   void start() {
     writeConfig();
+    fs::last_write_time(folder_ / "config.json",
+                        fs::file_time_type::clock::now() - std::chrono::hours(24 * writtenDaysAgo_));
     int out[2];
     if (::pipe2(out, O_CLOEXEC) != 0) throw Failure("no pipe");
     std::vector<std::string> variables = variables_;
@@ -266,6 +269,7 @@
   std::map<std::string, std::string> addresses_;
   std::vector<std::pair<std::string, std::string>> changes_;
   std::vector<std::string> variables_;
+  int writtenDaysAgo_ = 0;
   std::map<std::string, Peer> peers_;
   Fd output_;
   pid_t child_ = -1;
