Let the kept list's changes take several slices in its crash test

Cause: a commit written before all changes went unnoticed, since no test had more changes than one slice takes.

Change: eight endpoints a slice in the test that ends the process at each operation.

Measured: passes; fails with the commit written too early.

--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -136,6 +136,7 @@
   Disk whole;
   Membership::Options options;
   options.kept.tuning.leastGrowth = 2000;
+  options.kept.tuning.endpointsPerSlice = 8;  // so that changes, too, take several slices
   {
     Process process(whole, clock, options);
     day(process, states);
