Decide beliefs without I/O, and end what was put off together with its request

Change: `believe` in trust.h says what of an answer counts. After a restart with endpoints left out the whole list is asked for. A send that was put off goes with its request, and frees its slot at once. One rule for lists without their end, one indexOf, and a check that nothing could reach is gone.

--- a/lab/faulty_files.cpp
+++ b/lab/faulty_files.cpp
@@ -111,6 +111,7 @@
 int FaultyFiles::read(const std::string& path, std::string& bytes, std::size_t most) {
   if (crashed_) return EIO;
   if (readFault_) return readFault_;
+  if (path == unreadable_) return unreadableFault_;
   const auto at = disk_.files.find(path);
   if (at == disk_.files.end()) return ENOENT;
   bytes = at->second.substr(0, most);
--- a/lab/faulty_files.h
+++ b/lab/faulty_files.h
@@ -53,6 +53,7 @@
   void failAt(std::uint64_t n, std::uint64_t count, int error, std::size_t put = 0);
   void failRemovalOf(const std::string& path, int error) { kept_ = path, keptFault_ = error; }
   void failReads(int error) { readFault_ = error; }
+  void failReadsOf(const std::string& path, int error) { unreadable_ = path, unreadableFault_ = error; }
   bool crashed() const { return crashed_; }
   std::uint64_t operations() const { return count_; }
   const std::vector<Operation>& log() const { return log_; }
@@ -77,7 +78,8 @@
   Disk& disk_;
   std::uint64_t count_ = 0, crashAt_ = 0, failFrom_ = 0, failCount_ = 0;
   std::size_t torn_ = 0, failPut_ = 0;
-  int failWith_ = 0, readFault_ = 0;
+  int failWith_ = 0, readFault_ = 0, unreadableFault_ = 0;
+  std::string unreadable_;
   bool crashed_ = false;
   std::string kept_;
   int keptFault_ = 0;
--- a/src/cli/list_tool.cpp
+++ b/src/cli/list_tool.cpp
@@ -41,8 +41,7 @@
       code = kExitCannot;
     }
     age = ageOf(found.told, now());
-    trust = rules.of(age);
-    if (!found.whole) trust = std::max(trust, Trust::kOld);
+    trust = rules.of(age, found.whole);
   }
   Json summary() const {
     std::size_t draining = 0, missing = 0;
--- a/src/discovery/destination_set.cpp
+++ b/src/discovery/destination_set.cpp
@@ -8,12 +8,6 @@
 constexpr char kReused = '\x1f';
 constexpr std::size_t kLongestUid = 1024;  // no name is longer; the kept list's records are bounded
 
-std::optional<int> indexOf(const std::vector<std::string>& names, const std::string& name) {
-  const auto at = std::find(names.begin(), names.end(), name);
-  if (at == names.end()) return std::nullopt;
-  return static_cast<int>(at - names.begin());
-}
-
 std::optional<RouteState> readState(const std::string& text) {
   if (text == "active") return RouteState::kRunning;
   if (text == "leaving") return RouteState::kStopping;
@@ -51,6 +45,12 @@
 
 }  // namespace
 
+std::optional<int> indexOf(const std::vector<std::string>& names, std::string_view name) {
+  const auto at = std::find(names.begin(), names.end(), name);
+  if (at == names.end()) return std::nullopt;
+  return static_cast<int>(at - names.begin());
+}
+
 std::optional<DestinationList> readList(const json::Value& value, const ListNames& names,
                                         std::string& error) {
   DestinationList list;
--- a/src/discovery/destination_set.h
+++ b/src/discovery/destination_set.h
@@ -41,6 +41,8 @@
   std::vector<std::string> zones, kinds;
 };
 
+std::optional<int> indexOf(const std::vector<std::string>& names, std::string_view name);
+
 // On failure nothing, and in `error` the faulty key. A list is taken whole or not at all.
 std::optional<DestinationList> readList(const json::Value& value, const ListNames& names, std::string& error);
 
--- a/src/discovery/kept_list.cpp
+++ b/src/discovery/kept_list.cpp
@@ -88,11 +88,11 @@
   return k;
 }
 
-// The index in `names` of what stands under `index` in the file's own names; -1: none.
-int indexIn(const std::vector<std::string>& names, const std::vector<std::string>& own, std::int32_t index) {
-  if (index < 0 || static_cast<std::size_t>(index) >= own.size()) return -1;
-  const auto at = std::find(names.begin(), names.end(), own[static_cast<std::size_t>(index)]);
-  return at == names.end() ? -1 : static_cast<int>(at - names.begin());
+// The index in `names` of what stands under `index` in the file's own names.
+std::optional<int> indexIn(const std::vector<std::string>& names, const std::vector<std::string>& own,
+                           std::int32_t index) {
+  if (index < 0 || static_cast<std::size_t>(index) >= own.size()) return std::nullopt;
+  return indexOf(names, own[static_cast<std::size_t>(index)]);
 }
 
 class Reading {
@@ -174,12 +174,14 @@
     entry.address = *address;
     entry.entry.target = e.uid;
     const ListNames& names = names_ ? *names_ : found_.names;
-    entry.entry.zone = indexIn(names.zones, begin_.zones, e.zone);
-    entry.entry.kind = indexIn(names.kinds, begin_.kinds, e.kind);
-    if (entry.entry.zone < 0 || entry.entry.kind < 0) {
+    const auto zone = indexIn(names.zones, begin_.zones, e.zone);
+    const auto kind = indexIn(names.kinds, begin_.kinds, e.kind);
+    if (!zone || !kind) {
       found_.unknownNames += unknown_.insert(e.uid).second;
       return true;
     }
+    entry.entry.zone = *zone;
+    entry.entry.kind = *kind;
     entry.entry.destination = e.destination;
     entry.entry.state = e.drains ? RouteState::kStopping : RouteState::kRunning;
     entry.entry.rating = e.rating;
@@ -225,25 +227,29 @@
 }
 
 // ---- writing ----
-void KeptList::begin(const KeptFound& found) {
-  current_.bytes = found.fileBytes;
+void KeptList::begin() {
   std::vector<FileSeen> files;
   if (parts_.files.list(options_.folder, files) != 0) return;
-  // Left by a process that ended while it wrote.
-  for (const FileSeen& file : files)
+  for (const FileSeen& file : files) {
+    if (file.name == kKeptName) current_.bytes = file.bytes;
+    // Left by a process that ended while it wrote.
     if (file.name == kNextName && parts_.files.remove(path(kNextName)) == 0)
       parts_.disk.giveBack(inBlocks(file.bytes));
+  }
 }
 
-void KeptList::changed(const std::vector<std::string>& uids) { dirty_.insert(uids.begin(), uids.end()); }
+void KeptList::changed(const std::vector<std::string>& uids) {
+  dirty_.insert(uids.begin(), uids.end());
+  pending_ = pending_ || !uids.empty();
+}
 
 void KeptList::confirmed() {
   told_ = {parts_.clock.wallMs(), parts_.clock.machineMs(), ""};
-  stamped_ = true;
+  pending_ = true;
 }
 
 double KeptList::dueMs() const {
-  if (!stamped_) return std::numeric_limits<double>::infinity();
+  if (!pending_) return std::numeric_limits<double>::infinity();
   const KeptTuning& t = options_.tuning;
   // Once a slice is written, the rest of it follows as soon as the loop has turned.
   const double wanted =
@@ -339,7 +345,7 @@
 
 void KeptList::committed() {
   lastCommitMs_ = parts_.clock.steadyMs();
-  stamped_ = false;
+  pending_ = false;
   restMs_ = 0;
   lastFault_.clear();
   ++figures_.commits;
--- a/src/discovery/kept_list.h
+++ b/src/discovery/kept_list.h
@@ -2,7 +2,7 @@
 //
 //   KeptFound found = readKept(files, folder, &names);      // found.there, found.list, found.told
 //   KeptList kept({files, clock, disk, log}, {folder, most, salt, names});
-//   kept.begin(found);
+//   kept.begin();
 //   kept.changed(uids); kept.confirmed(rev);                // after the set has taken an answer in
 //   if (now >= kept.dueMs()) kept.step(set);                // one slice
 //
@@ -80,8 +80,8 @@
 
   KeptList(const Parts& parts, Options options) : parts_(parts), options_(std::move(options)) {}
 
-  // What was found stays until the list is first written.
-  void begin(const KeptFound& found);
+  // What is there stays until the list is first written.
+  void begin();
   // These endpoints are new, other than before, or gone.
   void changed(const std::vector<std::string>& uids);
   // Discovery stands by the whole list, as of now.
@@ -119,7 +119,7 @@
   std::size_t baseBytes_ = 0, leftover_ = 0;  // bytes of a `members.new` that could not be removed
   std::set<std::string, std::less<>> dirty_;
   Stamp told_;            // by discovery, last
-  bool stamped_ = false;  // told_ is later than the last commit
+  bool pending_ = false;  // something was told that no commit has yet
   double lastCommitMs_ = -1e18, restUntilMs_ = -1e18, restMs_ = 0;
   std::string lastFault_;
   Figures figures_;
--- a/src/discovery/membership.cpp
+++ b/src/discovery/membership.cpp
@@ -34,14 +34,14 @@
               " endpoints of the kept list are in zones or of kinds that the configuration does not "
               "name",
           {{"endpoints", found.unknownNames}});
-    kept_.begin(found);
+    kept_.begin();
   }
   const ListOffer kept{found.there, found.list.rev, found.told, found.whole};
   const ListOffer told{known.all, known.rev, {knownWallMs, 0, ""}, true};
   const Beginning beginning = beginWith(kept, told, now());
   const bool useKept = beginning == Beginning::kKept;
-  confirmed_ = useKept ? found.told : told.told;
-  capped_ = useKept && !found.whole;
+  if (beginning != Beginning::kNothing) confirmed_ = useKept ? found.told : told.told;
+  whole_ = !useKept || found.whole;
   if (beginning != Beginning::kNothing) {
     const std::int64_t rev = useKept ? found.list.rev : known.rev;
     const ListAge a = age();
@@ -56,61 +56,26 @@
          {"age_s", seconds},
          {"trust", nameOf(trust())}});
   }
-  return set_.apply(useKept ? found.list : known, ListKind::kDisk, confirmed_.wallMs).event;
+  Applied applied = set_.apply(useKept ? found.list : known, ListKind::kDisk, confirmed_.wallMs);
+  // What the guard of the process before kept: changes say nothing of it, only a whole list ends it.
+  for (const auto& [uid, endpoint] : set_.all()) wantsWhole_ = wantsWhole_ || endpoint.missing;
+  return std::move(applied.event);
 }
 
 std::optional<ListEvent> Membership::told(const DestinationList& list, std::size_t directory) {
-  doubted_ = true;
-  const bool another = directory != directory_ && spoken_;
-  const bool back = list.rev < set_.rev() && !set_.empty();
-  if (back && !list.all) {
-    ++parts_.counters.listsDoubted;
-    parts_.log.repeated(parts_.clock.steadyMs(), LogLevel::kWarning, "list.gap",
-                        "discovery: a change of rev " + std::to_string(list.rev) +
-                            " does not follow on rev " + std::to_string(set_.rev()) +
-                            "; asking for the whole list",
-                        {{"rev", list.rev}, {"known", set_.rev()}});
-    wantsWhole_ = true;
-    return std::nullopt;
-  }
-  if (back && another && trust() == Trust::kFresh) {
+  const Answered answer{list.rev, list.all, spoken_ && directory != directory_};
+  const Belief belief = believe(answer, set_.empty() ? std::nullopt : std::optional(set_.rev()), trust());
+  tellBelief(belief, list.rev, directory);
+  wantsWhole_ = belief == Belief::kGap || belief == Belief::kOther;
+  doubted_ = wantsWhole_ || belief == Belief::kContradicted;
+  if (doubted_) {
     ++parts_.counters.listsDoubted;
-    parts_.log.repeated(parts_.clock.steadyMs(), LogLevel::kWarning, "list.contradicted",
-                        "discovery: directory " + std::to_string(directory) + " has rev " +
-                            std::to_string(list.rev) + ", rev " + std::to_string(set_.rev()) +
-                            " was told by another; not believed while that is fresh",
-                        {{"directory", directory}, {"rev", list.rev}, {"known", set_.rev()}});
     return std::nullopt;
   }
-  if (back)
-    parts_.log.repeated(parts_.clock.steadyMs(), LogLevel::kWarning, "list.back",
-                        "discovery: the directory has gone back from rev " + std::to_string(set_.rev()) +
-                            " to " + std::to_string(list.rev),
-                        {{"rev", list.rev}, {"known", set_.rev()}});
-  // Revs of two directories may count different things: after a change of directory only all of it counts.
-  if (another && !list.all) {
-    wantsWhole_ = true;
-    return std::nullopt;
-  }
-  bool keep = false;
-  const double nowMs = parts_.clock.steadyMs();
-  if (list.all) {
-    const std::size_t missing = set_.leftOutBy(list);
-    const bool held = guard_.holding();
-    keep = missing > 0 && guard_.open(set_.all().size(), missing, nowMs);
-    if (missing == 0) guard_.close();
-    if (keep && !held) {
-      ++parts_.counters.listsDoubted;
-      parts_.log.write(LogLevel::kWarning, "list.guard",
-                       "discovery: a list leaves out " + std::to_string(missing) + " of " +
-                           std::to_string(set_.all().size()) + " endpoints at once; they are kept for now",
-                       {{"missing", missing}, {"endpoints", set_.all().size()}});
-    }
-  }
-  wantsWhole_ = doubted_ = false;
+  const bool keep = list.all && guard_.on() && keepsMissing(list);
   directory_ = directory;
   spoken_ = true;
-  capped_ = false;
+  whole_ = true;
   confirmed_ = now();
   Applied applied = set_.apply(list, ListKind::kSnapshot, confirmed_.wallMs, keep);
   if (options_.keeps) {
@@ -122,6 +87,45 @@
   return std::move(applied.event);
 }
 
+void Membership::tellBelief(Belief belief, std::int64_t rev, std::size_t directory) {
+  const std::string theirs = std::to_string(rev), ours = std::to_string(set_.rev());
+  const auto say = [&](const char* event, const std::string& text) {
+    parts_.log.repeated(parts_.clock.steadyMs(), LogLevel::kWarning, event, "discovery: " + text,
+                        {{"directory", directory}, {"rev", rev}, {"known", set_.rev()}});
+  };
+  switch (belief) {
+    case Belief::kTake:
+    case Belief::kOther:  // so it always is when directories have changed
+      return;
+    case Belief::kTakeBack:
+      return say("list.back", "the directory has gone back from rev " + ours + " to " + theirs);
+    case Belief::kGap:
+      return say("list.gap", "a change of rev " + theirs + " does not follow on rev " + ours +
+                                 "; asking for the whole list");
+    case Belief::kContradicted:
+      return say("list.contradicted", "directory " + std::to_string(directory) + " has rev " + theirs +
+                                          ", rev " + ours +
+                                          " was told by another; not believed while that is fresh");
+  }
+}
+
+bool Membership::keepsMissing(const DestinationList& list) {
+  const std::size_t missing = set_.leftOutBy(list);
+  if (missing == 0) {
+    guard_.close();
+    return false;
+  }
+  const bool held = guard_.holding();
+  if (!guard_.open(set_.all().size(), missing, parts_.clock.steadyMs())) return false;
+  if (held) return true;
+  ++parts_.counters.listsDoubted;
+  parts_.log.write(LogLevel::kWarning, "list.guard",
+                   "discovery: a list leaves out " + std::to_string(missing) + " of " +
+                       std::to_string(set_.all().size()) + " endpoints at once; they are kept for now",
+                   {{"missing", missing}, {"endpoints", set_.all().size()}});
+  return true;
+}
+
 double Membership::dueMs() const {
   return std::min(options_.keeps ? kept_.dueMs() : std::numeric_limits<double>::infinity(),
                   guard_.holding() ? guard_.untilMs() : std::numeric_limits<double>::infinity());
@@ -144,10 +148,7 @@
 
 ListAge Membership::age() const { return ageOf(confirmed_, now()); }
 
-Trust Membership::trust() const {
-  const Trust byAge = trust_.of(age());
-  return capped_ ? std::max(byAge, Trust::kOld) : byAge;
-}
+Trust Membership::trust() const { return trust_.of(age(), whole_); }
 
 void Membership::tellTrust() {
   const Trust state = trust();
@@ -162,12 +163,12 @@
   toldTrust_ = state;
 }
 
-std::optional<Membership::Refusal> Membership::refuses(int cls) {
+std::optional<double> Membership::refuses(int cls) {
   tellTrust();
   const Class& c = options_.classes.at(static_cast<std::size_t>(cls));
   if (trust_.accepts(toldTrust_, c.name, c.repeat)) return std::nullopt;
   ++parts_.counters.failFastStale;
-  return Refusal{trust_.comeBackMs(toldTrust_), toldTrust_};
+  return trust_.comeBackMs(toldTrust_);
 }
 
 }  // namespace myrtleloft
--- a/src/discovery/membership.h
+++ b/src/discovery/membership.h
@@ -8,19 +8,13 @@
 //   if (auto event = membership.tick()) ...                  // when dueMs() has come
 //   if (auto refusal = membership.refuses(cls)) ...          // fail-fast
 //
-// What is believed:
-// - A change that does not follow on what is known (its rev is smaller) is not; `wantsWhole` then asks for
-// all.
-// - A whole list with a smaller rev is believed from the directory that was asked before: it has been set
-// back,
-//   and it is the truth. From another one it is not while the present list is fresh: that one lags behind.
-// - What a whole list leaves out goes, unless the operator's guard (removal_guard.h) keeps it for a while.
+// What of an answer is believed, trust.h decides, and whether what a whole list leaves out may stay for a
+// while, removal_guard.h.
 //
 // One thread. Costs as DestinationSet and KeptList.
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -55,11 +49,6 @@
     GuardTuning guard;
     std::vector<Class> classes;  // by index
   };
-  struct Refusal {
-    double comeBackMs = 0;
-    Trust trust = Trust::kFresh;
-  };
-
   Membership(const Parts& parts, Options options);
 
   // The list to begin with: the kept one, or `known`, which its configuration told at `knownWallMs` at the
@@ -76,8 +65,9 @@
   // A slice of the kept list, or the end of the guard.
   std::optional<ListEvent> tick();
 
-  // Whether new requests of that class are refused for the age of the list. O(1) but for clocks.
-  std::optional<Refusal> refuses(int cls);
+  // When a client should come back, in ms, where new requests of that class are refused for the age of the
+  // list. O(classes).
+  std::optional<double> refuses(int cls);
   Trust trust() const;
   // Of the whole list; what the guard keeps is older.
   ListAge age() const;
@@ -87,6 +77,9 @@
  private:
   Stamp now() const;
   void tellTrust();
+  void tellBelief(Belief belief, std::int64_t rev, std::size_t directory);
+  // Whether the guard keeps what that whole list leaves out.
+  bool keepsMissing(const DestinationList& list);
 
   Parts parts_;
   Options options_;
@@ -96,7 +89,7 @@
   RemovalGuard guard_;
   std::string machineRun_;
   Stamp confirmed_;            // when discovery last stood by the list
-  bool capped_ = false;        // what was told last may be missing: no better than old
+  bool whole_ = true;          // false: what was told last may be missing
   bool spoken_ = false;        // discovery has answered this process
   std::size_t directory_ = 0;  // that was believed last
   bool wantsWhole_ = false, doubted_ = false;
--- a/src/discovery/removal_guard.h
+++ b/src/discovery/removal_guard.h
@@ -23,6 +23,7 @@
  public:
   explicit RemovalGuard(const GuardTuning& tuning = {}) : tuning_(tuning) {}
 
+  bool on() const { return tuning_.share > 0; }
   // A whole list names all but `missing` of `known` endpoints. Whether the missing ones are to be kept.
   bool open(std::size_t known, std::size_t missing, double nowMs);
   // All that was left out is named again.
--- a/src/discovery/trust.cpp
+++ b/src/discovery/trust.cpp
@@ -35,11 +35,10 @@
   return {true, std::max(0.0, ms)};
 }
 
-Trust ListTrust::of(const ListAge& age) const {
-  if (!age.known) return Trust::kOld;
-  if (age.ms <= tuning_.freshMs) return Trust::kFresh;
-  if (age.ms <= tuning_.ageingMs) return Trust::kAgeing;
-  return age.ms <= tuning_.oldMs ? Trust::kOld : Trust::kExpired;
+Trust ListTrust::of(const ListAge& age, bool whole) const {
+  if (age.known && age.ms > tuning_.oldMs) return Trust::kExpired;
+  if (!age.known || !whole || age.ms > tuning_.ageingMs) return Trust::kOld;
+  return age.ms > tuning_.freshMs ? Trust::kAgeing : Trust::kFresh;
 }
 
 Trust ListTrust::lastFor(std::string_view name, Repeat repeat) const {
@@ -82,4 +81,12 @@
   return setBack && kept.whole ? Beginning::kKept : Beginning::kKnown;
 }
 
+Belief believe(const Answered& answer, std::optional<std::int64_t> knownRev, Trust trust) {
+  const bool back = knownRev && answer.rev < *knownRev;
+  if (!answer.all && back) return Belief::kGap;
+  if (!answer.all && answer.another) return Belief::kOther;
+  if (!back) return Belief::kTake;
+  return answer.another && trust == Trust::kFresh ? Belief::kContradicted : Belief::kTakeBack;
+}
+
 }  // namespace myrtleloft
--- a/src/discovery/trust.h
+++ b/src/discovery/trust.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,9 +75,8 @@
  public:
   explicit ListTrust(TrustTuning tuning = {}) : tuning_(std::move(tuning)) {}
 
-  Trust of(const ListAge& age) const;
-  // The last state in which such a class is accepted.
-  Trust lastFor(std::string_view name, Repeat repeat) const;
+  // `whole`: false where what was told last may be missing; such a list is no better than old.
+  Trust of(const ListAge& age, bool whole = true) const;
   bool accepts(Trust trust, std::string_view name, Repeat repeat) const;
   // When a refused client should come back, in ms: nobody can know when discovery returns, so the longer it
   // has been away, the longer. 0 in state kFresh.
@@ -84,6 +84,9 @@
   const TrustTuning& tuning() const { return tuning_; }
 
  private:
+  // The last state in which such a class is accepted.
+  Trust lastFor(std::string_view name, Repeat repeat) const;
+
   TrustTuning tuning_;
 };
 
@@ -102,4 +105,20 @@
 // times can be compared.
 Beginning beginWith(const ListOffer& kept, const ListOffer& known, const Stamp& now);
 
+// An answer of discovery beside what is known.
+struct Answered {
+  std::int64_t rev = 0;
+  bool all = false;      // a whole list
+  bool another = false;  // by another directory than the one believed last
+};
+enum class Belief {
+  kTake,
+  kTakeBack,      // though its rev is smaller: the directory has been set back, and it is the truth
+  kGap,           // a change that does not follow on what is known: the whole list is needed
+  kOther,         // a change told by another directory, whose revs may count different things: the same
+  kContradicted,  // another directory's list, which lags behind one that is still fresh
+};
+// `knownRev`: nothing where no endpoint is known yet.
+Belief believe(const Answered& answer, std::optional<std::int64_t> knownRev, Trust trust);
+
 }  // namespace myrtleloft
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -12,7 +12,6 @@
 constexpr double kComeBackMs = 1000;
 constexpr double kClocksApartMs = 1000;
 constexpr double kSliceMs = 2;  // between two slices of the journal's compaction, where no batch comes sooner
-constexpr double kRecordAgainMs = 250;  // as long as the journal rests after a fault
 // What an item of a bulk call takes beside its id, key and body.
 constexpr std::size_t kItemFrame = 40;
 
@@ -91,8 +90,8 @@
     return answer({Answer::Kind::kFailFast, kComeBackMs});
   }
   // Its endpoint may be another's by now, and this class cannot afford that.
-  if (const auto refusal = parts_.membership.refuses(request.cls))
-    return answer({Answer::Kind::kFailFast, refusal->comeBackMs});
+  if (const auto comeBackMs = parts_.membership.refuses(request.cls))
+    return answer({Answer::Kind::kFailFast, *comeBackMs});
   // None may be held for longer than its class allows. A little more is a clock's; much more is no time at
   // all. (One that gave itself 10^23 s was taken on, and would have been owed its end for good.)
   const double mostMs = hardLimitMs(request.cls);
@@ -162,7 +161,9 @@
 // Nothing is owed of it any more.
 void Exchange::forget(std::map<std::string, Open, std::less<>>::iterator at) {
   parts_.journal.ended(at->second.owed);  // does nothing where it was not recorded
+  const std::string id = at->first;
   open_.erase(at);
+  dropPutOff(id);
 }
 
 void Exchange::quiesce() {
@@ -253,6 +254,7 @@
   ++(verdict == Verdict::kDead ? parts_.counters.dead : parts_.counters.bounced);
   parts_.journal.verdict(at->second.owed, verdict, waitMs);
   parts_.notices.add(id, verdict, waitMs);
+  dropPutOff(id);
 }
 
 std::size_t Exchange::batchOf(int kind) const {
@@ -267,7 +269,6 @@
   // for the call would stay taken for good.
   if (at == open_.end() || !endpoint) return notSent(action.id, action.target);
   const OwedRequest& owed = at->second.owed;
-  if (endpoint->entry.destination != owed.destination) return notSent(action.id, action.target);
   const double leftMs = std::max(1.0, at->second.notAfterMs - parts_.loop.nowMs());
   const double capMs = action.capMs > 0 ? std::min(action.capMs, leftMs) : leftMs;
   const bool toItsEnd = capMs > leftMs - 2 * std::max(1.0, settings_.resolutionMs);
@@ -303,7 +304,7 @@
 void Exchange::putOff(Unrecorded send) {
   unrecorded_.push_back(std::move(send));
   if (recordTimer_ == Loop::kNoTimer)
-    recordTimer_ = parts_.loop.after(kRecordAgainMs, [this] { recordAgain(); });
+    recordTimer_ = parts_.loop.after(parts_.journal.restMs(), [this] { recordAgain(); });
 }
 
 // One that can be recorded now is not sent all the same: the module chose its endpoint before the disk's
@@ -311,11 +312,10 @@
 void Exchange::recordAgain() {
   recordTimer_ = Loop::kNoTimer;
   for (Unrecorded& send : std::exchange(unrecorded_, {})) {
-    const auto at = open_.find(send.id);
-    const bool over = at == open_.end() || at->second.owed.verdict != Verdict::kNone;
-    if (over || send.untilMs <= parts_.loop.nowMs()) {
+    OwedRequest& owed = open_.at(send.id).owed;
+    if (send.untilMs <= parts_.loop.nowMs()) {
       notSent(send.id, send.uid);
-    } else if (parts_.journal.attempt(at->second.owed, {send.uid, send.zone, parts_.clock.wallMs(), 0})) {
+    } else if (parts_.journal.attempt(owed, {send.uid, send.zone, parts_.clock.wallMs(), 0})) {
       neverLeft(send.id, send.uid);
     } else {
       putOff(std::move(send));
@@ -323,6 +323,20 @@
   }
 }
 
+// Its request is over, and the module's slot free.
+void Exchange::dropPutOff(const std::string& id) {
+  const auto put = putOffOf(id);
+  if (put == unrecorded_.end()) return;
+  const std::string uid = put->uid;
+  unrecorded_.erase(put);
+  notSent(id, uid);
+}
+
+std::vector<Exchange::Unrecorded>::iterator Exchange::putOffOf(const std::string& id) {
+  return std::find_if(unrecorded_.begin(), unrecorded_.end(),
+                      [&](const Unrecorded& u) { return u.id == id; });
+}
+
 // Does what waited for the journal: at the level `process` at once, else when a sync has covered it.
 void Exchange::promise() {
   while (!waiting_.empty() && waiting_.front().position <= parts_.journal.durable()) {
@@ -364,8 +378,7 @@
       return neverLeft(id, plan.uid);
     }
   }
-  const auto put =
-      std::find_if(unrecorded_.begin(), unrecorded_.end(), [&](const Unrecorded& u) { return u.id == id; });
+  const auto put = putOffOf(id);
   if (put == unrecorded_.end()) return parts_.outbound.abandon(id);
   put->untilMs = 0;  // told with the others: at once, the next attempt would soon be called off too
 }
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -61,9 +61,9 @@
     std::size_t bytes = 0;
     std::vector<CallItem> items;
   };
-  // A send whose attempt the journal could not record. It keeps its slot until that works or, at the next
-  // look, its cap has passed or the module has called it off: told at once, the module would try again in
-  // each batch and use up the request's attempts within a moment of the disk's trouble.
+  // A send whose attempt the journal could not record. It keeps its slot until that works, its request is
+  // over or, at the next look, its cap has passed or the module has called it off: told at once, the module
+  // would try again in each batch and use up the request's attempts within a moment of the disk's trouble.
   struct Unrecorded {
     std::string id, uid;
     int zone = 0;
@@ -94,6 +94,8 @@
   void callOff(const std::string& id);
   void putOff(Unrecorded send);
   void recordAgain();
+  void dropPutOff(const std::string& id);
+  std::vector<Unrecorded>::iterator putOffOf(const std::string& id);
   void forget(std::map<std::string, Open, std::less<>>::iterator at);
   void notSent(const std::string& id, const std::string& uid);
   void neverLeft(const std::string& id, const std::string& uid);
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -116,6 +116,8 @@
 
   const JournalFigures& figures() const { return figures_; }
   JournalRoom room() const;
+  // How long to wait after a refusal before trying again makes sense, in ms.
+  double restMs() const { return planner_.tuning().restMs; }
 
  private:
   static constexpr std::uint32_t kNone = OwedRequest::kNoTicket;
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/logger.h>
 #include <spdlog/sinks/ostream_sink.h>
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <map>
--- a/tests/membership_site.h
+++ b/tests/membership_site.h
@@ -200,7 +200,7 @@
   std::vector<Sent> sent;
   std::vector<std::string> wrong;  // sends that the list did not allow
   std::set<std::string> ended;
-  std::optional<Membership::Refusal> lastRefusal;
+  std::optional<double> lastRefusal;
 
  private:
   Dispatcher module_;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -331,7 +331,7 @@
     process.lastRefusal.reset();
     CHECK(process.handIn(kThreeClasses[at].name + suffix, cls) == accepted[at]);
     if (accepted[at]) continue;
-    CHECK(process.lastRefusal->comeBackMs > 0);
+    CHECK(*process.lastRefusal > 0);
     CHECK(process.counters.failFastStale == ++refused);
     CHECK(has(process.log.str(), "refused are:"));
     CHECK(has(process.log.str(), kThreeClasses[at].name));
@@ -577,6 +577,45 @@
   CHECK(process.membership.set().all().size() == 5);
 }
 
+TEST_CASE("what the guard kept does not outlive a restart by more than a whole list") {
+  HandClocks clock;
+  Disk disk;
+  Membership::Options options;
+  options.guard = {0.5, 60e3, 3};
+  const DestinationList four = listOf(
+      1, {endpoint("a", 7, 3001), endpoint("b", 7, 3002), endpoint("c", 7, 3003), endpoint("d", 7, 3004)});
+  {
+    Process process(disk, clock, options);
+    process.begin();
+    process.told(four);
+    process.told(listOf(2, {four.endpoints[0]}));
+    process.settle();
+  }
+  Process process(disk, clock, options);
+  process.begin();
+  CHECK(process.membership.set().all().size() == 4);
+  CHECK(process.membership.wantsWhole());
+  process.told(listOf(2, {four.endpoints[0]}));
+  CHECK_FALSE(process.membership.wantsWhole());
+  process.pass(61e3);
+  CHECK(process.membership.set().all().size() == 1);
+  // The end of the guard is written too, though discovery has said nothing since.
+  lab::FaultyFiles files(disk);
+  CHECK(textOf(readKept(files, "/s", &kNames).list) == textOf(process.membership.set().all()));
+}
+
+TEST_CASE("a kept list that cannot be read still counts on the disk, until it is written anew") {
+  HandClocks clock;
+  Disk disk = diskWith(threeEndpoints(), clock);
+  Process process(disk, clock);
+  process.files.failReadsOf("/s/members", EIO);
+  process.begin();
+  CHECK(has(process.log.str(), "the kept list is not used: Input/output error"));
+  process.told(listOf(50, {endpoint("z", 7, 3050)}));
+  process.settle();
+  CHECK(process.share.used == disk.used());
+}
+
 TEST_CASE(
     "ten thousand changes and flapping entries: the file stays bounded, and says what is so in the end") {
   HandClocks clock;
