Share clocks, shares of the disk and the small site among tests and benchmarks

Change: lab/hand_clock.h, hand_syncer.h and module_site.h; first_delivery on the stand-ins. tests/exchange_test.cpp: put-off sends, their ends, hang-ups and drains during a sync, with clocks moved by hand.

--- a/bench/first_delivery.cpp
+++ b/bench/first_delivery.cpp
@@ -6,25 +6,20 @@
 // The list stands in the state folder, as an earlier process would have left it; the configuration has none.
 // Time runs from before fork(2) to the first line of the answer written at the endpoint's; the client tries
 // to connect as soon as the log tells the port. One line of figures, in ms.
-#include <fcntl.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
-#include <chrono>
-#include <csignal>
 #include <cstdlib>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "discovery/kept_list.h"
 #include "lab/hub.h"
+#include "lab/module_site.h"
 #include "lab/site.h"
+#include "lab/stand_ins.h"
 
 namespace {
 
@@ -32,11 +27,6 @@
 using namespace myrtleloft::lab;
 namespace fs = std::filesystem;
 
-struct Boundless : DiskShare {
-  bool take(std::size_t) override { return true; }
-  void giveBack(std::size_t) override {}
-};
-
 void keep(const std::string& folder, int endpoints, const std::string& address) {
   DestinationList list{41, true, {}};
   for (int i = 0; i < endpoints; ++i) {
@@ -50,19 +40,13 @@
   DestinationSet set;
   PosixFiles files;
   const Clock clock;
-  Boundless disk;
-  KeptList kept({files, clock, disk, std::cerr},
-                {folder, 1 << 28, 5, {{"norte", "sur"}, {"large", "other"}}, {}});
+  CountedShare disk;
+  KeptList kept({files, clock, disk, std::cerr}, {folder, 1 << 28, 5, kNames, {}});
   kept.changed(set.apply(list, ListKind::kSnapshot, clock.wallMs()).changed);
   kept.confirmed();
   while (kept.figures().commits == 0) kept.step(set);
 }
 
-double nowMs() {
-  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -72,59 +56,33 @@
   std::vector<double> up, delivered;
   for (int round = 0; round < rounds; ++round) {
     Hub hub;
-    double calledMs = 0;
-    const std::string endpoint = hub.listen({[&](Hub::Id from, const Message&) {
-                                               calledMs = nowMs();
-                                               hub.send(from, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-                                             },
-                                             {},
-                                             {}});
-    const std::string silent = hub.listen({[](Hub::Id, const Message&) {}, {}, {}});
+    Endpoint endpoint(hub, "any", 3);
+    Directory directory(hub);
+    directory.become(Directory::Mode::kSilent);
     std::string folder = (fs::temp_directory_path() / "first-delivery-XXXXXX").string();
     if (!::mkdtemp(folder.data())) return 1;
     fs::create_directory(folder + "/state");
-    keep(folder + "/state", endpoints, endpoint);
-    std::ofstream(folder + "/config.json")
-        << R"({"name":"n1","listen":"127.0.0.1:0","discovery":")" << silent
-        << R"(","seed":"5","limits":{"sockets":1024,"disk_mb":400},"settings":)" << kSiteSettings << "}";
-    std::array<int, 2> ends{};
-    if (::pipe2(ends.data(), O_CLOEXEC) != 0) return 1;
-    const double startMs = nowMs();
-    const pid_t child = ::fork();
-    if (child == 0) {
-      ::dup2(ends[1], STDERR_FILENO);
-      ::setenv("BALANCER_CONFIG", (folder + "/config.json").c_str(), 1);
-      ::setenv("BALANCER_STATE", (folder + "/state").c_str(), 1);
-      ::execl(program.c_str(), program.c_str(), nullptr);
-      ::_exit(127);
-    }
-    ::close(ends[1]);
-    double listeningMs = 0;
-    std::string log;
-    Hub::Handler client;
-    client.message = [](Hub::Id, const Message&) {};
-    hub.adopt(ends[0],
-              {{}, {}, [&](Hub::Id, std::string& text) {
-                 log += std::exchange(text, "");
-                 const std::size_t at = log.find("listening on ");
-                 if (listeningMs > 0 || at == std::string::npos || log.find('\n', at) == std::string::npos)
-                   return;
-                 listeningMs = nowMs();
-                 const std::string address = log.substr(at + 13, log.find('\n', at) - at - 13);
-                 hub.send(hub.connect(address, client),
-                          "POST /status-update HTTP/1.1\r\nX-Request-ID: first\r\nX-Timeout: 16\r\n"
-                          "X-Addressing: dest=3\r\nContent-Length: 5\r\n\r\nhello");
-               }});
-    const bool good = hub.run([&] { return calledMs > 0; }, 20000);
-    ::kill(child, SIGKILL);
-    ::waitpid(child, nullptr, 0);
+    keep(folder + "/state", endpoints, endpoint.address);
+    Program relay(hub, program, folder,
+                  R"({"name":"n1","listen":"127.0.0.1:0","discovery":")" + directory.address() +
+                      R"(","seed":"5","limits":{"sockets":1024,"disk_mb":400},"settings":)" + kSiteSettings +
+                      "}");
+    const double startMs = steadyMs();
+    relay.start();
+    bool good = hub.run([&] { return relay.ready(); }, 20000);
+    const double listeningMs = steadyMs();
+    hub.send(hub.connect(relay.address(), {[](Hub::Id, const Message&) {}, {}, {}}),
+             "POST /status-update HTTP/1.1\r\nX-Request-ID: first\r\nX-Timeout: 16\r\n"
+             "X-Addressing: dest=3\r\nContent-Length: 5\r\n\r\nhello");
+    good = good && hub.run([&] { return !endpoint.calls.empty(); }, 20000);
+    relay.kill();
     fs::remove_all(folder);
     if (!good) {
-      std::cout << "no delivery\n" << log;
+      std::cout << "no delivery\n" << relay.log();
       return 1;
     }
     up.push_back(listeningMs - startMs);
-    delivered.push_back(calledMs - startMs);
+    delivered.push_back(endpoint.calls[0].atMs - startMs);
   }
   std::sort(up.begin(), up.end());
   std::sort(delivered.begin(), delivered.end());
--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "discovery/kept_list.h"
+#include "lab/module_site.h"
 
 namespace {
 
@@ -20,24 +21,17 @@
 namespace fs = std::filesystem;
 using SteadyClock = std::chrono::steady_clock;
 
-struct Boundless : DiskShare {
-  bool take(std::size_t) override { return true; }
-  void giveBack(std::size_t) override {}
-};
-
 struct Site {
   Site() {
     std::string name = (fs::temp_directory_path() / "membership-bench-XXXXXX").string();
     folder = ::mkdtemp(name.data());
   }
   ~Site() { fs::remove_all(folder); }
-  KeptList::Options options() const {
-    return {folder, 1 << 28, 5, {{"norte", "sur"}, {"large", "other"}}, {}};
-  }
+  KeptList::Options options() const { return {folder, 1 << 28, 5, lab::kNames, {}}; }
   std::string folder;
   PosixFiles files;
   Clock clock;
-  Boundless disk;
+  lab::CountedShare disk;
   std::ostringstream log;
 };
 
@@ -94,9 +88,8 @@
   kept.changed(set.apply(listOf(state.range(0)), ListKind::kSnapshot, 1e12).changed);
   kept.confirmed();
   while (kept.figures().commits == 0) kept.step(set);
-  const ListNames names{{"norte", "sur"}, {"large", "other"}};
   for (auto _ : state) {
-    const KeptFound found = readKept(site.files, site.folder, &names);
+    const KeptFound found = readKept(site.files, site.folder, &lab::kNames);
     if (!found.there || found.list.endpoints.size() != static_cast<std::size_t>(state.range(0))) std::abort();
   }
 }
--- a/bench/outage_worth.cpp
+++ b/bench/outage_worth.cpp
@@ -23,6 +23,8 @@
 
 #include "discovery/membership.h"
 #include "lab/faulty_files.h"
+#include "lab/hand_clock.h"
+#include "lab/module_site.h"
 #include "myrtleloft/dispatcher.h"
 
 namespace {
@@ -31,23 +33,9 @@
 
 constexpr int kDestinations = 12, kEach = 10, kClasses = 3;
 constexpr double kHourMs = 3600e3, kPerSecond = 20, kAnswerMs = 20, kRefusedMs = 1;
-constexpr double kWorth[kClasses] = {1, 2, 5}, kWrongCost[kClasses] = {1, 10, 1000};  // in worths
-const ListNames kNames{{"norte"}, {"large"}};
-const std::vector<Membership::Class> kNamesOf = {{"status-update", Repeat::kRepeatable},
-                                                 {"caption-order", Repeat::kByKey},
-                                                 {"billing-charge", Repeat::kOnce}};
-
-struct HandClock : Clock {
-  double steadyMs() const override { return nowMs; }
-  double wallMs() const override { return 1.7e12 + nowMs; }
-  double machineMs() const override { return nowMs; }
-  std::string machineRun() const override { return "bench"; }
-  double nowMs = 0;
-};
-struct Boundless : DiskShare {
-  bool take(std::size_t) override { return true; }
-  void giveBack(std::size_t) override {}
-};
+constexpr double kWrongCost[kClasses] = {1, 10, 1000};  // in worths
+using lab::kThreeClasses;
+using lab::kWorth;
 
 enum class Fate { kThere, kGone, kWrong };
 
@@ -65,45 +53,19 @@
   int refused = 0, dead = 0, wrong[kClasses] = {};
 };
 
-Settings settings(std::uint64_t seed) {
-  Settings s;
-  s.seed = seed;
-  s.resolutionMs = 5;
-  s.callSlots = 64;
-  s.maxOpen = 4000;
-  s.sendCap = 12;
-  s.maxRetryAfterMs = 3000;
-  s.drainGraceMs = 2000;
-  s.coldMs = 11000;
-  s.coldShare = 0.14;
-  s.kindApart = {true};
-  s.kindBatch = {1};
-  for (int i = 0; i < kClasses; ++i) {
-    ClassSettings c;
-    c.repeat = kNamesOf[static_cast<std::size_t>(i)].repeat;
-    c.worth = kWorth[i];
-    c.lateWorth = 0.5;
-    c.targetMs = 2000;
-    c.hardLimitMs = 16000;
-    c.memorySpanMs = 5000;
-    s.classes.push_back(c);
-  }
-  return s;
-}
-
 Result hour(std::uint64_t seed, double ageMs, double changedShare, const TrustTuning& trust) {
-  HandClock clock;
+  lab::HandClock clock;
   lab::Disk disk;
   lab::FaultyFiles files(disk);
-  Boundless share;
+  lab::CountedShare share;
   Counters counters;
   std::ostringstream log;
   Membership::Options options;
   options.kept.folder = "/s";
   options.kept.mostBytes = 1 << 24;
-  options.kept.names = kNames;
+  options.kept.names = lab::kNames;
   options.trust = trust;
-  options.classes = kNamesOf;
+  options.classes = kThreeClasses;
 
   DestinationList list{41, true, {}};
   std::map<std::string, Fate> fates;
@@ -129,7 +91,7 @@
   clock.nowMs += ageMs;
   const double beginsMs = clock.nowMs;
   Membership membership({files, clock, share, counters, log}, options);
-  Dispatcher module(settings(seed));
+  Dispatcher module(lab::moduleSettings(seed));
   std::vector<Event> events;
   events.emplace_back(membership.begin({}, 0));
 
@@ -212,7 +174,7 @@
   const std::uint64_t seeds = argc > 1 ? static_cast<std::uint64_t>(std::atoll(argv[1])) : 5;
   TrustTuning always, never;
   always.refuses = false;
-  for (const Membership::Class& c : kNamesOf) never.classes.push_back({c.name, Trust::kFresh});
+  for (const Membership::Class& c : kThreeClasses) never.classes.push_back({c.name, Trust::kFresh});
   never.freshMs = never.ageingMs = never.oldMs = -1;  // nothing is ever fresh
   const std::vector<std::pair<const char*, TrustTuning>> policies = {
       {"trust", {}}, {"always", always}, {"never", never}};
--- a/tests/command_line_test.cpp
+++ b/tests/command_line_test.cpp
@@ -12,6 +12,7 @@
 #include "discovery/kept_list.h"
 #include "journal/journal.h"
 #include "journal/segment.h"
+#include "lab/module_site.h"
 
 using namespace myrtleloft;
 namespace fs = std::filesystem;
@@ -225,10 +226,7 @@
   std::string folder = (fs::temp_directory_path() / "list-XXXXXX").string();
   REQUIRE(::mkdtemp(folder.data()));
   CHECK_EQ(run({"list", "show", folder.c_str()}).code, kExitCannot);
-  struct : DiskShare {
-    bool take(std::size_t) override { return true; }
-    void giveBack(std::size_t) override {}
-  } share;
+  lab::CountedShare share;
   struct Yesterday : Clock {
     double wallMs() const override { return Clock::wallMs() - 86400e3; }
     std::string machineRun() const override { return "another"; }
--- /dev/null
+++ b/tests/exchange_test.cpp
@@ -0,0 +1,168 @@
+// The exchange while the disk refuses, and while a sync is out: clocks moved by hand, a disk in memory, real
+// sockets that nobody waits for.
+#include "exchange/exchange.h"
+
+#include <doctest/doctest.h>
+
+#include <cerrno>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "lab/faulty_files.h"
+#include "lab/hand_clock.h"
+#include "lab/hand_syncer.h"
+#include "lab/module_site.h"
+
+using namespace myrtleloft;
+
+namespace {
+
+class Site {
+ public:
+  explicit Site(bool group = false) : syncer(files) {
+    Settings settings = lab::moduleSettings(5);
+    settings.callSlots = 1;
+    settings.mayCancel = true;
+    journal = std::make_unique<Journal>(Journal::Parts{files, clock, log, group ? &syncer : nullptr},
+                                        JournalOptions{"/s", 1000000, 0, {}, "the test", 5});
+    exchange = std::make_unique<Exchange>(
+        Exchange::Parts{loop, clock, membership, *journal, notices, outbound, counters}, settings, [] {});
+    outbound.listen(*exchange);
+    Recovered found;
+    std::string error;
+    REQUIRE(journal->open(found, error));
+    exchange->recover(std::move(found), membership.begin({}, 0));
+    tell(RouteState::kRunning);
+  }
+
+  void tell(RouteState state) {
+    EndpointEntry e;
+    e.entry.target = "a";
+    e.entry.destination = 7;
+    e.entry.state = state;
+    e.address = *parseAddress(localAddress(endpoint));
+    if (auto event = membership.told({++rev, true, {e}}, 0)) exchange->onList(std::move(*event));
+  }
+  void handIn(const std::string& id, double leftMs = 10e3) {
+    IncomingRequest request;
+    request.id = id;
+    request.body = "body";
+    request.destination = 7;
+    request.leftMs = leftMs;
+    exchange->onRequest(std::move(request), [this](const Answer& answer) { answers.push_back(answer.kind); });
+  }
+  // In steps of 5 ms; nothing is waited for.
+  void pass(double ms) {
+    for (const double until = clock.nowMs + ms; clock.nowMs < until;) {
+      clock.nowMs += 5;
+      loop.after(0, [] {});
+      loop.runOnce();
+    }
+  }
+  void refuseDisk() { files.failAt(files.operations() + 1, 1 << 20, EIO); }
+  void mendDisk() { files.failAt(0, 0, 0); }
+
+  std::string error;
+  Fd endpoint = listenOn(*parseAddress("127.0.0.1:0"), error);
+  lab::HandClock clock;
+  Loop loop{clock};
+  lab::Disk disk;
+  lab::FaultyFiles files{disk};
+  lab::HandSyncer syncer;
+  lab::CountedShare share;
+  Counters counters;
+  std::ostringstream log;
+  Membership membership{{files, clock, share, counters, log}, options()};
+  Address platform = *parseAddress("127.0.0.1:9");  // not there: notices stay
+  Notices notices{loop, platform, counters, log};
+  Outbound outbound{loop, counters, {1500, 10000, 4, {}}};
+  std::unique_ptr<Journal> journal;
+  std::unique_ptr<Exchange> exchange;
+  std::vector<Answer::Kind> answers;
+  std::int64_t rev = 0;
+
+ private:
+  static Membership::Options options() {
+    Membership::Options o;
+    o.keeps = false;
+    o.classes = lab::kThreeClasses;
+    return o;
+  }
+};
+
+// Taken on, and its first call put off: the disk refuses from the attempt on.
+void takeOnAndPutOff(Site& site, const std::string& id, double leftMs = 10e3) {
+  site.handIn(id, leftMs);
+  // The next operation is its *taken*, the one after it its *attempt*.
+  site.files.failAt(site.files.operations() + 2, 1 << 20, EIO);
+  site.pass(10);
+  REQUIRE(site.counters.journalFaults == 1);
+  REQUIRE(site.outbound.callsOut() == 0);
+}
+
+}  // namespace
+
+TEST_CASE("while the disk refuses, a send waits, uses up no attempts, and goes out when it can be recorded") {
+  Site site;
+  takeOnAndPutOff(site, "m");
+  CHECK(site.answers == std::vector<Answer::Kind>{Answer::Kind::kTaken});
+  site.pass(2000);
+  CHECK(site.counters.journalFaults < 12);  // the module may call it off, but not in each batch
+  CHECK(site.notices.empty());
+  CHECK(site.outbound.callsOut() == 0);
+  site.mendDisk();
+  site.pass(300);
+  CHECK(site.outbound.callsOut() == 1);
+  CHECK(site.notices.empty());
+}
+
+TEST_CASE("a request that ends while its send is put off frees the slot for the next") {
+  Site site;
+  takeOnAndPutOff(site, "m", 1000);
+  site.pass(1200);  // its time is over
+  CHECK_FALSE(site.notices.empty());
+  site.mendDisk();
+  site.pass(500);
+  CHECK(site.outbound.callsOut() == 0);
+  site.handIn("next");
+  site.pass(50);
+  CHECK(site.outbound.callsOut() == 1);
+}
+
+TEST_CASE(
+    "group: a client that hangs up takes its put-off send along; the same id again is another request") {
+  Site site(true);
+  takeOnAndPutOff(site, "m");
+  CHECK(site.answers.empty());  // no sync yet
+  site.exchange->onHangUp("m");
+  site.mendDisk();
+  site.pass(1000);
+  CHECK(site.outbound.callsOut() == 0);
+  site.handIn("m");
+  for (int i = 0; i < 20; ++i) {
+    site.pass(20);
+    site.syncer.work();
+    site.exchange->onSynced();
+  }
+  CHECK(site.answers == std::vector<Answer::Kind>{Answer::Kind::kTaken});
+  CHECK(site.outbound.callsOut() == 1);
+  CHECK(site.notices.empty());
+}
+
+TEST_CASE("group: a call that waits for its sync does not go to an endpoint that drains by then") {
+  for (const bool drains : {false, true}) {
+    Site site(true);
+    site.handIn("m");
+    site.pass(10);
+    REQUIRE(!site.syncer.jobs.empty());
+    if (drains) site.tell(RouteState::kStopping);
+    for (int i = 0; i < 3; ++i) {  // the first covers what was written before
+      site.syncer.work();
+      site.exchange->onSynced();
+    }
+    CHECK(site.answers == std::vector<Answer::Kind>{Answer::Kind::kTaken});
+    CHECK(site.outbound.callsOut() == (drains ? 0 : 1));
+  }
+}
--- a/tests/journal_day.h
+++ b/tests/journal_day.h
@@ -11,14 +11,11 @@
 
 #include "journal/journal.h"
 #include "lab/faulty_files.h"
+#include "lab/hand_clock.h"
 
 namespace myrtleloft::testing {
 
-struct HandClock : Clock {
-  double steadyMs() const override { return nowMs; }
-  double wallMs() const override { return 1e12 + nowMs; }
-  double nowMs = 0;
-};
+using lab::HandClock;
 
 class JournalDay {
  public:
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -8,6 +8,7 @@
 
 #include "journal_day.h"
 #include "lab/faulty_files.h"
+#include "lab/hand_syncer.h"
 
 using namespace myrtleloft;
 using namespace myrtleloft::testing;
@@ -721,35 +722,10 @@
 }
 
 // ---- the level `group` ----
-namespace {
-
-// Syncs when the test says so.
-class HandSyncer : public Syncer {
- public:
-  explicit HandSyncer(Files& files) : files_(files) {}
-  void submit(SyncJob job) override { jobs.push_back(std::move(job)); }
-  std::optional<SyncDone> collect() override {
-    if (done.empty()) return std::nullopt;
-    const SyncDone first = done.front();
-    done.pop_front();
-    return first;
-  }
-  void work() {
-    for (const SyncJob& job : std::exchange(jobs, {})) done.push_back(syncNow(files_, "/s", job));
-  }
-  std::vector<SyncJob> jobs;
-  std::deque<SyncDone> done;
-
- private:
-  Files& files_;
-};
-
-}  // namespace
-
 TEST_CASE("group: one sync for many records, and after a loss of power all that was promised is there") {
   Disk disk;
   FaultyFiles files(disk);
-  HandSyncer syncer(files);
+  lab::HandSyncer syncer(files);
   HandClock clock;
   std::ostringstream log;
   std::deque<OwedRequest> held;
@@ -804,7 +780,7 @@
 TEST_CASE("group: after a failed sync nothing is promised until all that is held stands in another file") {
   Disk disk;
   FaultyFiles files(disk);
-  HandSyncer syncer(files);
+  lab::HandSyncer syncer(files);
   HandClock clock;
   std::ostringstream log;
   std::deque<OwedRequest> held;
--- a/tests/log_test.cpp
+++ b/tests/log_test.cpp
@@ -7,18 +7,21 @@
 #include <sstream>
 #include <string>
 
+#include "lab/hand_clock.h"
+
 using namespace myrtleloft;
 
 namespace {
 
-struct FixedClock : Clock {
-  double wallMs() const override { return 1764581400123; }  // 2025-12-01T09:30:00.123Z
-};
+const lab::HandClock fixed = [] {
+  lab::HandClock c;
+  c.wall = 1764581400123;  // 2025-12-01T09:30:00.123Z
+  return c;
+}();
 
 std::string written(const LogOptions& options, const std::string& text, const Log::Fields& fields) {
-  const FixedClock clock;
   std::ostringstream out;
-  Log(out, options, clock).write(LogLevel::kWarning, "list.gap", text, fields);
+  Log(out, options, fixed).write(LogLevel::kWarning, "list.gap", text, fields);
   return out.str();
 }
 
@@ -48,9 +51,8 @@
 }
 
 TEST_CASE("a fault that repeats is said once in a while, with how often it came") {
-  const FixedClock clock;
   std::ostringstream out;
-  const Log log(out, {}, clock);
+  const Log log(out, {}, fixed);
   const Log copy = log;
   log.repeated(0, LogLevel::kError, "journal.fault", "x", {});
   for (int ms = 1; ms < 1000; ++ms) copy.repeated(ms, LogLevel::kError, "journal.fault", "x", {});
@@ -61,9 +63,8 @@
 }
 
 TEST_CASE("counters become events with fields") {
-  const FixedClock clock;
   std::ostringstream out;
-  Log(out, {LogFormat::kJson, LogLevel::kInfo, "", 0}, clock).pairs("counters in: requests=3 trust=old\n");
+  Log(out, {LogFormat::kJson, LogLevel::kInfo, "", 0}, fixed).pairs("counters in: requests=3 trust=old\n");
   const auto json = nlohmann::json::parse(out.str());
   CHECK(json["event"] == "counters.in");
   CHECK(json["requests"] == 3);
--- a/tests/membership_site.h
+++ b/tests/membership_site.h
@@ -15,34 +15,16 @@
 #include "discovery/membership.h"
 #include "journal/planner.h"
 #include "lab/faulty_files.h"
+#include "lab/hand_clock.h"
+#include "lab/module_site.h"
 #include "myrtleloft/dispatcher.h"
 
 namespace myrtleloft {
 
-struct HandClocks : Clock {
-  double steadyMs() const override { return nowMs; }
-  double wallMs() const override { return wall + nowMs; }
-  double machineMs() const override { return machine + nowMs; }
-  std::string machineRun() const override { return run; }
-  double nowMs = 0, wall = 1.7e12, machine = 5e6;
-  std::string run = "first";
-};
-
-// A tenth of a disk, counted.
-struct CountedShare : DiskShare {
-  bool take(std::size_t bytes) override {
-    if (used + bytes > most) return false;
-    used += bytes;
-    return true;
-  }
-  void giveBack(std::size_t bytes) override { used -= bytes; }
-  std::size_t used = 0, most = static_cast<std::size_t>(-1);
-};
-
-inline const ListNames kNames{{"norte", "sur"}, {"large", "other"}};
-inline const std::vector<Membership::Class> kThreeClasses = {{"status-update", Repeat::kRepeatable},
-                                                             {"caption-order", Repeat::kByKey},
-                                                             {"billing-charge", Repeat::kOnce}};
+using lab::CountedShare;
+using HandClocks = lab::HandClock;
+using lab::kNames;
+using lab::kThreeClasses;
 
 inline EndpointEntry endpoint(const std::string& uid, std::int64_t destination = 7, int port = 3000,
                               RouteState state = RouteState::kRunning) {
@@ -79,7 +61,7 @@
       : files(disk),
         clock_(clock),
         membership(parts(disk), filled(std::move(options))),
-        module_(settings()) {}
+        module_(lab::moduleSettings(5)) {}
 
   // The list to begin with goes to the module, as at a start.
   void begin(const DestinationList& known = {}, double knownWallMs = 0) {
@@ -157,29 +139,6 @@
   std::ostringstream log;
 
  private:
-  static Settings settings() {
-    Settings s;
-    s.seed = 5;
-    s.resolutionMs = 5;
-    s.callSlots = 64;
-    s.maxOpen = 1000;
-    s.sendCap = 12;
-    s.maxRetryAfterMs = 3000;
-    s.drainGraceMs = 2000;
-    s.coldMs = 11000;
-    s.coldShare = 0.14;
-    s.kindApart = {true, true};
-    s.kindBatch = {1, 1};
-    for (const Membership::Class& c : kThreeClasses) {
-      ClassSettings cls;
-      cls.repeat = c.repeat;
-      cls.targetMs = 2000;
-      cls.hardLimitMs = 16000;
-      cls.memorySpanMs = 5000;
-      s.classes.push_back(cls);
-    }
-    return s;
-  }
   Membership::Parts parts(lab::Disk& disk) {
     for (const auto& [path, bytes] : disk.files) share.used += inBlocks(bytes.size());
     return {files, clock_, share, counters, log};
