Confirm a list that is not trusted at once, instead of waiting for news of it

Every relay logs discovery: the list is old; refused are: caption-order billing-charge and takes it back only when discovery has news.

Ruled out: the load of the machine, the module, refusals by endpoints.

Cause: DiscoveryWatch::ask. The configuration's list is of unknown age, and the call that should confirm it was a watch, which is answered after 10 s where nothing is new. While the list is not trusted, every other call now says wait_ms=0.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -47,7 +47,12 @@
   std::string target = "/discovery/hosts";
   const DestinationSet& set = parts_.membership.set();
   const bool watches = !whole_ && !parts_.membership.wantsWhole() && !set.empty();
-  if (watches) target += "?after=" + std::to_string(set.rev()) + "&wait_ms=" + std::to_string(kWaitMs);
+  // A directory with nothing new would let a list that is not trusted yet wait for its confirmation, and
+  // classes be refused meanwhile. Every other call waits all the same: one that does not help is not repeated
+  // at once.
+  atOnce_ = parts_.membership.trust() != Trust::kFresh && !atOnce_;
+  if (watches)
+    target += "?after=" + std::to_string(set.rev()) + "&wait_ms=" + std::to_string(atOnce_ ? 0 : kWaitMs);
   connection_->send(writeRequest("GET", target, address().text, {}, ""),
                     [this](ClientConnection::Result result) { onResult(std::move(result)); });
   const bool quick = !watches && !options_.others.empty();
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -72,6 +72,7 @@
   Directories turn_;
   Changed changed_;
   bool whole_ = false, news_ = false;  // `news_`: the last answer brought some
+  bool atOnce_ = false;  // the last call did not wait for news
   std::string lastError_;
   std::unique_ptr<ClientConnection> connection_;
   std::optional<ListReader> reader_;  // of the answer that is being read
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <ostream>
 #include <string>
+#include <vector>
 
 #include "lab/faulty_files.h"
 #include "lab/hand_clock.h"
@@ -18,8 +19,9 @@
 namespace {
 
 struct Site {
-  explicit Site(DiscoveryWatch::Options options = {}) {
+  explicit Site(DiscoveryWatch::Options options = {}, const DestinationList* known = nullptr) {
     options.names = lab::kNames;
+    if (known) membership.begin(*known, 0);
     watch = std::make_unique<DiscoveryWatch>(DiscoveryWatch::Parts{loop, membership, counters, log}, address,
                                              options);
     watch->start([this](ListEvent) { ++events; });
@@ -44,9 +46,13 @@
 
   Hub hub;
   int asked = 0, events = 0;
+  bool waits = false;  // a call that may wait for news gets no answer
+  std::vector<std::string> calls;
   std::string list = "{\"rev\":1,\"all\":true,\"targets\":[" + entry(1) + "]}";
-  std::string directory = hub.listen({[this](Hub::Id from, const lab::Message&) {
+  std::string directory = hub.listen({[this](Hub::Id from, const lab::Message& call) {
                                         ++asked;
+                                        calls.push_back(call.start);
+                                        if (waits && call.start.find("wait_ms=0 ") == call.start.npos) return;
                                         hub.send(from, "HTTP/1.1 200 OK\r\nContent-Length: " +
                                                            std::to_string(list.size()) + "\r\n\r\n" + list);
                                       },
@@ -86,6 +92,24 @@
   CHECK(site.asked <= before + 22);
 }
 
+TEST_CASE("a list that is not trusted is confirmed at once, though the directory has nothing new") {
+  DestinationList known{1, true, {EndpointEntry()}};
+  known.endpoints[0].entry.target = "u1";
+  known.endpoints[0].entry.destination = 7;
+  known.endpoints[0].address = *parseAddress("127.0.0.1:9");
+  Site site({}, &known);
+  site.waits = true;
+  site.list = R"({"rev":1,"all":false,"targets":[]})";
+  REQUIRE(site.membership.trust() == Trust::kOld);
+  site.turn(50);
+  CHECK(site.membership.trust() == Trust::kFresh);
+  site.clock.nowMs += 100;
+  site.turn(50);
+  REQUIRE(site.calls.size() == 2);
+  CHECK(site.calls[0] == "GET /discovery/hosts?after=1&wait_ms=0 HTTP/1.1");
+  CHECK(site.calls[1] == "GET /discovery/hosts?after=1&wait_ms=10000 HTTP/1.1");
+}
+
 TEST_CASE("a list longer than the memory allows is not taken, and the last one stays") {
   DiscoveryWatch::Options options;
   options.mostListBytes = 2000;
