--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -158,8 +158,8 @@
   }
 }
 
-// A connection may take seconds to come up, and the wait binds what it then carries. (A call whose first SYN was
-// lost arrived 1.1 s after it was decided, 0.4 s into a wait that another call had been told meanwhile.)
+// A connection may take seconds to come up, and the wait binds what it then carries. (A call whose first SYN
+// was lost arrived 1.1 s after it was decided, inside a wait that another call had been told meanwhile.)
 void Outbound::recall(const std::function<bool(const std::string&)>& bound) {
   std::vector<std::uint64_t> back;
   for (const auto& [number, call] : calls_)
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -517,10 +517,10 @@
     return s.ratingPerS * (s_.ratings == RatingKind::kRough ? kRoughShare : kToldShare) / peers_;
   }
 
-  // Own part of what a listed receiver takes coldest, and whether it is less than a call in a window, as among
-  // hundreds. There one refusal says only that all together were above the limit: those refused go on at their
-  // parts, halved with each further one in a row, at random turns, until an answer raises the pace. Bounded as
-  // after a failure, routes served a tenth of their limit. It hurts where the list says far too much.
+  // Own part of what a listed receiver takes coldest, and whether it is less than a call in a window, as
+  // among hundreds. There one refusal says only that all together were above the limit: those refused go on
+  // at their parts, halved with each further one in a row, at random turns, until an answer raises the pace.
+  // Bounded as after a failure, routes served a tenth of their limit. It hurts where the list says too much.
   double part(const Scope& s) const { return s.ratingPerS * factor_ * coldShare_ * kRampBudget / peers_; }
   bool thin(const Scope& s) const {
     return peers_ > kHoldPeers && s.ratingPerS > 0 && part(s) * fallMs_ < 1000;
--- a/tests/outbound_test.cpp
+++ b/tests/outbound_test.cpp
@@ -100,7 +100,7 @@
   CHECK(outbound.callsOut() == 2);
 }
 
-TEST_CASE("a call whose connection is not up yet comes back when its endpoint is bound, one that left does not") {
+TEST_CASE("a call whose connection is not up yet comes back when its endpoint is bound, one that left not") {
   const Clock clock;
   Loop loop(clock);
   Counters counters;
