--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -202,8 +202,8 @@
                           [](const std::string& text) { return parseAddress(text).has_value(); });
   const auto least = s.whole("back_off_ms", 10, kMinuteMs), most = s.whole("most_back_off_ms", 10, kMinuteMs);
   m.backOffMs = least.value_or(m.backOffMs);
-  m.mostBackOffMs = most.value_or(std::max(m.mostBackOffMs, m.backOffMs));
-  if (m.mostBackOffMs < m.backOffMs) s.refuse("most_back_off_ms", "expected no less than back_off_ms");
+  if (most) m.mostBackOffMs = *most;
+  if (m.mostBackOffMs && *m.mostBackOffMs < m.backOffMs) s.refuse("most_back_off_ms", "expected no less than back_off_ms");
 }
 
 void readQuota(Section& s, QuotaPlan& plan) {
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -44,7 +45,8 @@
     int guardPercent = 0;                              // 0: off
     std::int64_t guardHoldS = 60;
     std::vector<std::string> directories;  // beside the configuration's, as ADDRESS:PORT
-    std::int64_t backOffMs = 100, mostBackOffMs = 100;
+    std::int64_t backOffMs = 100;
+    std::optional<std::int64_t> mostBackOffMs;  // not set: by the number of relays, discovery/directories.h
   } membership;
   QuotaPlan quota;  // off where it has no nodes
   struct Log {
--- a/src/discovery/directories.cpp
+++ b/src/discovery/directories.cpp
@@ -6,6 +6,15 @@
 
 namespace myrtleloft {
 
+double spreadMs(int relays) { return std::min(kMostSpreadMs, kAskMs * std::max(0, relays - 1)); }
+
+BackOff backOffOf(int relays, double leastMs) {
+  // With full jitter a relay comes once in half its pause: at the most, all together half as often as they may.
+  constexpr double kRoom = 4;
+  const double most = std::max(leastMs, kAskMs * std::max(1, relays) * kRoom);
+  return {leastMs, most, spreadMs(relays)};
+}
+
 Directories::Directories(std::size_t count, const BackOff& backOff, std::function<double()> random)
     : count_(std::max<std::size_t>(1, count)), backOff_(backOff), random_(std::move(random)) {}
 
@@ -14,7 +23,7 @@
   const std::uint64_t rounds = failures_++ / count_;
   constexpr std::uint64_t kMostDoublings = 32;
   const double most = std::min(
-      backOff_.mostMs, std::ldexp(backOff_.leastMs, static_cast<int>(std::min(rounds, kMostDoublings))));
+      backOff_.mostMs, std::ldexp(std::max(backOff_.leastMs, backOff_.firstMs), static_cast<int>(std::min(rounds, kMostDoublings))));
   return backOff_.leastMs + random_() * std::max(0.0, most - backOff_.leastMs);
 }
 
--- a/src/discovery/directories.h
+++ b/src/discovery/directories.h
@@ -6,8 +6,10 @@
 //   turn.answered();                       // stays with it
 //   after(turn.failed(), [&] { ask(turn.current()); });
 //
-// The pause has full jitter (AWS Architecture Blog, "Exponential Backoff And Jitter", 2015) above its least:
-// relays that lost the same directory do not come back to it together. O(1).
+// The pause has full jitter (AWS Architecture Blog, "Exponential Backoff And Jitter", 2015) above its least,
+// the first one too: relays that lost the same directory, or were refused by it together, do not come back to
+// it together. A directory that is asked for more than it can serve serves nobody: what it works off are calls
+// whose callers have gone. O(1).
 #pragma once
 
 #include <cstddef>
@@ -17,9 +19,19 @@
 namespace myrtleloft {
 
 struct BackOff {
-  double leastMs = 100, mostMs = 100;  // equal: no back-off, as on the platform, where asking costs nothing
+  double leastMs = 100, mostMs = 100;  // equal: no back-off
+  double firstMs = 0;                  // the most of the first pause, where that is over `leastMs`
 };
 
+// What a fleet of so many relays needs, whose operator sets nothing: all together start no more watches than
+// one relay alone may, which is one in kAskMs.
+constexpr double kAskMs = 50;
+// What discovery has to tell counts as told 6 s later: the first call must have come by then.
+constexpr double kMostSpreadMs = 5000;
+// The span over which the fleet's first calls are spread.
+double spreadMs(int relays);
+BackOff backOffOf(int relays, double leastMs);
+
 class Directories {
  public:
   // `random` gives numbers in [0, 1).
--- a/src/discovery/kept_list.cpp
+++ b/src/discovery/kept_list.cpp
@@ -244,8 +244,8 @@
   if (written_ && dirty_.size() > options_.tuning.mostWaiting) fail("sync", ETIMEDOUT);
 }
 
-void KeptList::confirmed() {
-  told_ = {parts_.clock.wallMs(), parts_.clock.machineMs(), ""};
+void KeptList::confirmed(double agoMs) {
+  told_ = {parts_.clock.wallMs() - agoMs, parts_.clock.machineMs() - agoMs, ""};
   pending_ = true;
 }
 
--- a/src/discovery/kept_list.h
+++ b/src/discovery/kept_list.h
@@ -90,8 +90,8 @@
   void begin();
   // These endpoints are new, other than before, or gone.
   void changed(const std::vector<std::string>& uids);
-  // Discovery stands by the whole list, as of now.
-  void confirmed();
+  // Discovery stood by the whole list so many ms ago.
+  void confirmed(double agoMs = 0);
   // When there is something to do, on the steady clock; infinite: nothing.
   double dueMs() const;
   void step(const DestinationSet& set);
--- a/src/discovery/membership.cpp
+++ b/src/discovery/membership.cpp
@@ -41,6 +41,8 @@
   const Beginning beginning = beginWith(kept, told, now());
   const bool useKept = beginning == Beginning::kKept;
   if (beginning != Beginning::kNothing) confirmed_ = useKept ? found.told : told.told;
+  // Of unknown age, but with a later rev than the kept list: told after that was.
+  if (beginning == Beginning::kKnown && found.there && found.whole && !age().known) confirmed_ = found.told;
   whole_ = !useKept || found.whole;
   if (beginning != Beginning::kNothing) {
     const std::int64_t rev = useKept ? found.list.rev : known.rev;
@@ -57,6 +59,11 @@
          {"trust", nameOf(trust())}});
   }
   Applied applied = set_.apply(useKept ? found.list : known, ListKind::kDisk, confirmed_.wallMs);
+  // Kept at once: a restart before discovery has answered would else know nothing of the list's age.
+  if (options_.keeps && beginning == Beginning::kKnown && age().known) {
+    kept_.changed(applied.changed);
+    kept_.confirmed(age().ms);
+  }
   // What the guard of the process before kept: changes say nothing of it, only a whole list ends it.
   for (const auto& [uid, endpoint] : set_.all()) wantsWhole_ = wantsWhole_ || endpoint.missing;
   return std::move(applied.event);
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -24,7 +24,14 @@
 
 void DiscoveryWatch::start(Changed changed) {
   changed_ = std::move(changed);
-  ask();
+  armTick();
+  begin();
+}
+
+void DiscoveryWatch::begin() {
+  if (options_.spreadMs <= 0 || parts_.membership.trust() != Trust::kFresh) return ask();
+  timer_ = parts_.loop.after(options_.spreadMs * std::uniform_real_distribution<double>(0, 1)(random_),
+                             [this] { ask(); });
 }
 
 void DiscoveryWatch::fetch() {
@@ -32,7 +39,7 @@
   parts_.loop.cancel(timer_);
   connection_.reset();
   reader_.reset();
-  ask();
+  begin();
 }
 
 void DiscoveryWatch::ask() {
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -31,6 +31,7 @@
     ListNames names;
     std::vector<Address> others;  // directories beside the configuration's
     BackOff backOff;
+    double spreadMs = 0;  // a first call that can wait comes at a random moment of so many ms
     std::uint64_t seed = 0;
     std::size_t mostListBytes = 4 * 1024 * 1024;  // of one answer; a longer one is not taken
   };
@@ -44,14 +45,17 @@
         turn_(1 + options_.others.size(), options_.backOff,
               [this] { return std::uniform_real_distribution<double>(0, 1)(random_); }) {}
 
+  // The first call comes at once where the list is not trusted, else within the spread: a fleet that starts
+  // together does not ask together.
   void start(Changed changed);
-  // Asks for the whole list with the next call, which starts at once on a connection of its own: also what is
-  // to be done when discovery's address has changed.
+  // Asks for the whole list with the next call, on a connection of its own, as soon as a first call: what is to
+  // be done when discovery's address has changed, which it does for a whole fleet at one time.
   void fetch();
   // Something of the kept list is on the disk.
   void onSynced();
 
  private:
+  void begin();
   void ask();
   void onResult(ClientConnection::Result result);
   // A slice of the answer, and what follows once all of it is read.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -117,7 +117,9 @@
   DiscoveryWatch::Options options;
   options.names = config.names;
   for (const std::string& text : m.directories) options.others.push_back(parseAddress(text).value());
-  options.backOff = {static_cast<double>(m.backOffMs), static_cast<double>(m.mostBackOffMs)};
+  options.backOff = backOffOf(config.settings.balancers, static_cast<double>(m.backOffMs));
+  if (m.mostBackOffMs) options.backOff = {options.backOff.leastMs, static_cast<double>(*m.mostBackOffMs)};
+  options.spreadMs = spreadMs(config.settings.balancers);
   options.seed = config.settings.seed;
   options.mostListBytes = std::min(config.memoryBytes / kListPerMemory, kMostListBytes);
   return options;
--- a/tests/command_line_test.cpp
+++ b/tests/command_line_test.cpp
@@ -199,7 +199,7 @@
           .membership;
   CHECK((!m.keep && !m.refuse && m.guardPercent == 40 && m.guardHoldS == 9));
   CHECK((m.freshS == 300000 && m.ageingS == 300000 && m.oldS == 2592000));  // the later ones move along
-  CHECK((m.backOffMs == 200 && m.mostBackOffMs == 9000));
+  CHECK((m.backOffMs == 200 && m.mostBackOffMs.value() == 9000));
   CHECK(m.directories == std::vector<std::string>{"127.0.0.1:8500"});
   REQUIRE(m.classes.size() == 1);
   CHECK((m.classes[0].first == "billing-charge" && m.classes[0].second == 2));
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -6,6 +6,9 @@
 #include <array>
 #include <cerrno>
 #include <cmath>
+#include <deque>
+#include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -99,6 +102,35 @@
   CHECK(beginWith(offer(9, hourAgo, false), offer(10, dayAgo), now) == Beginning::kKnown);
 }
 
+TEST_CASE("a restart before discovery has spoken knows how old its list is") {
+  HandClocks clock;
+  Disk disk;
+  {
+    Process process(disk, clock);
+    process.begin(threeEndpoints(), clock.wallMs() - 5 * kSecond);
+    process.pass(100);  // and ends, never having been answered
+  }
+  clock.nowMs += 10 * kSecond;
+  Process again(disk, clock);
+  const double future = clock.wallMs() + kHour;  // the configuration's own time tells nothing now
+  again.begin(threeEndpoints(), future);
+  CHECK(again.membership.trust() == Trust::kFresh);
+  CHECK(again.membership.age().ms >= 15 * kSecond);
+  // A later rev was told after the list that was kept; an earlier one, and a list of no known age, tell nothing.
+  Process later(disk, clock);
+  DestinationList next = threeEndpoints();
+  next.rev += 1;
+  later.begin(next, future);
+  CHECK(later.membership.set().rev() == next.rev);
+  CHECK(later.membership.trust() == Trust::kFresh);
+  Disk empty;
+  Process first(empty, clock);
+  first.begin(next, future);
+  CHECK(first.membership.trust() == Trust::kOld);
+  first.pass(100);
+  CHECK(empty.files.count("/s/members") == 0);
+}
+
 // ---- the kept list ----
 TEST_CASE("a kept list is at each moment one that was told, whatever operation the process ends in") {
   // A day of changes; what the set held at each commit, by what the file then says.
@@ -778,6 +810,62 @@
   CHECK(textOf(readKept(files, "/s", &kNames).list) == textOf(process.membership.set().all()));
 }
 
+// A directory as it is when more relays ask than it can serve: one call after the other, those included whose
+// callers have given up after 2 s, a bounded queue behind it, the rest refused at once.
+TEST_CASE("a fleet's first calls all get through, and so do those of a herd restart that were refused") {
+  constexpr double kServiceMs = 50, kPatienceMs = 2000;
+  constexpr std::size_t kQueue = 120;
+  struct Played {
+    int served = 0, calls = 0;
+    double lastMs = 0;
+  };
+  const auto play = [](int relays, double spread, const BackOff& backOff) {
+    std::mt19937_64 random(7);
+    const auto draw = [&] { return std::uniform_real_distribution<double>(0, 1)(random); };
+    std::vector<Directories> turns(static_cast<std::size_t>(relays), Directories(1, backOff, draw));
+    std::multimap<double, std::size_t> asks;
+    for (std::size_t i = 0; i < turns.size(); ++i) asks.emplace(spread * draw(), i);
+    std::deque<double> ends;  // of the calls in the queue, served or stale
+    Played played;
+    while (!asks.empty() && asks.begin()->first < 120e3) {
+      const auto [now, relay] = *asks.begin();
+      asks.erase(asks.begin());
+      ++played.calls;
+      while (!ends.empty() && ends.front() <= now) ends.pop_front();
+      if (ends.size() >= kQueue) {
+        asks.emplace(now + 30 + turns[relay].failed(), relay);
+        continue;
+      }
+      ends.push_back((ends.empty() ? now : ends.back()) + kServiceMs);
+      if (ends.back() - now > kPatienceMs) {
+        asks.emplace(now + kPatienceMs + turns[relay].failed(), relay);
+        continue;
+      }
+      ++played.served;
+      played.lastMs = ends.back();
+    }
+    return played;
+  };
+  for (const int relays : {100, 300}) {
+    CAPTURE(relays);
+    const Played herd = play(relays, 0, backOffOf(relays, 100));  // lists of no known age: all ask at once
+    CHECK(herd.served == relays);
+    CHECK(herd.calls <= 6 * relays);
+    CHECK(herd.lastMs <= 400.0 * relays);
+  }
+  const Played start = play(100, spreadMs(100), backOffOf(100, 100));
+  CHECK(start.served == 100);
+  CHECK(start.calls == 100);
+  CHECK(start.lastMs <= kMostSpreadMs + kPatienceMs);
+  // As it was: nobody but those who came first, and calls without end.
+  const Played storm = play(100, 0, {100, 100});
+  CHECK(storm.served < 60);
+  CHECK(storm.calls > 10000);
+  // Few relays ask as they did, within a pause.
+  CHECK(spreadMs(3) <= 200);
+  CHECK(backOffOf(3, 100).mostMs <= 1000);
+}
+
 TEST_CASE("directories have their turn, with a pause that grows within its bounds") {
   CHECK(rc::check("turns and pauses", [] {
     const auto count = *rc::gen::inRange<std::size_t>(1, 5);
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <ostream>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,9 +20,10 @@
 namespace {
 
 struct Site {
-  explicit Site(DiscoveryWatch::Options options = {}, const DestinationList* known = nullptr) {
+  explicit Site(DiscoveryWatch::Options options = {}, const DestinationList* known = nullptr,
+                bool fresh = false) {
     options.names = lab::kNames;
-    if (known) membership.begin(*known, 0);
+    if (known) membership.begin(*known, fresh ? clock.wallMs() : 0);
     watch = std::make_unique<DiscoveryWatch>(DiscoveryWatch::Parts{loop, membership, counters, log}, address,
                                              options);
     watch->start([this](ListEvent) { ++events; });
@@ -110,6 +112,40 @@
   CHECK(site.calls[1] == "GET /discovery/hosts?after=1&wait_ms=10000 HTTP/1.1");
 }
 
+TEST_CASE("a first call that can wait comes within the spread, at another moment in each relay") {
+  DestinationList known{1, true, {EndpointEntry()}};
+  known.endpoints[0].entry.target = "u1";
+  known.endpoints[0].entry.destination = 7;
+  known.endpoints[0].address = *parseAddress("127.0.0.1:9");
+  std::set<int> moments;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    DiscoveryWatch::Options options;
+    options.spreadMs = 5000;
+    options.seed = seed;
+    Site site(options, &known, true);
+    REQUIRE(site.membership.trust() == Trust::kFresh);
+    site.waits = true;
+    site.turn(20);
+    int waited = 0;
+    for (; waited < 5000 && site.asked == 0; waited += 100) {
+      site.clock.nowMs += 100;
+      site.turn(20);
+    }
+    CHECK(site.asked == 1);
+    moments.insert(waited);
+    // Discovery has moved: so has the whole fleet's.
+    site.watch->fetch();
+    site.turn(20);
+    CHECK(site.asked == 1);
+    for (int i = 0; i < 50; ++i) {
+      site.clock.nowMs += 100;
+      site.turn(20);
+    }
+    CHECK(site.asked == 2);
+  }
+  CHECK(moments.size() >= 7);
+}
+
 TEST_CASE("a list longer than the memory allows is not taken, and the last one stays") {
   DiscoveryWatch::Options options;
   options.mostListBytes = 2000;
