--- a/src/discovery/directories.cpp
+++ b/src/discovery/directories.cpp
@@ -11,8 +11,8 @@
 BackOff backOffOf(int relays, double leastMs) {
   // With full jitter a relay comes once in half its pause: at the most, all together half as often as they may.
   constexpr double kRoom = 4;
-  const double most = std::max(leastMs, kAskMs * std::max(1, relays) * kRoom);
-  return {leastMs, most, spreadMs(relays)};
+  const double fleetMs = kAskMs * std::max(1, relays);
+  return {leastMs, std::max(leastMs, std::min(kMostPauseMs, fleetMs * kRoom)), std::min(kMostFirstMs, fleetMs)};
 }
 
 Directories::Directories(std::size_t count, const BackOff& backOff, std::function<double()> random)
--- a/src/discovery/directories.h
+++ b/src/discovery/directories.h
@@ -26,8 +26,12 @@
 // What a fleet of so many relays needs, whose operator sets nothing: all together start no more watches than
 // one relay alone may, which is one in kAskMs.
 constexpr double kAskMs = 50;
-// What discovery has to tell counts as told 6 s later: the first call must have come by then.
-constexpr double kMostSpreadMs = 5000;
+// Nothing may be sent to an endpoint 2 s after this relay could have been told that it drains: by then the
+// first call after a start or a reload must have been answered.
+constexpr double kMostSpreadMs = 1500;
+// The most of the first pause after a failure, and of any: a relay that asked in vain counts as told later, the
+// latest after 40 s.
+constexpr double kMostFirstMs = 5000, kMostPauseMs = 35000;
 // The span over which the fleet's first calls are spread.
 double spreadMs(int relays);
 BackOff backOffOf(int relays, double leastMs);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -36,8 +36,8 @@
 constexpr double kBurstS = 0.5;
 // The slowest pace that is told apart from a standstill, a second.
 constexpr double kLeastPerS = 0.5;
-// Among many, where a call is rare (thin): what a refusal leaves of the pace, and what an answer adds, up to
-// the listed share, and above it while messages wait; calls that may be saved up by who was not refused.
+// Among many, where a call is rare (thin): what a refusal leaves of the pace; what an answer adds, a second
+// up to the listed share, and above it while messages wait; calls saved up where none was refused.
 constexpr double kThinCut = 0.5, kThinRegrow = 0.25, kThinGrow = 0.05, kThinBurst = 2;
 // Weight of the newest call in what is known of a route, and in what is known of all.
 constexpr double kNewest = 0.3, kNewestOfAll = 0.03;
@@ -83,7 +83,7 @@
 constexpr double kHopelessFactor = 8, kOvertakenFactor = 3, kShortSlots = 0.8;
 // Above this share of the limit the least worth is refused, before the door turns away.
 constexpr double kOpenShare = 0.9;
-// Horizon over which the loss by waiting is weighed, as a share of the aim.
+// Horizon over which the loss by waiting is weighed, at least, as a share of the aim.
 constexpr double kHorizon = 0.25;
 // Links: of the age at which an idle one was found dead, the share that is trusted from then on (ages struck
 // are seldom the shortest), doubled every kRegainSpans told cold spans; refused connections, as a share of
@@ -137,8 +137,7 @@
   // By its token, not by the clock: a span rounded down comes back a hair before its time.
   void take(const TimerEvent& e) { armedMs_ = e.token == lastToken_ ? kNever : armedMs_; }
   void take(const ListEvent& e) {
-    if (e.kind ==
-        ListKind::kError) {  // the list, or the watch, is out of reach: ask again, not in step with others
+    if (e.kind == ListKind::kError) {  // out of reach: ask again, not in step with others
       const double spread = std::uniform_real_distribution<double>(0.5, 1)(random_);
       askAtMs_ = now_ + askMs_ * spread * std::min(0.5, 0.05 * std::pow(2, askFailures_++));
       return;
@@ -510,8 +509,7 @@
     s.chilledMs = now_;
     s.coldFromMs = -1;
     s.delivered = {0, now_, now_};  // what is delivered while cold says nothing of health
-    s.pacePerS =
-        kNever;  // while cold the budget paces; a pace cut by every failed scout would never come back
+    s.pacePerS = kNever;  // while cold the budget paces: a pace cut by failed scouts would never come back
   }
 
   double fairShare(const Scope& s) const {
@@ -532,7 +530,7 @@
     if (sentMs < s.cutMs) return;
     s.ceilingPerS = std::max(part(s), s.ceilingPerS * kThinCut);
     s.pacePerS = part(s) * std::exp2(-std::clamp(s.fulls - 1, 0, 2));
-    s.cutMs = now_;
+    s.cutMs = s.grownMs = now_;
     newTurn(s);
     s.tokens = 1 - s.turn;
   }
@@ -546,21 +544,21 @@
       // standstill.
       const double least = std::max({fairShare(s), perS(s.delivered, coldMs_) * 0.5, kLeastPerS});
       s.pacePerS = std::max(s.ceilingPerS * kCut, least);
-      s.cutMs = now_;
-      s.grownMs = now_;
+      s.cutMs = s.grownMs = now_;
     }
     s.restUntilMs = now_ + std::min(1000 / s.pacePerS * std::pow(2, std::max(0, s.fulls - 1)), fallMs_ * 0.5);
   }
 
   void grow(Scope& s) {
     if (s.pacePerS == kNever) return;
+    const double since = (now_ - s.grownMs) / 1000, dt = std::clamp(since, 0.0, 1.0);
+    s.grownMs = now_;
     if (thin(s)) {
-      const double above = s.dest->queue.empty() ? 0 : kThinGrow;
-      s.pacePerS = s.ceilingPerS *= 1 + (s.ceilingPerS < listedShare(s) ? kThinRegrow : above);
+      const double more = s.ceilingPerS * (s.dest->queue.empty() ? 1 : 1 + kThinGrow);
+      s.ceilingPerS = std::min(s.ceilingPerS * std::exp(since * kThinRegrow), std::max(more, listedShare(s)));
+      s.pacePerS = s.ceilingPerS;
       return;
     }
-    const double dt = std::clamp((now_ - s.grownMs) / 1000, 0.0, 1.0);
-    s.grownMs = now_;
     s.pacePerS *= 1 + dt * (s.pacePerS < s.ceilingPerS * 0.9 ? kRegrow : kProbe);
     if (s.pacePerS > 4 * perS(s.sent, fallMs_) + 4) s.pacePerS = kNever;
   }
@@ -572,7 +570,7 @@
     if (s.pacePerS == kNever && thin(s)) {
       s.pacePerS = s.ceilingPerS = listedShare(s);
       s.tokens = draw();
-      s.refilledMs = now_;
+      s.refilledMs = s.grownMs = now_;
     }
     if (!bounded(s)) return s.pacePerS;
     double share = coldShare_;
@@ -612,9 +610,10 @@
   double scopeFreeMs(Scope& s) {
     const double rate = ratePerS(s);
     double at = std::max(s.waitUntilMs, s.restUntilMs);
+    s.rare = rate * fallMs_ < 1000;
+    if (rate == kNever) s.tokens = 1;
     if (rate < kNever) {
-      const bool told = bounded(s), rare = told && rate * fallMs_ < 1000;
-      s.rare = rate * fallMs_ < 1000;
+      const bool told = bounded(s), rare = told && s.rare;
       if (rare && s.refilledMs < now_ && s.tokens >= s.turn) newTurn(s);
       const double spanMs = told ? std::min(now_ - s.refilledMs, fallMs_ * 0.1) : now_ - s.refilledMs;
       const double saved = thin(s) && s.fulls == 0 ? kThinBurst : std::max(1.0, rate * kBurstS);
@@ -623,9 +622,6 @@
       s.tokens = std::min(burst, s.tokens + rate * spanMs / 1000);
       if (s.tokens < need && !(told && s.earned))
         at = std::max(at, now_ + (need - s.tokens) / rate * 1000 + 0.001);
-    } else {
-      s.tokens = 1;
-      s.rare = false;
     }
     s.refilledMs = now_;
     return at;
@@ -726,8 +722,8 @@
       return c.worth * std::max(c.lateWorth, std::exp2((m.aimMs - t) / m.aimSpanMs));
     return c.worth * (1 - (1 - c.lateWorth) * (t - m.aimMs) / std::max(1.0, m.notAfterMs - m.aimMs));
   }
-  double lossByWaiting(const Message& m) const {
-    const double horizon = m.aimSpanMs * kHorizon, soon = now_ + usualOfAllMs_;
+  double lossByWaiting(const Message& m, double queueMs) const {
+    const double horizon = std::max(m.aimSpanMs * kHorizon, queueMs), soon = now_ + usualOfAllMs_;
     return worthAt(m, soon) - worthAt(m, soon + horizon);
   }
 
@@ -739,13 +735,17 @@
     return m.attempts > 0 || now_ >= at->second.restUntilMs;
   }
 
-  using Next = std::pair<double, Message*>;  // what it loses by waiting, or is worth now
+  using Next = std::pair<double, Message*>;  // what it loses by waiting
   static bool sooner(const Next& a, const Next& b) {
     return a.first != b.first ? a.first > b.first : a.second->aimMs < b.second->aimMs;
   }
-  std::vector<Next> inOrder(const Destination& d, bool byWorth) const {
+  // Where more is held than the pace takes, what is fresh goes before what has lost its worth already.
+  std::vector<Next> inOrder(const Destination& d) {
+    double perS = 0;
+    for (Route* r : d.routes) perS += r->open ? ratePerS(*r->scope) * batchOf(*r) : 0;
     std::vector<Next> order;
-    for (auto& [seq, m] : d.queue) order.emplace_back(byWorth ? worthAt(*m, now_) : lossByWaiting(*m), m);
+    for (auto& [seq, m] : d.queue)
+      order.emplace_back(lossByWaiting(*m, 1000 * static_cast<double>(d.queue.size()) / perS), m);
     std::stable_sort(order.begin(), order.end(), sooner);
     return order;
   }
@@ -765,7 +765,7 @@
       if (gathers(*dest)) continue;
       Lane lane{dest, chainOf(*dest), {}};
       if (lane.chain.empty()) continue;
-      lane.order = inOrder(*dest, false);
+      lane.order = inOrder(*dest);
       std::erase_if(lane.order, [this](const auto& next) { return !inTurn(*next.second); });
       if (!lane.order.empty()) lanes.push_back(std::move(lane));
     }
@@ -940,8 +940,8 @@
     }
   }
 
-  // Held where all turns in its time go to messages worth more, a message is handed back at once: its client
-  // may come to a forwarder that was told nothing. It hurts where clients do not come again.
+  // Held where all turns in its time go to messages that lose more, a message is handed back at once: its
+  // client may come to a forwarder that was told nothing. It hurts where clients do not come again.
   void handBack() {
     const double again = std::min(1.0, cameAgain_ / refused_);
     std::vector<Message*> hopeless;
@@ -949,7 +949,7 @@
       if (std::none_of(dest->routes.begin(), dest->routes.end(), [](Route* r) { return r->scope->rare; }))
         continue;
       double ahead = 0;
-      for (const auto& [worth, m] : inOrder(*dest, true)) {
+      for (const auto& [loss, m] : inOrder(*dest)) {
         double turns = 0;
         for (Route* r : dest->routes) {
           if (!r->open || !allowed(*m, *r) || !maySend(*m, *r)) continue;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -750,6 +750,30 @@
   EXPECT_LE(sentByOneOfMany(1000, 0, 30000), 5);   // refused each time: a shut receiver's bound
   EXPECT_GE(sentByOneOfMany(1, 10000, 30000), 7);  // refused once, then answered
 }
+// Refused twice, a route is back at its share soon after it answers, however seldom it is called.
+TEST(Fleet, TheShareComesBackByTime) { EXPECT_GE(sentByOneOfMany(2, 0, 30000), 12); }
+// Where more is held than the pace takes, what is fresh goes first: late messages have lost their worth.
+TEST(Fleet, FreshMessagesGoBeforeLateOnesThatLoseNoMore) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Settings s = plain();
+    s.seed = seed;
+    s.balancers = 100;
+    s.ratings = RatingKind::kRough;
+    s.fade = Fade::kHalves;
+    ListEntry route = entry("a");
+    route.rating = 60;
+    Rig rig(s);
+    const auto handedIn = [&](const char* id, double agoMs) {
+      MessageEvent m = std::get<MessageEvent>(rig.message(id));
+      m.notAfterMs = rig.now + 20000 - agoMs;
+      return m;
+    };
+    rig.at(0, {snapshot({route}), handedIn("late", 6000), handedIn("fresh", 0)});
+    for (double t = 50; t < 6000 && rig.sends.empty(); t += 50) rig.at(t);
+    ASSERT_FALSE(rig.sends.empty());
+    EXPECT_EQ(rig.sends[0].id, "fresh") << seed;
+  }
+}
 // What is more than its turns goes back at once, and that is the least of what is held.
 TEST(Fleet, HandsBackTheLeastOfWhatIsHeld) {
   Settings s = plain();
