--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -916,11 +916,11 @@
     messages_.erase(messages_.find(m.id));
   }
 
-  // Until when it may be sent: its time, or the end of its window.
+  // Until when it may be sent: its time, or its window's end less what a call may wait for its connection.
   double lastMs(const Message& m) const {
     const ClassSettings& c = classOf(m);
     return m.mayHaveRun && c.repeat == Repeat::kByKey
-               ? std::min(m.notAfterMs, m.firstDoubtMs + c.memorySpanMs * kWindowShare)
+               ? std::min(m.notAfterMs, m.firstDoubtMs + c.memorySpanMs * kWindowShare - s_.connectTimeoutMs)
                : m.notAfterMs;
   }
 
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -116,7 +116,7 @@
   again.begin(threeEndpoints(), future);
   CHECK(again.membership.trust() == Trust::kFresh);
   CHECK(again.membership.age().ms >= 15 * kSecond);
-  // A later rev was told after the list that was kept; an earlier one, and a list of no known age, tell nothing.
+  // A later rev was told after the list that was kept; a list of no known age tells nothing.
   Process later(disk, clock);
   DestinationList next = threeEndpoints();
   next.rev += 1;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -837,6 +837,26 @@
   EXPECT_EQ(rig.refused, std::vector<std::string>{"m"});
 }
 
+// A call may wait for its connection for as long as a connect may take: it must leave inside the window then
+// too.
+TEST(NoDoubleEffect, ACallThatWaitsForItsConnectionLeavesInsideTheWindow) {
+  Settings s = plain(Repeat::kByKey);
+  s.classes[0].memorySpanMs = 8000, s.connectTimeoutMs = 1500, s.sendCap = 1000;
+  Rig rig(s);
+  rig.at(0, {snapshot({entry("a")}), rig.message("m")});
+  std::vector<Event> events = {rig.outcome("m", Outcome::kLate)};
+  for (double t = 1000; t < 10000; t += 50) {
+    const std::size_t before = rig.sends.size();
+    rig.at(t, events);
+    events.clear();
+    if (rig.sends.size() == before) continue;
+    EXPECT_LE(t + s.connectTimeoutMs, s.classes[0].memorySpanMs);
+    events.push_back(rig.outcome("m", Outcome::kNoConn));
+  }
+  EXPECT_GT(rig.sends.size(), 2U);
+  EXPECT_EQ(rig.refused.size() + rig.failed.size(), 1U);
+}
+
 // ---- rule 5 ----
 // One answer to several messages may deliver some and tell a wait as well.
 TEST(Waits, BindBesideADelivery) {
