--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -203,7 +203,8 @@
   const auto least = s.whole("back_off_ms", 10, kMinuteMs), most = s.whole("most_back_off_ms", 10, kMinuteMs);
   m.backOffMs = least.value_or(m.backOffMs);
   if (most) m.mostBackOffMs = *most;
-  if (m.mostBackOffMs && *m.mostBackOffMs < m.backOffMs) s.refuse("most_back_off_ms", "expected no less than back_off_ms");
+  if (m.mostBackOffMs && *m.mostBackOffMs < m.backOffMs)
+    s.refuse("most_back_off_ms", "expected no less than back_off_ms");
 }
 
 void readQuota(Section& s, QuotaPlan& plan) {
--- a/src/discovery/directories.cpp
+++ b/src/discovery/directories.cpp
@@ -9,10 +9,12 @@
 double spreadMs(int relays) { return std::min(kMostSpreadMs, kAskMs * std::max(0, relays - 1)); }
 
 BackOff backOffOf(int relays, double leastMs) {
-  // With full jitter a relay comes once in half its pause: at the most, all together half as often as they may.
+  // With full jitter a relay comes once in half its pause: at the most, all together half as often as they
+  // may.
   constexpr double kRoom = 4;
   const double fleetMs = kAskMs * std::max(1, relays);
-  return {leastMs, std::max(leastMs, std::min(kMostPauseMs, fleetMs * kRoom)), std::min(kMostFirstMs, fleetMs)};
+  return {leastMs, std::max(leastMs, std::min(kMostPauseMs, fleetMs * kRoom)),
+          std::min(kMostFirstMs, fleetMs)};
 }
 
 Directories::Directories(std::size_t count, const BackOff& backOff, std::function<double()> random)
@@ -22,8 +24,9 @@
   current_ = (current_ + 1) % count_;
   const std::uint64_t rounds = failures_++ / count_;
   constexpr std::uint64_t kMostDoublings = 32;
-  const double most = std::min(
-      backOff_.mostMs, std::ldexp(std::max(backOff_.leastMs, backOff_.firstMs), static_cast<int>(std::min(rounds, kMostDoublings))));
+  const double most =
+      std::min(backOff_.mostMs, std::ldexp(std::max(backOff_.leastMs, backOff_.firstMs),
+                                           static_cast<int>(std::min(rounds, kMostDoublings))));
   return backOff_.leastMs + random_() * std::max(0.0, most - backOff_.leastMs);
 }
 
--- a/src/discovery/directories.h
+++ b/src/discovery/directories.h
@@ -8,8 +8,8 @@
 //
 // The pause has full jitter (AWS Architecture Blog, "Exponential Backoff And Jitter", 2015) above its least,
 // the first one too: relays that lost the same directory, or were refused by it together, do not come back to
-// it together. A directory that is asked for more than it can serve serves nobody: what it works off are calls
-// whose callers have gone. O(1).
+// it together. A directory that is asked for more than it can serve serves nobody: what it works off are
+// calls whose callers have gone. O(1).
 #pragma once
 
 #include <cstddef>
@@ -29,8 +29,8 @@
 // Nothing may be sent to an endpoint 2 s after this relay could have been told that it drains: by then the
 // first call after a start or a reload must have been answered.
 constexpr double kMostSpreadMs = 1500;
-// The most of the first pause after a failure, and of any: a relay that asked in vain counts as told later, the
-// latest after 40 s.
+// The most of the first pause after a failure, and of any: a relay that asked in vain counts as told later,
+// the latest after 40 s.
 constexpr double kMostFirstMs = 5000, kMostPauseMs = 35000;
 // The span over which the fleet's first calls are spread.
 double spreadMs(int relays);
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -48,8 +48,8 @@
   // The first call comes at once where the list is not trusted, else within the spread: a fleet that starts
   // together does not ask together.
   void start(Changed changed);
-  // Asks for the whole list with the next call, on a connection of its own, as soon as a first call: what is to
-  // be done when discovery's address has changed, which it does for a whole fleet at one time.
+  // Asks for the whole list with the next call, on a connection of its own, as soon as a first call: what is
+  // to be done when discovery's address has changed, which it does for a whole fleet at one time.
   void fetch();
   // Something of the kept list is on the disk.
   void onSynced();
@@ -76,7 +76,7 @@
   Directories turn_;
   Changed changed_;
   bool whole_ = false, news_ = false;  // `news_`: the last answer brought some
-  bool atOnce_ = false;  // the last call did not wait for news
+  bool atOnce_ = false;                // the last call did not wait for news
   std::string lastError_;
   std::unique_ptr<ClientConnection> connection_;
   std::optional<ListReader> reader_;  // of the answer that is being read
