Leave the spread of first calls to Directories, and test the list kept unanswered

DiscoveryWatch, which is to decide nothing, drew the moment of the first call; the header said that every first pause has jitter, which it has not where the operator sets the most. Taken out, armTick in DiscoveryWatch::start broke no test, though without it a relay that discovery never answers keeps no list.

Change: the spread is Directories::begins, behaviour as before. A test of the kept list against a silent directory; settings and lists that tests repeated are made once. No assertion is weaker.

--- a/src/discovery/directories.cpp
+++ b/src/discovery/directories.cpp
@@ -6,15 +6,12 @@
 
 namespace myrtleloft {
 
-double spreadMs(int relays) { return std::min(kMostSpreadMs, kAskMs * std::max(0, relays - 1)); }
-
 BackOff backOffOf(int relays, double leastMs) {
-  // With full jitter a relay comes once in half its pause: at the most, all together half as often as they
-  // may.
+  // With full jitter a relay comes once in half its pause: at the most, all together half as often as may be.
   constexpr double kRoom = 4;
   const double fleetMs = kAskMs * std::max(1, relays);
   return {leastMs, std::max(leastMs, std::min(kMostPauseMs, fleetMs * kRoom)),
-          std::min(kMostFirstMs, fleetMs)};
+          std::min(kMostFirstMs, fleetMs), std::min(kMostSpreadMs, fleetMs - kAskMs)};
 }
 
 Directories::Directories(std::size_t count, const BackOff& backOff, std::function<double()> random)
--- a/src/discovery/directories.h
+++ b/src/discovery/directories.h
@@ -2,14 +2,14 @@
 // with a pause that doubles while none answers. Without I/O; randomness is passed in.
 //
 //   Directories turn(addresses.size(), {100, 5000}, random);
-//   ask(turn.current());
+//   after(turn.begins(), [&] { ask(turn.current()); });
 //   turn.answered();                       // stays with it
 //   after(turn.failed(), [&] { ask(turn.current()); });
 //
 // The pause has full jitter (AWS Architecture Blog, "Exponential Backoff And Jitter", 2015) above its least,
-// the first one too: relays that lost the same directory, or were refused by it together, do not come back to
-// it together. A directory that is asked for more than it can serve serves nobody: what it works off are
-// calls whose callers have gone. O(1).
+// with `firstMs` the first one too: relays that lost the same directory, or were refused by it together, do
+// not come back to it together. A directory that is asked for more than it can serve serves nobody: what it
+// works off are calls whose callers have gone. O(1).
 #pragma once
 
 #include <cstddef>
@@ -21,6 +21,7 @@
 struct BackOff {
   double leastMs = 100, mostMs = 100;  // equal: no back-off
   double firstMs = 0;                  // the most of the first pause, where that is over `leastMs`
+  double spreadMs = 0;                 // the most of what a first call waits
 };
 
 // What a fleet of so many relays needs, whose operator sets nothing: all together start no more watches than
@@ -32,8 +33,6 @@
 // The most of the first pause after a failure, and of any: a relay that asked in vain counts as told later,
 // the latest after 40 s.
 constexpr double kMostFirstMs = 5000, kMostPauseMs = 35000;
-// The span over which the fleet's first calls are spread.
-double spreadMs(int relays);
 BackOff backOffOf(int relays, double leastMs);
 
 class Directories {
@@ -42,6 +41,8 @@
   Directories(std::size_t count, const BackOff& backOff, std::function<double()> random);
 
   std::size_t current() const { return current_; }
+  // So many ms before a first call that can wait: at a random moment of the spread.
+  double begins() { return random_() * backOff_.spreadMs; }
   void answered() { failures_ = 0; }
   // The next one's turn, after so many ms. All have their turn once before the pause grows.
   double failed();
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -29,9 +29,9 @@
 }
 
 void DiscoveryWatch::begin() {
-  if (options_.spreadMs <= 0 || parts_.membership.trust() != Trust::kFresh) return ask();
-  timer_ = parts_.loop.after(options_.spreadMs * std::uniform_real_distribution<double>(0, 1)(random_),
-                             [this] { ask(); });
+  const double pauseMs = parts_.membership.trust() == Trust::kFresh ? turn_.begins() : 0;
+  if (pauseMs <= 0) return ask();
+  timer_ = parts_.loop.after(pauseMs, [this] { ask(); });
 }
 
 void DiscoveryWatch::fetch() {
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -31,7 +31,6 @@
     ListNames names;
     std::vector<Address> others;  // directories beside the configuration's
     BackOff backOff;
-    double spreadMs = 0;  // a first call that can wait comes at a random moment of so many ms
     std::uint64_t seed = 0;
     std::size_t mostListBytes = 4 * 1024 * 1024;  // of one answer; a longer one is not taken
   };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -118,8 +118,10 @@
   options.names = config.names;
   for (const std::string& text : m.directories) options.others.push_back(parseAddress(text).value());
   options.backOff = backOffOf(config.settings.balancers, static_cast<double>(m.backOffMs));
-  if (m.mostBackOffMs) options.backOff = {options.backOff.leastMs, static_cast<double>(*m.mostBackOffMs)};
-  options.spreadMs = spreadMs(config.settings.balancers);
+  if (m.mostBackOffMs) {
+    options.backOff.mostMs = static_cast<double>(*m.mostBackOffMs);
+    options.backOff.firstMs = 0;
+  }
   options.seed = config.settings.seed;
   options.mostListBytes = std::min(config.memoryBytes / kListPerMemory, kMostListBytes);
   return options;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -819,12 +819,12 @@
     int served = 0, calls = 0;
     double lastMs = 0;
   };
-  const auto play = [](int relays, double spread, const BackOff& backOff) {
+  const auto play = [](int relays, bool canWait, const BackOff& backOff) {
     std::mt19937_64 random(7);
     const auto draw = [&] { return std::uniform_real_distribution<double>(0, 1)(random); };
     std::vector<Directories> turns(static_cast<std::size_t>(relays), Directories(1, backOff, draw));
     std::multimap<double, std::size_t> asks;
-    for (std::size_t i = 0; i < turns.size(); ++i) asks.emplace(spread * draw(), i);
+    for (std::size_t i = 0; i < turns.size(); ++i) asks.emplace(canWait ? turns[i].begins() : 0, i);
     std::deque<double> ends;  // of the calls in the queue, served or stale
     Played played;
     while (!asks.empty() && asks.begin()->first < 120e3) {
@@ -848,21 +848,22 @@
   };
   for (const int relays : {100, 300}) {
     CAPTURE(relays);
-    const Played herd = play(relays, 0, backOffOf(relays, 100));  // lists of no known age: all ask at once
+    const Played herd = play(relays, false, backOffOf(relays, 100));  // lists of no known age: all ask at once
     CHECK(herd.served == relays);
     CHECK(herd.calls <= 6 * relays);
     CHECK(herd.lastMs <= 400.0 * relays);
   }
-  const Played start = play(100, spreadMs(100), backOffOf(100, 100));
+  const Played start = play(100, true, backOffOf(100, 100));
   CHECK(start.served == 100);
   CHECK(start.calls <= 200);
   CHECK(start.lastMs <= 20e3);
   // As it was: nobody but those who came first, and calls without end.
-  const Played storm = play(100, 0, {100, 100});
+  const Played storm = play(100, true, {100, 100});
   CHECK(storm.served < 60);
   CHECK(storm.calls > 10000);
   // Few relays ask as they did, within a pause.
-  CHECK(spreadMs(3) <= 200);
+  CHECK(backOffOf(1, 100).spreadMs == 0);
+  CHECK(backOffOf(3, 100).spreadMs <= 200);
   CHECK(backOffOf(3, 100).mostMs <= 1000);
 }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -717,16 +717,22 @@
   // 12 s at 80 a second at most, 56 of them asked for after the clump.
   EXPECT_GT(deliveredByFleet(300), 450);
 }
-// What one of a hundred sends to a route listed at 60 a second, of which its share is 0.48, with messages
-// enough.
-int sentByOneOfMany(int refused, double fromMs, double toMs) {
+// One of a hundred, and a route listed at 60 a second, of which its share is 0.48.
+Settings oneOfMany() {
   Settings s = plain();
   s.balancers = 100;
   s.ratings = RatingKind::kRough;
+  return s;
+}
+ListEvent routeAtSixty() {
   ListEntry route = entry("a");
   route.rating = 60;
-  Rig rig(s);
-  std::vector<Event> events = {snapshot({route})};
+  return snapshot({route});
+}
+// What it sends with messages enough.
+int sentByOneOfMany(int refused, double fromMs, double toMs) {
+  Rig rig(oneOfMany());
+  std::vector<Event> events = {routeAtSixty()};
   for (int i = 0; i < 20; ++i) {
     MessageEvent m = std::get<MessageEvent>(rig.message(numbered(i)));
     m.notAfterMs = 100000;
@@ -755,20 +761,16 @@
 // Where more is held than the pace takes, what is fresh goes first: late messages have lost their worth.
 TEST(Fleet, FreshMessagesGoBeforeLateOnesThatLoseNoMore) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Settings s = plain();
+    Settings s = oneOfMany();
     s.seed = seed;
-    s.balancers = 100;
-    s.ratings = RatingKind::kRough;
     s.fade = Fade::kHalves;
-    ListEntry route = entry("a");
-    route.rating = 60;
     Rig rig(s);
     const auto handedIn = [&](const char* id, double agoMs) {
       MessageEvent m = std::get<MessageEvent>(rig.message(id));
       m.notAfterMs = rig.now + 20000 - agoMs;
       return m;
     };
-    rig.at(0, {snapshot({route}), handedIn("late", 6000), handedIn("fresh", 0)});
+    rig.at(0, {routeAtSixty(), handedIn("late", 6000), handedIn("fresh", 0)});
     for (double t = 50; t < 6000 && rig.sends.empty(); t += 50) rig.at(t);
     ASSERT_FALSE(rig.sends.empty());
     EXPECT_EQ(rig.sends[0].id, "fresh") << seed;
@@ -776,15 +778,11 @@
 }
 // What is more than its turns goes back at once, and that is the least of what is held.
 TEST(Fleet, HandsBackTheLeastOfWhatIsHeld) {
-  Settings s = plain();
-  s.balancers = 100;
-  s.ratings = RatingKind::kRough;
+  Settings s = oneOfMany();
   s.classes.push_back(classOf(Repeat::kRepeatable));
   s.classes[1].worth = 5;
-  ListEntry route = entry("a");
-  route.rating = 60;
   Rig rig(s);
-  std::vector<Event> events = {snapshot({route})};
+  std::vector<Event> events = {routeAtSixty()};
   for (int i = 0; i < 20; ++i) events.push_back(rig.message(numbered(i), 1, i % 4 == 3));
   rig.at(0, events);
   ASSERT_FALSE(rig.refused.empty());
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -21,7 +21,8 @@
 
 struct Site {
   explicit Site(DiscoveryWatch::Options options = {}, const DestinationList* known = nullptr,
-                bool fresh = false) {
+                bool fresh = false, bool keeps = false)
+      : membership({files, clock, share, counters, log}, Site::options(keeps)) {
     options.names = lab::kNames;
     if (known) membership.begin(*known, fresh ? clock.wallMs() : 0);
     watch = std::make_unique<DiscoveryWatch>(DiscoveryWatch::Parts{loop, membership, counters, log}, address,
@@ -39,9 +40,12 @@
     return R"({"uid":"u)" + std::to_string(number) +
            R"(","endpoint":"127.0.0.1:9","az":"norte","model":"large","pod_group":7,"state":"active"})";
   }
-  static Membership::Options options() {
+  static Membership::Options options(bool keeps) {
     Membership::Options o;
-    o.keeps = false;
+    o.keeps = keeps;
+    o.kept.folder = "/s";
+    o.kept.mostBytes = 1 << 20;
+    o.kept.names = lab::kNames;
     o.classes = lab::kThreeClasses;
     return o;
   }
@@ -68,10 +72,18 @@
   lab::CountedShare share;
   Counters counters;
   std::ostream log{nullptr};
-  Membership membership{{files, clock, share, counters, log}, options()};
+  Membership membership;
   std::unique_ptr<DiscoveryWatch> watch;
 };
 
+DestinationList oneEndpoint() {
+  DestinationList known{1, true, {EndpointEntry()}};
+  known.endpoints[0].entry.target = "u1";
+  known.endpoints[0].entry.destination = 7;
+  known.endpoints[0].address = *parseAddress("127.0.0.1:9");
+  return known;
+}
+
 }  // namespace
 
 TEST_CASE("a directory that answers each watch at once is not asked without end") {
@@ -95,10 +107,7 @@
 }
 
 TEST_CASE("a list that is not trusted is confirmed at once, though the directory has nothing new") {
-  DestinationList known{1, true, {EndpointEntry()}};
-  known.endpoints[0].entry.target = "u1";
-  known.endpoints[0].entry.destination = 7;
-  known.endpoints[0].address = *parseAddress("127.0.0.1:9");
+  const DestinationList known = oneEndpoint();
   Site site({}, &known);
   site.waits = true;
   site.list = R"({"rev":1,"all":false,"targets":[]})";
@@ -112,15 +121,21 @@
   CHECK(site.calls[1] == "GET /discovery/hosts?after=1&wait_ms=10000 HTTP/1.1");
 }
 
+TEST_CASE("the list begun with is kept though discovery never answers") {
+  const DestinationList known = oneEndpoint();
+  Site site({}, &known, true, true);
+  site.waits = true;
+  site.clock.nowMs += 10;
+  site.turn(20);
+  CHECK(site.disk.files.count("/s/members") == 1);
+}
+
 TEST_CASE("a first call that can wait comes within the spread, at another moment in each relay") {
-  DestinationList known{1, true, {EndpointEntry()}};
-  known.endpoints[0].entry.target = "u1";
-  known.endpoints[0].entry.destination = 7;
-  known.endpoints[0].address = *parseAddress("127.0.0.1:9");
+  const DestinationList known = oneEndpoint();
   std::set<int> moments;
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     DiscoveryWatch::Options options;
-    options.spreadMs = 5000;
+    options.backOff.spreadMs = 5000;
     options.seed = seed;
     Site site(options, &known, true);
     REQUIRE(site.membership.trust() == Trust::kFresh);
