--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -848,7 +848,7 @@
   };
   for (const int relays : {100, 300}) {
     CAPTURE(relays);
-    const Played herd = play(relays, false, backOffOf(relays, 100));  // lists of no known age: all ask at once
+    const Played herd = play(relays, false, backOffOf(relays, 100));  // untrusted lists: all at once
     CHECK(herd.served == relays);
     CHECK(herd.calls <= 6 * relays);
     CHECK(herd.lastMs <= 400.0 * relays);
