Keep the decision module as files by concern, with the same actions for the same events

The module was one class of 1,020 lines in src/policy.cpp, and anything new had to be squeezed into it.

The tables and their upkeep are one plain struct, Book, in src/state.h.

--- a/include/myrtleloft/dispatcher.h
+++ b/include/myrtleloft/dispatcher.h
@@ -1,5 +1,5 @@
 // The interface of myrtleloft: what a forwarder tells the dispatcher and what it is told to do.
-// All decisions live in src/policy.cpp; this file only names types.
+// All decisions live in src/policy/; this file only names types.
 #pragma once
 
 #include <cstdint>
