--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,11 +1,7 @@
 #include "myrtleloft/relay.h"
 
-#include <sys/signalfd.h>
-
-#include <algorithm>
 #include <csignal>
 #include <new>
-#include <random>
 #include <sstream>
 
 #include "config/config.h"
@@ -16,7 +12,10 @@
 #include "journal/journal.h"
 #include "notices/notices.h"
 #include "outbound/outbound.h"
+#include "relay/figures.h"
 #include "relay/membership_options.h"
+#include "relay/options.h"
+#include "relay/signals.h"
 
 namespace myrtleloft {
 namespace {
@@ -28,104 +27,6 @@
 constexpr double kLookMs = 25;
 constexpr std::size_t kReserveBytes = 256 * 1024;
 constexpr int kMemoryRestMs = 20;  // before a relay without memory starts anew
-// Descriptors that neither clients nor idle connections get: the listener, journal, discovery, calls out.
-constexpr int kReserve = 48;
-
-const char* nameOf(Relay::Phase phase) {
-  switch (phase) {
-    case Relay::Phase::kStarting:
-      return "starting";
-    case Relay::Phase::kRecovering:
-      return "recovering";
-    case Relay::Phase::kServing:
-      return "serving";
-    case Relay::Phase::kDraining:
-      return "draining";
-    case Relay::Phase::kStopped:
-      return "stopped";
-  }
-  return "";
-}
-
-// Of the memory: for clients' requests that are not taken on yet, and for one answer of discovery, which
-// takes some six times its size while it is read. docs/architecture.md adds up the rest.
-constexpr std::size_t kClientsPerMemory = 4, kQuotasPerMemory = 8, kListPerMemory = 48,
-                      kMostListBytes = 4 * 1024 * 1024;
-
-std::size_t idleConnections(const Config& config) { return static_cast<std::size_t>(config.sockets / 8); }
-
-std::size_t clientConnections(const Config& config) {
-  const int rest = config.sockets - kReserve - config.sockets / 8 - config.settings.callSlots;
-  return static_cast<std::size_t>(std::max(rest, 8));
-}
-
-JournalOptions journalOptions(const Config& config) {
-  JournalOptions options;
-  options.folder = config.stateFolder;
-  options.diskBytes = config.diskBytes;
-  options.segmentBytes = config.operatorFile.journal.segmentBytes;
-  options.tuning.mostSlice = config.operatorFile.journal.sliceBytes;
-  options.tuning.freeShare = config.operatorFile.journal.freePercent / 100.0;
-  options.owner = "pid " + std::to_string(::getpid()) + ", relay " + config.name;
-  std::random_device random;
-  options.salt = std::uint64_t{random()} << 32 | random();
-  return options;
-}
-
-LogOptions logOptions(const Config& config) {
-  const OperatorFile::Log& log = config.operatorFile.log;
-  return {static_cast<LogFormat>(log.format), static_cast<LogLevel>(log.level), config.name,
-          static_cast<double>(log.againMs)};
-}
-
-// The list's two files, the one and the one that replaces it, have a tenth of the disk.
-constexpr std::size_t kListPerDisk = 10;
-
-Membership::Options membershipOptions(const Config& config) {
-  const OperatorFile::Membership& m = config.operatorFile.membership;
-  Membership::Options options;
-  options.keeps = m.keep;
-  options.kept.folder = config.stateFolder;
-  options.kept.mostBytes = config.diskBytes / kListPerDisk;
-  options.kept.names = config.names;
-  std::random_device random;
-  options.kept.salt = std::uint64_t{random()} << 32 | random();
-  options.trust = trustTuning(m);
-  options.guard.share = m.guardPercent / 100.0;
-  options.guard.holdMs = static_cast<double>(m.guardHoldS) * 1e3;
-  for (std::size_t i = 0; i < config.classes.size(); ++i)
-    options.classes.push_back({config.classes[i], config.settings.classes[i].repeat});
-  return options;
-}
-
-QuotaPlan quotaPlan(const Config& config) {
-  QuotaPlan plan = config.operatorFile.quota;
-  if (plan.mostAwake == 0)
-    plan.mostAwake =
-        static_cast<std::int64_t>(config.memoryBytes / kQuotasPerMemory / QuotaTree::kWindowBytes);
-  return plan;
-}
-
-std::vector<double> worths(const Config& config) {
-  std::vector<double> all;
-  for (const ClassSettings& cls : config.settings.classes) all.push_back(cls.worth);
-  return all;
-}
-
-DiscoveryWatch::Options watchOptions(const Config& config) {
-  const OperatorFile::Membership& m = config.operatorFile.membership;
-  DiscoveryWatch::Options options;
-  options.names = config.names;
-  for (const std::string& text : m.directories) options.others.push_back(parseAddress(text).value());
-  options.backOff = backOffOf(config.settings.balancers, static_cast<double>(m.backOffMs));
-  if (m.mostBackOffMs) {
-    options.backOff.mostMs = static_cast<double>(*m.mostBackOffMs);
-    options.backOff.firstMs = 0;
-  }
-  options.seed = config.settings.seed;
-  options.mostListBytes = std::min(config.memoryBytes / kListPerMemory, kMostListBytes);
-  return options;
-}
 
 }  // namespace
 
@@ -204,24 +105,9 @@
   void printCounters() const {
     std::ostringstream out;
     counters_.print(out);
-    const JournalFigures& f = journal_.figures();
-    const JournalRoom room = journal_.room();
-    out << "counters journal: bytes=" << room.used << " of=" << room.disk << " owed=" << room.live
-        << " reserved=" << room.reserved << " segments=" << room.segments << " released=" << f.released
-        << " slices=" << f.slices << " taken-bytes=" << f.takenBytes << " written-bytes=" << f.writtenBytes
-        << " carried-bytes=" << f.carriedBytes << " faults=" << f.faults << '\n';
-    const KeptList::Figures& k = membership_.kept().figures();
-    const ListAge age = membership_.age();
-    out << "counters membership: rev=" << membership_.set().rev()
-        << " endpoints=" << membership_.set().all().size()
-        << " age-s=" << (age.known ? static_cast<std::int64_t>(age.ms / 1000) : -1)
-        << " trust=" << nameOf(membership_.trust()) << " kept-bytes=" << membership_.kept().fileBytes()
-        << " commits=" << k.commits << " rewrites=" << k.rewrites << " slices=" << k.slices
-        << " written-bytes=" << k.writtenBytes << " faults=" << k.faults << '\n';
-    if (quotas_.on())
-      out << "counters quota: nodes=" << quotas_.tree().shape().nodes.size()
-          << " windows=" << quotas_.tree().awake() << " of=" << quotas_.tree().shape().mostAwake
-          << " refused=" << counters_.failFastQuota << " uncounted=" << quotas_.tree().uncounted() << '\n';
+    print(out, journal_);
+    print(out, membership_);
+    if (quotas_.on()) print(out, quotas_.tree(), counters_);
     log_.pairs(out.str());
   }
 
@@ -265,31 +151,16 @@
   }
 
   bool takeSignals() {
-    sigset_t wanted;
-    sigemptyset(&wanted);
-    for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&wanted, signal);
-    std::signal(SIGPIPE, SIG_IGN);  // whoever read the log may go, and another come
-    if (::pthread_sigmask(SIG_BLOCK, &wanted, nullptr) != 0) return false;
-    signals_ = Fd(::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
-    if (!signals_) return false;
-    loop_.watch(signals_.get(), POLLIN, [this](short) { onSignal(); });
+    if (!signals_.take({SIGTERM, SIGINT, SIGUSR1, SIGHUP})) return false;
+    loop_.watch(signals_.fd(), POLLIN, [this](short) {
+      while (const int signal = signals_.next()) onSignal(signal);
+    });
     return true;
   }
 
-  void onSignal() {
-    signalfd_siginfo info;
-    while (::read(signals_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
-      switch (info.ssi_signo) {
-        case SIGUSR1:
-          printCounters();
-          break;
-        case SIGHUP:
-          reload();
-          break;
-        default:
-          drain();
-      }
-    }
+  void onSignal(int signal) {
+    if (signal == SIGUSR1) return printCounters();
+    signal == SIGHUP ? reload() : drain();
   }
 
   // In any phase: what is still owed while draining has to reach the new address too.
@@ -317,7 +188,7 @@
   Log log_;
   Counters counters_;
   Loop loop_;
-  Fd signals_;
+  Signals signals_;
   PosixFiles posixFiles_;
   Files& files_;
   // None at the level `process`. Of the journal and of the kept list, which must not wait for one another.
@@ -336,17 +207,6 @@
   std::unique_ptr<char[]> reserve_ = std::make_unique<char[]>(kReserveBytes);
 };
 
-Environment environmentOf(const char* const* entries) {
-  Environment environment;
-  for (; *entries != nullptr; ++entries) {
-    const std::string_view text = *entries;
-    const std::size_t equals = text.find('=');
-    if (equals != std::string_view::npos)
-      environment.emplace(text.substr(0, equals), text.substr(equals + 1));
-  }
-  return environment;
-}
-
 Relay::Relay(const Environment& environment, std::ostream& log, const RelayParts& parts)
     : log_(log),
       parts_(parts),
