Ask for the list anew in time after a silence, a stall or a broken watch, by the settings' grace

Cause: what discovery could not tell counts as told 6 s after it fell silent (2 s after the wait of a call that may wait), and the drain rule runs from there. Ruled out: a silent watch, asked again at once after 11 s; indented lists, read by ListReader and the configuration alike.

Change: a call that does not wait is silent after 5 s, unless its answer has begun; a stall is a silence (Result::stalled); a broken kept connection is opened anew within the spread, which is drainGraceMs less 0.5 s (1.5 s as before where that is 2 s); a new address begins without the old one's failures; an unanswered question for confirmation is asked again as such.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -188,6 +188,8 @@
   config.tenants = namesOf(settings, "tenants");
   config.names.zones = strings(settings, "azs");
   config.names.kinds = strings(settings, "machineTypes");
+  if (const Value* guarantees = settings.find("guarantees", Value::Type::kObject))
+    config.drainGraceMs = guarantees->number("drainGraceMs").value_or(0);
   if (const Value* reporting = settings.find("reporting", Value::Type::kObject))
     config.reportColumns = strings(*reporting, "columns");
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -21,6 +21,7 @@
   std::vector<std::string> classes, tenants, reportColumns;
   ListNames names;
   DestinationList known;
+  double drainGraceMs = 0;    // guarantees.drainGraceMs; 0: none told
   double writtenWallMs = 0;   // when the file was last written, and with it `known`; 0: not known
   OperatorFile operatorFile;  // defaults, where BALANCER_OPERATOR names none
 };
--- a/src/discovery/directories.cpp
+++ b/src/discovery/directories.cpp
@@ -6,12 +6,13 @@
 
 namespace myrtleloft {
 
-BackOff backOffOf(int relays, double leastMs) {
+BackOff backOffOf(int relays, double leastMs, double drainGraceMs) {
   // With full jitter a relay comes once in half its pause: at the most, all together half as often as may be.
   constexpr double kRoom = 4;
   const double fleetMs = kAskMs * std::max(1, relays);
   return {leastMs, std::max(leastMs, std::min(kMostPauseMs, fleetMs * kRoom)),
-          std::min(kMostFirstMs, fleetMs), std::min(kMostSpreadMs, fleetMs - kAskMs)};
+          std::min(kMostFirstMs, fleetMs),
+          std::min(std::max(0.0, drainGraceMs - kAnswerMs), fleetMs - kAskMs)};
 }
 
 Directories::Directories(std::size_t count, const BackOff& backOff, std::function<double()> random)
--- a/src/discovery/directories.h
+++ b/src/discovery/directories.h
@@ -27,13 +27,15 @@
 // What a fleet of so many relays needs, whose operator sets nothing: all together start no more watches than
 // one relay alone may, which is one in kAskMs.
 constexpr double kAskMs = 50;
-// Nothing may be sent to an endpoint 2 s after this relay could have been told that it drains: by then the
-// first call after a start or a reload must have been answered.
-constexpr double kMostSpreadMs = 1500;
+// Nothing may be sent to an endpoint once the grace for drains is over since this relay could have been told
+// that it drains: by then the first call after a start, a reload or a silence must have been answered, for
+// which this much is left.
+constexpr double kAnswerMs = 500;
 // The most of the first pause after a failure, and of any: a relay that asked in vain counts as told later,
 // the latest after 40 s.
 constexpr double kMostFirstMs = 5000, kMostPauseMs = 35000;
-BackOff backOffOf(int relays, double leastMs);
+// `drainGraceMs`: the settings' guarantees.drainGraceMs; up to kAnswerMs the fleet asks together.
+BackOff backOffOf(int relays, double leastMs, double drainGraceMs);
 
 class Directories {
  public:
@@ -43,7 +45,7 @@
   std::size_t current() const { return current_; }
   // So many ms before a first call that can wait: at a random moment of the spread.
   double begins() { return random_() * backOff_.spreadMs; }
-  void answered() { failures_ = 0; }
+  void answered() { failures_ = 0; }  // or nothing is held against any of them any more
   // The next one's turn, after so many ms. All have their turn once before the pause grows.
   double failed();
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -7,9 +7,11 @@
 namespace myrtleloft {
 namespace {
 
-// A change that a silent discovery could not tell counts as told 2 s after the call's wait at the latest.
+// What a silent discovery could not tell counts as told 6 s after it fell silent, or 2 s after the call's
+// wait if that is later. Noticed a second before that, it leaves the next call a second and the grace for
+// drains.
 constexpr int kWaitMs = 10000;
-constexpr double kSilenceMs = kWaitMs + 1000.0;
+constexpr double kSilenceMs = 5000, kWatchSilenceMs = kWaitMs + 1000.0;
 // Where another could be asked: a whole list comes without waiting, so a directory silent for so long is
 // down.
 constexpr double kWholeSilenceMs = 2000;
@@ -17,7 +19,7 @@
 // After an answer that brought nothing new: a directory that does not wait must not be asked without end.
 // Well under the 200 ms within which a watch goes on.
 constexpr double kNothingNewMs = 50;
-constexpr double kListMs = 5000;               // from its first byte to its last
+constexpr double kListMs = 5000;  // from its first byte to its last; falls silent in between as above
 constexpr std::size_t kReadSlice = 32 * 1024;  // of an answer, in a turn of the loop: under 1 ms
 
 }  // namespace
@@ -36,6 +38,7 @@
 
 void DiscoveryWatch::fetch() {
   whole_ = true;
+  turn_.answered();  // what failed was another
   parts_.loop.cancel(timer_);
   connection_.reset();
   reader_.reset();
@@ -44,7 +47,8 @@
 
 void DiscoveryWatch::ask() {
   parts_.loop.cancel(timer_);
-  if (!connection_ || !connection_->reusable())
+  reused_ = connection_ && connection_->reusable();
+  if (!reused_)
     connection_ = std::make_unique<ClientConnection>(
         parts_.loop, address(), ClientConnection::AnswerLimits{options_.mostListBytes, kListMs});
   if (!connection_->open()) {
@@ -62,13 +66,19 @@
     target += "?after=" + std::to_string(set.rev()) + "&wait_ms=" + std::to_string(atOnce_ ? 0 : kWaitMs);
   connection_->send(writeRequest("GET", target, address().text, {}, ""),
                     [this](ClientConnection::Result result) { onResult(std::move(result)); });
-  const bool quick = !watches && !options_.others.empty();
-  timer_ = parts_.loop.after(quick ? kWholeSilenceMs : kSilenceMs, [this] {  // silent: the last list stays
-    failed();
-    ask();
+  const bool waits = watches && !atOnce_, quick = !watches && !options_.others.empty();
+  timer_ = parts_.loop.after(waits ? kWatchSilenceMs : quick ? kWholeSilenceMs : kSilenceMs, [this] {
+    if (!connection_->answerBegun()) silent();  // one that has begun has a bound of its own
   });
 }
 
+// The last list stays, and what was not told is asked for at once: the silence was pause enough.
+void DiscoveryWatch::silent() {
+  failed();
+  atOnce_ = false;  // it has told nothing: the next call is as this one
+  ask();
+}
+
 // The next directory's turn.
 void DiscoveryWatch::failed() {
   connection_.reset();
@@ -79,6 +89,14 @@
 
 void DiscoveryWatch::onResult(ClientConnection::Result result) {
   parts_.loop.cancel(timer_);
+  if (result.stalled) return silent();
+  const bool broke =
+      result.end == ClientConnection::End::kNotSent || result.end == ClientConnection::End::kBroken;
+  // The connection was kept too long, as it may be: that is no failure, and no reason to stay away for long.
+  if (broke && reused_) {
+    connection_.reset();
+    return begin();
+  }
   if (result.end != ClientConnection::End::kAnswered) return failed();
   if (result.answer.status != 200) return refuse("status " + std::to_string(result.answer.status));
   reader_.emplace(std::move(result.answer.body), options_.names);
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -62,6 +62,7 @@
   void accept(const DestinationList& list);
   void refuse(const std::string& error);
   void failed();
+  void silent();
   void tick();
   void armTick();
   const Address& address() const {
@@ -76,6 +77,7 @@
   Changed changed_;
   bool whole_ = false, news_ = false;  // `news_`: the last answer brought some
   bool atOnce_ = false;                // the last call did not wait for news
+  bool reused_ = false;                // its connection had carried one before
   std::string lastError_;
   std::unique_ptr<ClientConnection> connection_;
   std::optional<ListReader> reader_;  // of the answer that is being read
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -83,18 +83,18 @@
   if (restTimer_ != Loop::kNoTimer) return;
   restTimer_ = loop_.after(restMs_, [this] {
     restTimer_ = Loop::kNoTimer;
-    finish(End::kSpoilt, reader_.take());
+    finish(End::kSpoilt, reader_.take(), true);
   });
 }
 
-void ClientConnection::finish(End end, HttpMessage answer) {
+void ClientConnection::finish(End end, HttpMessage answer, bool stalled) {
   const Done done = std::exchange(done_, nullptr);
   loop_.cancel(restTimer_);
   // An answer before the whole call was read, or bytes after it, leave a connection that nobody can trust.
   if (end != End::kAnswered || !answer.keepAlive || !lastByteWritten() || !reader_.buffer().empty()) close();
   out_ = std::string();
   written_ = 0;
-  if (done) done({end, std::move(answer)});  // may destroy this connection
+  if (done) done({end, std::move(answer), stalled});  // may destroy this connection
 }
 
 }  // namespace myrtleloft
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -25,6 +25,7 @@
   struct Result {
     End end = End::kBroken;
     HttpMessage answer;
+    bool stalled = false;  // of a spoilt one: it had begun, and did not go on
   };
   using Done = std::function<void(Result)>;
 
@@ -52,7 +53,7 @@
   void write();
   void read();
   void armRest();
-  void finish(End end, HttpMessage answer = {});
+  void finish(End end, HttpMessage answer = {}, bool stalled = false);
 
   Loop& loop_;
   Fd fd_;
--- a/src/relay/membership_options.cpp
+++ b/src/relay/membership_options.cpp
@@ -47,7 +47,7 @@
   options.names = config.names;
   for (const std::string& text : m.directories) options.others.push_back(parseAddress(text).value());
   options.backOff =
-      backOffOf(config.settings.balancers, static_cast<double>(m.backOffMs));
+      backOffOf(config.settings.balancers, static_cast<double>(m.backOffMs), config.drainGraceMs);
   if (m.mostBackOffMs) {
     options.backOff.mostMs = static_cast<double>(*m.mostBackOffMs);
     options.backOff.firstMs = 0;
--- /dev/null
+++ b/tests/list_clock_test.cpp
@@ -0,0 +1,225 @@
+// The list's clock: what discovery could not tell counts as told all the same, and the grace for drains runs
+// from then. A watch that falls silent, breaks or stands still half-way is opened anew in time.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+#include "config/config.h"
+#include "discovery/list_reader.h"
+#include "lab/site.h"
+#include "tests/watch_site.h"
+
+using namespace myrtleloft;
+
+namespace {
+
+constexpr double kWaitMs = 10000, kSlackMs = 50;  // of a watch; of every limit, on sockets
+constexpr double kSilentToldMs = 6000, kWaitToldMs = 2000, kReloadToldMs = 4000;
+
+std::string drains(int rev) {
+  std::string entry = WatchSite::entry(1);
+  lab::replaceAll(entry, "active", "leaving");
+  return "{\"rev\":" + std::to_string(rev) + ",\"all\":true,\"targets\":[" + entry + "]}";
+}
+
+struct Fleet {
+  int relays;
+  double graceMs;
+};
+constexpr Fleet kFleets[] = {{1, 2000}, {30, 2000}, {300, 2000}, {300, 500}};
+constexpr std::uint64_t kSeeds = 6;
+
+// A relay of that fleet, which knows the one endpoint as active; `trusted`: by a list just confirmed.
+struct Asker : WatchSite {
+  Asker(const Fleet& fleet, std::uint64_t seed, bool trusted, const DestinationList& known = oneEndpoint())
+      : WatchSite(options(fleet, seed), &known, trusted) {
+    waits = true;
+    list = R"({"rev":1,"all":false,"targets":[]})";
+  }
+  static DiscoveryWatch::Options options(const Fleet& fleet, std::uint64_t seed) {
+    DiscoveryWatch::Options o;
+    o.backOff = backOffOf(fleet.relays, 100, fleet.graceMs);
+    o.seed = seed;
+    return o;
+  }
+  bool knows() const { return membership.set().findUid("u1")->entry.state == RouteState::kStopping; }
+  // From now on each call that is heard brings the drain.
+  void tells() {
+    waits = false;
+    list = drains(2);
+  }
+  // Until the drain is known; the time then.
+  double learns(double byMs) {
+    while (!knows() && clock.nowMs < byMs + 20000) pass(50);
+    return clock.nowMs;
+  }
+  // Until so many calls were made.
+  void untilAsked(int calls) {
+    for (int i = 0; i < 1000 && asked < calls; ++i) pass(50);
+    REQUIRE(asked == calls);
+  }
+};
+
+template <typename F>
+void forEach(F play) {
+  for (const Fleet& fleet : kFleets)
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CAPTURE(fleet.relays);
+      CAPTURE(fleet.graceMs);
+      CAPTURE(seed);
+      play(fleet, seed);
+    }
+}
+
+}  // namespace
+
+TEST_CASE("a watch that falls silent is opened anew before what it missed may no longer be unknown") {
+  forEach([](const Fleet& fleet, std::uint64_t seed) {
+    for (const double afterMs : {0.0, 9000.0}) {  // since the call
+      Asker relay(fleet, seed, true);
+      relay.untilAsked(1);
+      const double calledMs = relay.clock.nowMs;
+      relay.pass(afterMs);
+      const double toldMs = std::max(relay.clock.nowMs + kSilentToldMs, calledMs + kWaitMs + kWaitToldMs);
+      relay.fallSilent();
+      relay.tells();
+      CHECK(relay.learns(toldMs) <= toldMs + fleet.graceMs + kSlackMs);
+    }
+  });
+}
+
+TEST_CASE("a call that does not wait is silent from its beginning, and made again in time") {
+  forEach([](const Fleet& fleet, std::uint64_t seed) {
+    for (const bool whole : {false, true}) {  // a list that is not trusted; one of which a part is missing
+      DestinationList known = oneEndpoint();
+      known.endpoints[0].missing = whole;
+      Asker relay(fleet, seed, whole, known);
+      relay.mute = true;
+      relay.untilAsked(1);
+      relay.mute = false;
+      CHECK(relay.calls[0].find(whole ? "hosts " : "&wait_ms=0 ") != std::string::npos);
+      const double toldMs = relay.clock.nowMs + kSilentToldMs;
+      relay.tells();
+      CHECK(relay.learns(toldMs) <= toldMs + fleet.graceMs + kSlackMs);
+      if (!whole)
+        CHECK(relay.calls[1] == relay.calls[0]);  // not one that waits while the list is not trusted
+    }
+  });
+}
+
+TEST_CASE("an answer that stands still half-way is asked for again in time") {
+  forEach([](const Fleet& fleet, std::uint64_t seed) {
+    for (const bool waits : {false, true}) {
+      Asker relay(fleet, seed, waits);
+      relay.mute = true;
+      relay.untilAsked(1);
+      relay.mute = false;
+      relay.pass(waits ? 9000 : 0);
+      relay.tells();
+      const double toldMs = relay.clock.nowMs + kSilentToldMs;  // after the wait's end and 2 s
+      const std::string text = relay.answer();
+      relay.hub.send(*relay.silent.begin(), text.substr(0, text.size() / 2));
+      CHECK(relay.learns(toldMs) <= toldMs + fleet.graceMs + kSlackMs);
+    }
+  });
+}
+
+TEST_CASE("an answer that goes on is not given up for being long") {
+  Asker relay({1, 2000}, 1, false);
+  relay.mute = true;
+  relay.untilAsked(1);
+  relay.pass(4000);
+  relay.tells();
+  const std::string text = relay.answer();
+  for (std::size_t i = 0; i < text.size(); i += text.size() / 4 + 1) {
+    relay.hub.send(*relay.silent.begin(), text.substr(i, text.size() / 4 + 1));
+    relay.pass(1000);
+  }
+  CHECK(relay.knows());
+}
+
+TEST_CASE("a kept connection that breaks under a call costs no more than the grace") {
+  forEach([](const Fleet& fleet, std::uint64_t seed) {
+    Asker relay(fleet, seed, false);
+    relay.untilAsked(2);  // the second on the first one's connection, and it waits
+    REQUIRE(relay.connections.size() == 1);
+    relay.tells();  // what the agent has counts at once
+    const double toldMs = relay.clock.nowMs;
+    relay.hub.close(*relay.connections.begin());
+    CHECK(relay.learns(toldMs) <= toldMs + fleet.graceMs + kSlackMs);
+  });
+}
+
+TEST_CASE("what the agent has counts from a process's first moment, and after SIGHUP four seconds later") {
+  forEach([](const Fleet& fleet, std::uint64_t seed) {
+    Asker relay(fleet, seed, true);
+    relay.tells();
+    CHECK(relay.learns(0) <= fleet.graceMs + kSlackMs);
+
+    Asker moved(fleet, seed, true);
+    moved.untilAsked(1);
+    // The old address refuses by now, and each time the pause grows.
+    moved.fails = 1000;
+    moved.hub.close(*moved.connections.begin());
+    moved.pass(120e3);
+    moved.fails = fleet.relays <= 30 ? 1 : 0;  // the pause after a failure grows with the fleet
+    const double toldMs = moved.clock.nowMs + kReloadToldMs;
+    moved.tells();
+    moved.watch->fetch();
+    CHECK(moved.learns(toldMs) <= toldMs + fleet.graceMs + kSlackMs);
+  });
+}
+
+namespace {
+
+// As a person would write it: each member and item on a line of its own.
+std::string indented(const std::string& text) {
+  std::string out;
+  bool inString = false;
+  std::size_t depth = 0;
+  const auto line = [&] { out += "\r\n" + std::string(depth, '\t') + "  "; };
+  for (const char c : text) {
+    if (c == '"') inString = !inString;
+    const bool opens = c == '{' || c == '[', closes = c == '}' || c == ']';
+    if (inString || !(opens || closes || c == ',' || c == ':')) {
+      out += c;
+      continue;
+    }
+    depth += opens;
+    depth -= closes;
+    if (closes) line();
+    out += c == ':' ? " : " : std::string(1, c);
+    if (opens || c == ',') line();
+  }
+  return "\n" + out + "\n";
+}
+
+}  // namespace
+
+TEST_CASE("indented lists are read: discovery's in slices of any size, and the configuration's") {
+  const std::string list =
+      "{\"rev\":7,\"all\":true,\"targets\":[" + WatchSite::entry(1) + "," + WatchSite::entry(2) + "]}";
+  const std::string text = indented(list);
+  REQUIRE(std::count(text.begin(), text.end(), '\n') > 20);
+  for (const std::size_t slice : {std::size_t{1}, std::size_t{7}, text.size()}) {
+    ListReader reader(text, lab::kNames);
+    while (!reader.step(slice)) {
+    }
+    std::string error;
+    const auto read = reader.take(error);
+    REQUIRE_MESSAGE(read.has_value(), error);
+    CHECK(read->rev == 7);
+    CHECK(read->all);
+    REQUIRE(read->endpoints.size() == 2);
+    CHECK(read->endpoints[1].entry.target == "u2");
+  }
+  const std::string config = indented(R"({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:9",)"
+                                      R"("seed":"5","settings":)" +
+                                      std::string(lab::kSiteSettings) + ",\"known\":" + list + "}");
+  const Config read = readConfig({{"BALANCER_STATE", "/s"}}, config);
+  CHECK(read.drainGraceMs == 2000);
+  CHECK(read.known.rev == 7);
+  REQUIRE(read.known.endpoints.size() == 2);
+  CHECK(read.known.endpoints[0].address.text == "127.0.0.1:9");
+}
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -848,12 +848,12 @@
   };
   for (const int relays : {100, 300}) {
     CAPTURE(relays);
-    const Played herd = play(relays, false, backOffOf(relays, 100));  // untrusted lists: all at once
+    const Played herd = play(relays, false, backOffOf(relays, 100, 2000));  // untrusted lists: all at once
     CHECK(herd.served == relays);
     CHECK(herd.calls <= 6 * relays);
     CHECK(herd.lastMs <= 400.0 * relays);
   }
-  const Played start = play(100, true, backOffOf(100, 100));
+  const Played start = play(100, true, backOffOf(100, 100, 2000));
   CHECK(start.served == 100);
   CHECK(start.calls <= 200);
   CHECK(start.lastMs <= 20e3);
@@ -862,9 +862,9 @@
   CHECK(storm.served < 60);
   CHECK(storm.calls > 10000);
   // Few relays ask as they did, within a pause.
-  CHECK(backOffOf(1, 100).spreadMs == 0);
-  CHECK(backOffOf(3, 100).spreadMs <= 200);
-  CHECK(backOffOf(3, 100).mostMs <= 1000);
+  CHECK(backOffOf(1, 100, 2000).spreadMs == 0);
+  CHECK(backOffOf(3, 100, 2000).spreadMs <= 200);
+  CHECK(backOffOf(3, 100, 2000).mostMs <= 1000);
 }
 
 TEST_CASE("directories have their turn, with a pause that grows within its bounds") {
--- /dev/null
+++ b/tests/watch_site.h
@@ -0,0 +1,108 @@
+// The watch on discovery's list beside a directory that can fall silent, break off or fail: real sockets on
+// loopback, a clock moved by hand.
+//
+//   WatchSite site(options, &known, true);   // the list begun with is trusted
+//   site.turn(20);                           // what comes at this moment
+//   site.pass(1000);
+#pragma once
+
+#include <memory>
+#include <ostream>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "discovery/watch.h"
+#include "lab/faulty_files.h"
+#include "lab/hand_clock.h"
+#include "lab/hub.h"
+#include "lab/module_site.h"
+
+namespace myrtleloft {
+
+struct WatchSite {
+  explicit WatchSite(DiscoveryWatch::Options options = {}, const DestinationList* known = nullptr,
+                     bool fresh = false, bool keeps = false)
+      : membership({files, clock, share, counters, log}, WatchSite::options(keeps)) {
+    options.names = lab::kNames;
+    if (known) membership.begin(*known, fresh ? clock.wallMs() : 0);
+    watch = std::make_unique<DiscoveryWatch>(DiscoveryWatch::Parts{loop, membership, counters, log}, address,
+                                             options);
+    watch->start([this](ListEvent) { ++events; });
+  }
+  void turn(int turns) {
+    for (int i = 0; i < turns; ++i) {
+      hub.turn(0);
+      loop.after(0, [] {});
+      loop.runOnce();
+    }
+  }
+  static std::string entry(int number) {
+    return R"({"uid":"u)" + std::to_string(number) +
+           R"(","endpoint":"127.0.0.1:9","az":"norte","model":"large","pod_group":7,"state":"active"})";
+  }
+  static Membership::Options options(bool keeps) {
+    Membership::Options o;
+    o.keeps = keeps;
+    o.kept.folder = "/s";
+    o.kept.mostBytes = 1 << 20;
+    o.kept.names = lab::kNames;
+    o.classes = lab::kThreeClasses;
+    return o;
+  }
+
+  // In steps of 50 ms.
+  void pass(double ms) {
+    for (const double until = clock.nowMs + ms; clock.nowMs < until;) {
+      clock.nowMs += 50;
+      turn(12);
+    }
+  }
+  // From now on nothing more comes on the connections that there are.
+  void fallSilent() { silent.insert(connections.begin(), connections.end()); }
+  std::string answer() const {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list;
+  }
+  void onCall(lab::Hub::Id from, const lab::Message& call) {
+    ++asked;
+    calls.push_back(call.start);
+    connections.insert(from);
+    if (mute) silent.insert(from);
+    if (silent.count(from)) return;
+    if (breaks > 0 && breaks--) return hub.close(from);
+    if (fails > 0 && fails--) return hub.send(from, "HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n");
+    if (waits && call.start.find("wait_ms=0 ") == call.start.npos) return;
+    hub.send(from, answer());
+  }
+
+  lab::Hub hub;
+  int asked = 0, events = 0;
+  bool mute = false;   // what is asked now is never answered
+  bool waits = false;  // a call that may wait for news gets no answer
+  std::vector<std::string> calls;
+  std::string list = "{\"rev\":1,\"all\":true,\"targets\":[" + entry(1) + "]}";
+  std::set<lab::Hub::Id> connections, silent;
+  int breaks = 0, fails = 0;  // so many calls more get no answer, or a bad one
+  std::string directory =
+      hub.listen({[this](lab::Hub::Id from, const lab::Message& call) { onCall(from, call); }, {}, {}});
+  Address address = *parseAddress(directory);
+  lab::HandClock clock;
+  Loop loop{clock};
+  lab::Disk disk;
+  lab::FaultyFiles files{disk};
+  lab::CountedShare share;
+  Counters counters;
+  std::ostream log{nullptr};
+  Membership membership;
+  std::unique_ptr<DiscoveryWatch> watch;
+};
+
+inline DestinationList oneEndpoint() {
+  DestinationList known{1, true, {EndpointEntry()}};
+  known.endpoints[0].entry.target = "u1";
+  known.endpoints[0].entry.destination = 7;
+  known.endpoints[0].address = *parseAddress("127.0.0.1:9");
+  return known;
+}
+
+}  // namespace myrtleloft
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -3,88 +3,13 @@
 
 #include <doctest/doctest.h>
 
-#include <memory>
-#include <ostream>
 #include <set>
 #include <string>
-#include <vector>
 
-#include "lab/faulty_files.h"
-#include "lab/hand_clock.h"
-#include "lab/hub.h"
-#include "lab/module_site.h"
+#include "tests/watch_site.h"
 
 using namespace myrtleloft;
-using lab::Hub;
-
-namespace {
-
-struct Site {
-  explicit Site(DiscoveryWatch::Options options = {}, const DestinationList* known = nullptr,
-                bool fresh = false, bool keeps = false)
-      : membership({files, clock, share, counters, log}, Site::options(keeps)) {
-    options.names = lab::kNames;
-    if (known) membership.begin(*known, fresh ? clock.wallMs() : 0);
-    watch = std::make_unique<DiscoveryWatch>(DiscoveryWatch::Parts{loop, membership, counters, log}, address,
-                                             options);
-    watch->start([this](ListEvent) { ++events; });
-  }
-  void turn(int turns) {
-    for (int i = 0; i < turns; ++i) {
-      hub.turn(0);
-      loop.after(0, [] {});
-      loop.runOnce();
-    }
-  }
-  static std::string entry(int number) {
-    return R"({"uid":"u)" + std::to_string(number) +
-           R"(","endpoint":"127.0.0.1:9","az":"norte","model":"large","pod_group":7,"state":"active"})";
-  }
-  static Membership::Options options(bool keeps) {
-    Membership::Options o;
-    o.keeps = keeps;
-    o.kept.folder = "/s";
-    o.kept.mostBytes = 1 << 20;
-    o.kept.names = lab::kNames;
-    o.classes = lab::kThreeClasses;
-    return o;
-  }
-
-  Hub hub;
-  int asked = 0, events = 0;
-  bool waits = false;  // a call that may wait for news gets no answer
-  std::vector<std::string> calls;
-  std::string list = "{\"rev\":1,\"all\":true,\"targets\":[" + entry(1) + "]}";
-  std::string directory = hub.listen({[this](Hub::Id from, const lab::Message& call) {
-                                        ++asked;
-                                        calls.push_back(call.start);
-                                        if (waits && call.start.find("wait_ms=0 ") == call.start.npos) return;
-                                        hub.send(from, "HTTP/1.1 200 OK\r\nContent-Length: " +
-                                                           std::to_string(list.size()) + "\r\n\r\n" + list);
-                                      },
-                                      {},
-                                      {}});
-  Address address = *parseAddress(directory);
-  lab::HandClock clock;
-  Loop loop{clock};
-  lab::Disk disk;
-  lab::FaultyFiles files{disk};
-  lab::CountedShare share;
-  Counters counters;
-  std::ostream log{nullptr};
-  Membership membership;
-  std::unique_ptr<DiscoveryWatch> watch;
-};
-
-DestinationList oneEndpoint() {
-  DestinationList known{1, true, {EndpointEntry()}};
-  known.endpoints[0].entry.target = "u1";
-  known.endpoints[0].entry.destination = 7;
-  known.endpoints[0].address = *parseAddress("127.0.0.1:9");
-  return known;
-}
-
-}  // namespace
+using Site = WatchSite;
 
 TEST_CASE("a directory that answers each watch at once is not asked without end") {
   Site site;
