--- /dev/null
+++ b/tests/policy_recorded_test.cpp
@@ -0,0 +1,248 @@
+// The same actions for the same events as ever: drawn days of several shapes, whose actions come to digests
+// that were recorded from the module while it was one file (src/policy.cpp, the text before src/policy/).
+// Whoever changes a decision on purpose records them anew and says so in the commit. Ids, targets and times
+// rounded to 0.01 ms count, so that a build's floating point does not; the draws are those of libstdc++.
+#define XXH_INLINE_ALL
+#include <doctest/doctest.h>
+#include <xxhash.h>
+
+#include <array>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "myrtleloft/dispatcher.h"
+
+using namespace myrtleloft;
+
+namespace {
+
+constexpr double kTickMs = 5, kDayMs = 30000, kLastMs = 55000;
+constexpr int kDays = 15;
+
+struct Shape {
+  const char* name;
+  int balancers;
+  std::vector<bool> apart;
+  std::vector<int> batch;
+  RatingKind ratings;
+  bool keyed, reports, asks, cancels, told;  // told: the figures for cold returns and the like
+};
+
+Settings settingsOf(const Shape& shape, std::uint64_t seed) {
+  Settings s;
+  s.seed = seed;
+  s.balancers = shape.balancers;
+  s.me = static_cast<int>(seed) % shape.balancers;
+  s.resolutionMs = kTickMs;
+  s.callSlots = 9;
+  s.maxOpen = 60;
+  s.maxRetryAfterMs = 3000;
+  s.kindApart = shape.apart;
+  s.kindBatch = shape.batch;
+  s.ratings = shape.ratings;
+  s.askForList = shape.asks;
+  s.mayCancel = shape.cancels;
+  s.settleAfterDoubtMs = 400;
+  if (shape.told) {
+    s.zone = 0;
+    s.zoneFees = {0, 0.03};
+    s.crossZonePrice = 0.02;
+    s.fade = Fade::kHalves;
+    s.sendCap = 8;
+    s.connectTimeoutMs = 1500;
+    s.connIdleMs = 10000;
+    s.coldShare = 0.14;
+    s.coldMs = 8000;
+    s.overloadFactor = 2.5;
+    s.fallMs = 2000;
+  }
+  constexpr std::array<Repeat, 3> kRepeats = {Repeat::kRepeatable, Repeat::kByKey, Repeat::kOnce};
+  for (int i = 0; i < 6; ++i) {
+    ClassSettings c;
+    c.repeat = kRepeats[static_cast<std::size_t>(i % 3)];
+    c.group = i == 4 ? Group::kZone : Group::kAll;
+    c.targetMs = 2000;
+    c.aimStretch = 0.5;
+    c.hardLimitMs = 16000 + 2000 * i;
+    c.worth = 1 + i;
+    c.lateWorth = 0.4;
+    c.memorySpanMs = 6000;
+    c.fifoByKey = shape.keyed && i < 3;
+    if (i == 5) c.allowedZones = {0};
+    s.classes.push_back(c);
+  }
+  return s;
+}
+
+class Day {
+ public:
+  Day(const Shape& shape, std::uint64_t seed) : shape_(shape), seed_(seed), engine_(seed) {
+    for (int i = 0; i < 7; ++i)
+      list_.push_back(
+          {"e" + std::to_string(i), below(2), i % 2, 1 + i / 2, RouteState::kRunning, 3.0 + below(6)});
+    start();
+  }
+
+  // What it did, in words.
+  std::string run() {
+    for (now_ = 0; now_ < kLastMs; now_ += kTickMs) {
+      if (now_ < kDayMs) happen();
+      std::vector<Event> events;
+      while (!agenda_.empty() && agenda_.begin()->first <= now_)
+        events.push_back(std::move(agenda_.extract(agenda_.begin()).mapped()));
+      if (events.empty()) continue;
+      for (const Event& e : events)
+        if (const auto* o = std::get_if<OutcomeEvent>(&e); o && o->ended) open_.erase(o->id);
+      note("\n", now_);
+      for (const Action& action : module_->onBatch(now_, events))
+        std::visit([&](const auto& a) { did(a); }, action);
+    }
+    return std::move(said_);
+  }
+
+ private:
+  int below(int n) { return static_cast<int>(static_cast<double>(engine_() >> 11) * 0x1p-53 * n); }
+  void tell(double inMs, Event e) { agenda_.emplace(now_ + inMs, std::move(e)); }
+  void note(const std::string& what, double value) {
+    said_ += what + ' ' + std::to_string(std::llround(value * 100)) + ' ';
+  }
+
+  // A process begins; its predecessor's messages come with the attempts that may have run.
+  void start() {
+    module_ = std::make_unique<Dispatcher>(settingsOf(shape_, ++seed_));
+    agenda_.clear();
+    tell(0, ListEvent{ListKind::kDisk, list_});
+    for (const auto& [id, message] : open_) tell(0, message);
+  }
+
+  void happen() {
+    if (below(32) == 0) {
+      MessageEvent m;
+      m.id = "m" + std::to_string(++lastMessage_);
+      m.cls = below(7) - (below(40) == 0);  // some of a class that nobody told
+      m.destination = 1 + below(below(2) ? 4 : 2);
+      m.notAfterMs = now_ + 16000 + 2000 * m.cls;
+      m.effortMs = below(900);
+      m.isRetry = below(4) == 0;
+      if (below(2)) m.orderKey = "k" + std::to_string(below(3));
+      open_[m.id] = m;
+      tell(0, m);
+      if (below(40) == 0) tell(below(4000), HangUpEvent{m.id});
+    }
+    if (below(900) == 0) tell(0, ListEvent{ListKind::kError, {}});
+    if (below(500) == 0) {
+      ListEntry& entry = list_[static_cast<std::size_t>(below(static_cast<int>(list_.size())))];
+      entry.state = entry.state == RouteState::kRunning ? RouteState::kStopping : RouteState::kRunning;
+      tell(below(300),
+           below(4) ? ListEvent{ListKind::kDiff, {entry}} : ListEvent{ListKind::kSnapshot, list_});
+    }
+    if (below(3000) == 0) start();
+  }
+
+  void did(const SendAction& a) {
+    note("send " + a.id + ' ' + a.target, a.capMs);
+    MessageEvent& m = open_.at(a.id);
+    OutcomeEvent e;
+    e.id = a.id;
+    e.attempt = m.attempts++;
+    e.target = a.target;
+    const double tookMs = fate(e);
+    if (shape_.reports && below(3) == 0) e.report.limitPerS = 2 + below(5);
+    if (e.outcome != Outcome::kNoConn && e.outcome != Outcome::kFull && e.outcome != Outcome::kNop)
+      m.doubts.push_back({list_[numberOf(a.target)].zone, now_});
+    tell(std::min(a.capMs, tookMs) + kTickMs, e);
+  }
+  static std::size_t numberOf(const std::string& target) {
+    return static_cast<std::size_t>(target.back() - '0');
+  }
+  // Each endpoint takes so many calls a second, and is out once a day, in its own way.
+  double fate(OutcomeEvent& e) {
+    const std::size_t number = numberOf(e.target);
+    int& taken = taken_[{number, static_cast<int>(now_ / 1000)}];
+    const bool out =
+        number % 3 != 2 && std::fmod(now_ + 1900.0 * static_cast<double>(number), kDayMs) > kDayMs - 9000;
+    if (out && number % 2 == 0) {
+      e.outcome = number == 0 ? Outcome::kLate : Outcome::kNoConn;
+      return number == 0 ? 1e9 : 20;
+    }
+    if (++taken > 3 || out) {
+      e.outcome = Outcome::kFull;
+      e.detail = below(2) ? 200 + below(700) : 0;
+      return 15;
+    }
+    constexpr std::array<Outcome, 5> kRare = {Outcome::kBad, Outcome::kReset, Outcome::kCancelled,
+                                              Outcome::kNop, Outcome::kLate};
+    if (below(12) == 0) e.outcome = kRare[static_cast<std::size_t>(below(5))];
+    e.ended = e.outcome == Outcome::kGood;
+    return 60 + below(300);
+  }
+
+  void did(const RefuseAction& a) { ended("refuse ", a.id), note("", a.comeBackMs); }
+  void did(const FailAction& a) { ended("fail ", a.id); }
+  void ended(const std::string& how, const std::string& id) {
+    said_ += how + id + ' ';
+    open_.erase(id);
+  }
+  void did(const CallOffAction& a) {
+    note("off " + a.id, a.attempt);
+    std::erase_if(agenda_, [&](const auto& due) {
+      const auto* o = std::get_if<OutcomeEvent>(&due.second);
+      return o && o->id == a.id;
+    });
+    OutcomeEvent e;
+    e.id = a.id;
+    e.attempt = a.attempt;
+    e.outcome = Outcome::kCancelled;
+    tell(kTickMs, e);
+  }
+  void did(const TimerAction& a) {
+    note("timer", a.spanMs);
+    tell(std::max(kTickMs, a.spanMs), TimerEvent{a.token});
+  }
+  void did(const WatchListAction&) { said_ += "watch "; }
+  void did(const FreeLinksAction& a) { said_ += "free " + a.target + ' '; }
+
+  const Shape& shape_;
+  std::uint64_t seed_;
+  std::mt19937_64 engine_;
+  std::unique_ptr<Dispatcher> module_;
+  double now_ = 0;
+  int lastMessage_ = 0;
+  std::vector<ListEntry> list_;
+  std::multimap<double, Event> agenda_;
+  std::map<std::string, MessageEvent> open_;          // as a successor would be told of them
+  std::map<std::pair<std::size_t, int>, int> taken_;  // by endpoint and second
+  std::string said_;
+};
+
+}  // namespace
+
+TEST_CASE("days of every shape come to the actions that were recorded") {
+  const std::vector<std::pair<Shape, std::uint64_t>> kRecorded = {
+      {{"alone", 1, {true, true}, {1, 1}, RatingKind::kRough, false, false, false, true, true},
+       14882402259681541397u},
+      {{"few, in bulk", 3, {true, false}, {10, 1}, RatingKind::kRough, true, false, false, true, true},
+       4694357757089002259u},
+      {{"many, thin", 300, {true, true}, {1, 4}, RatingKind::kNominal, true, false, true, false, true},
+       3530870266048005162u},
+      {{"many, untold", 40, {}, {}, RatingKind::kNone, false, false, true, true, false},
+       7507692024313975109u},
+      {{"reported", 12, {false, true}, {1, 1}, RatingKind::kNone, true, true, false, false, true},
+       9069795502915626620u}};
+  for (const auto& [shape, digest] : kRecorded) {
+    XXH64_hash_t all = 0;
+    std::size_t said = 0;
+    for (int day = 1; day <= kDays; ++day) {
+      const std::string words = Day(shape, static_cast<std::uint64_t>(1000 * day)).run();
+      all = XXH3_64bits_withSeed(words.data(), words.size(), all);
+      said += words.size();
+    }
+    CHECK_MESSAGE(all == digest, std::string(shape.name), " comes to ", all);
+    CHECK(said > 200000);
+  }
+}
