Link relays of a fleet by TCP: the section [fleet], frames, links, start numbers kept

Relays had no way to talk to each other. A section [fleet] in the operator's file now opens a listener for relays only and one bounded link for each pair; without it nothing of that exists (seen in /proc and the state folder by a test).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "fleet/bounds.h"
 #include "wire.h"
 
 namespace myrtleloft {
@@ -102,6 +103,21 @@
   return out;
 }
 
+// Half of either at most: the clients' part is what the relay is for.
+void checkFleet(const Config& config) {
+  const FleetPlan& plan = config.operatorFile.fleet;
+  if (!plan.on) return;
+  if (!isFleetName(config.name)) refuse("name", "'" + config.name + "' cannot be a name in a fleet");
+  const FleetNeeds needs = fleetNeeds(plan.peers.size(), config.memoryBytes);
+  const std::string much = "fleet.peers: " + std::to_string(plan.peers.size()) + " peers need up to ";
+  if (needs.descriptors > config.sockets / 2)
+    throw ConfigError(much + std::to_string(needs.descriptors) +
+                      " descriptors, more than half of limits.sockets");
+  if (needs.bytes > config.memoryBytes / 2)
+    throw ConfigError(much + std::to_string(needs.bytes / 1000000) +
+                      " MB, more than half of limits.memory_mb");
+}
+
 void checkSettings(const Settings& s) {
   if (s.classes.empty()) refuse("settings.classes", "none given");
   for (std::size_t i = 0; i < s.classes.size(); ++i)
@@ -138,7 +154,11 @@
   // left in force, the variable would hold the relay to an address that answers no more.
   environment_.erase("BALANCER_DISCOVERY");
   try {
-    config_.discovery = readConfig(environment_).discovery;
+    const Config fresh = readConfig(environment_);
+    config_.discovery = fresh.discovery;
+    // The rest of the section, and whether there is one, counts from the next start on.
+    if (config_.operatorFile.fleet.on && fresh.operatorFile.fleet.on)
+      config_.operatorFile.fleet.peers = fresh.operatorFile.fleet.peers;
     return "";
   } catch (const ConfigError& fault) {
     return fault.what();
@@ -170,7 +190,7 @@
   config.stateFolder = variable(environment, "BALANCER_STATE");
   if (config.stateFolder.empty()) refuse("BALANCER_STATE", "not set");
   if (const std::string path = variable(environment, "BALANCER_OPERATOR"); !path.empty())
-    config.operatorFile = readOperatorFile(path);
+    config.operatorFile = readOperatorFile(path, config.name);
   config.listen = address(environment, "BALANCER_LISTEN", *root, "listen");
   config.discovery = address(environment, "BALANCER_DISCOVERY", *root, "discovery");
 
@@ -205,6 +225,7 @@
     if (!node.tenant.empty() &&
         std::find(config.tenants.begin(), config.tenants.end(), node.tenant) == config.tenants.end())
       refuse("quota.node." + node.name, "the operator's file names a tenant that settings.tenants does not");
+  checkFleet(config);
   return config;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -25,8 +25,8 @@
   OperatorFile operatorFile;  // defaults, where BALANCER_OPERATOR names none
 };
 
-// The one owner of the configuration. Of what the file says, `discovery` may change while the relay runs:
-// those who use it keep a reference to it, never a copy.
+// The one owner of the configuration. Of what the files say, `discovery` and the fleet's peers may change
+// while the relay runs: those who use them keep a reference, never a copy.
 class LiveConfig {
  public:
   // Throws ConfigError.
@@ -35,8 +35,9 @@
   const Config& get() const { return config_; }
   // Port 0 was asked for, and this is what came: whoever goes on with this configuration listens there again.
   void listensOn(const Address& address) { config_.listen = address; }
-  // Reads the file again. On a fault everything stays as it was, and the text names the faulty key; empty:
-  // none.
+  void fleetListensOn(const Address& address) { config_.operatorFile.fleet.listen = address; }
+  // Reads the file and the operator's again. On a fault everything stays as it was, and the text names the
+  // faulty key; empty: none.
   std::string reload();
 
  private:
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "fleet/plan.h"
 #include "quota/quota_plan.h"
 
 namespace myrtleloft {
@@ -49,6 +50,7 @@
     std::optional<std::int64_t> mostBackOffMs;  // not set: by the number of relays, discovery/directories.h
   } membership;
   QuotaPlan quota;  // off where it has no nodes
+  FleetPlan fleet;  // off where the file has no such section
   struct Log {
     int format = 0;  // plain, logfmt, json
     int level = 1;   // debug, info, warning, error
@@ -56,8 +58,9 @@
   } log;
 };
 
-// Throws ConfigError. `name` goes before each fault.
-OperatorFile parseOperatorFile(std::string_view text, const std::string& name);
-OperatorFile readOperatorFile(const std::string& path);
+// Throws ConfigError. `name` goes before each fault; `relay` is the own name, where it is known, which may
+// not be among the fleet's peers. An empty file is a good one: all defaults.
+OperatorFile parseOperatorFile(std::string_view text, const std::string& name, const std::string& relay = "");
+OperatorFile readOperatorFile(const std::string& path, const std::string& relay = "");
 
 }  // namespace myrtleloft
--- /dev/null
+++ b/src/fleet/fleet.cpp
@@ -0,0 +1,81 @@
+#include "fleet/fleet.h"
+
+#include <utility>
+
+namespace myrtleloft {
+
+bool Fleet::start(std::string& error) {
+  keepIncarnation();
+  const FleetPlan& plan = options_.plan;
+  Links::Options options;
+  options.me = {plan.name, options_.name, options_.building, incarnation_};
+  options.listen = plan.listen;
+  options.peers = plan.peers;
+  options.queueBytes = queueBytesFor(plan.peers.size(), options_.memoryBytes);
+  options.seed = options_.seed;
+  options.tuning = options_.tuning;
+  links_.emplace(Links::Parts{parts_.loop, parts_.log}, std::move(options), static_cast<PeerSink&>(*this));
+  if (!links_->open(error)) return false;
+  parts_.log.write(LogLevel::kInfo, "fleet.listening",
+                   "fleet: the relays of '" + plan.name + "' are taken at " + listening(),
+                   {{"address", listening()}, {"fleet", plan.name}, {"peers", links_->peers()}});
+  return true;
+}
+
+void Fleet::keepIncarnation() {
+  const KeptIncarnation kept = nextIncarnation({parts_.files, parts_.disk}, options_.folder, options_.seed);
+  incarnation_ = kept.incarnation;
+  const auto start = incarnation_.start;
+  if (!kept.damage.empty())
+    parts_.log.write(LogLevel::kError, "fleet.incarnation-damaged",
+                     std::string("fleet: the file ") + kIncarnationName + " cannot be used (" + kept.damage +
+                         "): this relay begins a new life",
+                     {{"fault", kept.damage}});
+  if (!kept.fault.empty())
+    parts_.log.write(LogLevel::kError, "fleet.incarnation-fault",
+                     std::string("fleet: cannot keep the file ") + kIncarnationName + ": " + kept.fault +
+                         "; this life ends with the process",
+                     {{"fault", kept.fault}});
+  parts_.log.write(LogLevel::kInfo, "fleet.incarnation",
+                   "fleet: start " + std::to_string(start) + " of this life", {{"start", start}});
+}
+
+void Fleet::setPeers(const std::vector<FleetPlan::Peer>& peers) {
+  if (!links_) return;
+  options_.plan.peers = peers;
+  links_->setPeers(peers);
+  parts_.log.write(LogLevel::kInfo, "fleet.peers",
+                   "fleet: " + std::to_string(peers.size()) + " peers from now on",
+                   {{"peers", peers.size()}});
+}
+
+void Fleet::onPeerUp(const PeerIntroduction& peer) {
+  const auto start = peer.incarnation.start;
+  parts_.log.write(LogLevel::kInfo, "fleet.up",
+                   "fleet: linked to " + peer.name + ", start " + std::to_string(start) + " of its life",
+                   {{"peer", peer.name}, {"start", start}, {"building", peer.building}});
+}
+
+void Fleet::onPeerDown(const std::string& peer) {
+  parts_.log.write(LogLevel::kInfo, "fleet.down", "fleet: the link to " + peer + " is down",
+                   {{"peer", peer}});
+}
+
+// Nobody takes any kind yet.
+bool Fleet::onPeerMessage(const std::string&, FleetKind, std::string_view) { return false; }
+
+void Fleet::onPeerRoom(const std::string&) {}
+
+void Fleet::print(std::ostream& out) const {
+  if (!links_) return;
+  const Links::Figures& f = links_->figures();
+  out << "counters fleet: peers=" << links_->peers() << " up=" << links_->linksUp() << " ups=" << f.ups
+      << " downs=" << f.downs << " dials=" << f.dials << " refused=" << f.refused
+      << " refused-sends=" << f.refusedSends << " frames-in=" << f.framesIn << " frames-out=" << f.framesOut
+      << " bytes-in=" << f.bytesIn << " bytes-out=" << f.bytesOut;
+  for (std::size_t i = 0; i < f.ends.size(); ++i)
+    if (f.ends[i] > 0) out << " end-" << nameOf(static_cast<LinkEnd>(i)) << '=' << f.ends[i];
+  out << '\n';
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,66 @@
+// A relay's part in its fleet: owns the links to the others and drives them on the loop. Only where the
+// operator's file has a section [fleet].
+//
+//   Fleet fleet({loop, files, journal, log}, options);
+//   if (!fleet.start(error)) ...         // once the state folder is held
+//   fleet.setPeers(peers);               // after SIGHUP
+//   fleet.print(out);                    // the line "counters fleet: ..."
+//
+// One thread; handlers never wait, `start` waits for the disk once.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "fleet/incarnation.h"
+#include "fleet/links.h"
+#include "fleet/plan.h"
+#include "journal/disk_share.h"
+#include "journal/files.h"
+#include "log/log.h"
+#include "net/loop.h"
+
+namespace myrtleloft {
+
+class Fleet : private PeerSink {
+ public:
+  struct Parts {
+    Loop& loop;
+    Files& files;
+    DiskShare& disk;
+    Log log;
+  };
+  struct Options {
+    FleetPlan plan;
+    std::string name, building, folder;
+    std::size_t memoryBytes = 0;  // the relay's, of which the queues have a part
+    std::uint64_t seed = 1;       // random, not 0
+    LinkTuning tuning;
+  };
+
+  Fleet(const Parts& parts, Options options) : parts_(parts), options_(std::move(options)) {}
+
+  // false: `error` says why.
+  bool start(std::string& error);
+  std::string listening() const { return links_ ? links_->listening() : ""; }
+  void setPeers(const std::vector<FleetPlan::Peer>& peers);
+  void print(std::ostream& out) const;
+
+ private:
+  void onPeerUp(const PeerIntroduction& peer) override;
+  void onPeerDown(const std::string& peer) override;
+  bool onPeerMessage(const std::string& peer, FleetKind kind, std::string_view payload) override;
+  void onPeerRoom(const std::string& peer) override;
+
+  void keepIncarnation();
+
+  Parts parts_;
+  Options options_;
+  Incarnation incarnation_;
+  std::optional<Links> links_;
+};
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/fleet/incarnation.cpp
@@ -0,0 +1,95 @@
+#include "fleet/incarnation.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include "journal/archive.h"
+#include "journal/planner.h"
+
+namespace myrtleloft {
+namespace {
+
+constexpr std::string_view kMagic = "MYRTLINC";
+constexpr std::uint32_t kVersion = 1;
+constexpr const char* kNextName = "incarnation.new";
+
+std::string encode(const Incarnation& incarnation) {
+  std::string out(kMagic);
+  TextOut archive(out);
+  archive(kVersion, incarnation.life, incarnation.start);
+  archive(static_cast<std::uint64_t>(XXH3_64bits(out.data(), out.size())));
+  return out;
+}
+
+bool decode(const std::string& bytes, Incarnation& incarnation) try {
+  if (bytes.compare(0, kMagic.size(), kMagic) != 0) return false;
+  TextIn in(std::string_view(bytes).substr(kMagic.size()));
+  std::uint32_t version = 0;
+  in(version, incarnation.life, incarnation.start);
+  // What it would be written as: the check, the version and the length at once.
+  return bytes == encode(incarnation) && incarnation.life != 0 && incarnation.start != 0;
+} catch (const std::exception&) {
+  return false;
+}
+
+// What a file takes, 0 where there is none.
+std::size_t blocksOf(Files& files, const std::string& folder, const char* name) {
+  std::vector<FileSeen> seen;
+  if (files.list(folder, seen) != 0) return 0;
+  for (const FileSeen& file : seen)
+    if (file.name == name) return inBlocks(file.bytes);
+  return 0;
+}
+
+// An errno; 0: it is on the disk under its name.
+int keep(const IncarnationParts& parts, const std::string& folder, const Incarnation& incarnation) {
+  const std::string path = folder + "/" + kIncarnationName, next = folder + "/" + kNextName;
+  // Left by a process that ended while it wrote.
+  if (const std::size_t left = blocksOf(parts.files, folder, kNextName)) {
+    if (const int fault = parts.files.remove(next)) return fault;
+    parts.disk.giveBack(left);
+  } else {
+    parts.files.remove(next);  // an empty one has no blocks; mostly there is none
+  }
+  const std::size_t before = blocksOf(parts.files, folder, kIncarnationName);
+  const std::string bytes = encode(incarnation);
+  if (!parts.disk.take(inBlocks(bytes.size()))) return ENOSPC;
+  std::shared_ptr<OutFile> out;
+  int fault = parts.files.create(next, out);
+  if (fault == 0) {
+    const OutFile::Written written = out->append(bytes);
+    fault = written.fault != 0 ? written.fault : written.put == bytes.size() ? out->sync() : EIO;
+    if (fault == 0) fault = parts.files.rename(next, path);
+    if (fault != 0) parts.files.remove(next);
+  }
+  parts.disk.giveBack(fault != 0 ? inBlocks(bytes.size()) : before);
+  return fault != 0 ? fault : parts.files.syncFolder(folder);
+}
+
+}  // namespace
+
+KeptIncarnation nextIncarnation(const IncarnationParts& parts, const std::string& folder,
+                                std::uint64_t salt) {
+  KeptIncarnation kept;
+  std::string bytes;
+  Incarnation before;
+  const int unread = parts.files.read(folder + "/" + kIncarnationName, bytes);
+  if (unread == 0 && decode(bytes, before)) {
+    kept.incarnation = {before.life, before.start + 1};
+  } else {
+    kept.incarnation = {salt, 1};
+    if (unread != ENOENT) kept.damage = unread != 0 ? std::strerror(unread) : "not what a relay wrote";
+  }
+  if (const int fault = keep(parts, folder, kept.incarnation)) {
+    kept.fault = std::strerror(fault);
+    // Its number may be given again, so it must not be that life's. The next one, should the file have kept
+    // the old life, goes on there.
+    kept.incarnation = {salt, 1};
+  }
+  return kept;
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/fleet/links.cpp
@@ -0,0 +1,243 @@
+#include "fleet/links.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace myrtleloft {
+namespace {
+
+constexpr int kAcceptsPerTurn = 8;
+constexpr std::size_t kLeastShareBytes = 4096;
+
+Link::Lane laneOf(FleetKind kind) {
+  return kind == FleetKind::kQuestion || kind == FleetKind::kReply ? Link::Lane::kMembers
+                                                                   : Link::Lane::kOthers;
+}
+
+}  // namespace
+
+Links::Links(const Parts& parts, Options options, PeerSink& sink)
+    : parts_(parts), options_(std::move(options)), sink_(sink), random_(options_.seed) {
+  setPeers(options_.peers);
+}
+
+Links::~Links() {
+  parts_.loop.cancel(tickTimer_);
+  parts_.loop.cancel(overTimer_);
+  if (listener_) parts_.loop.forget(listener_.get());
+}
+
+bool Links::open(std::string& error) {
+  listener_ = listenOn(options_.listen, error);
+  if (!listener_) return false;
+  parts_.loop.watch(listener_.get(), POLLIN, [this](short) { accept(); });
+  lastTickMs_ = parts_.loop.nowMs();
+  tick();
+  return true;
+}
+
+void Links::setPeers(const std::vector<FleetPlan::Peer>& peers) {
+  std::set<std::string> names;
+  for (const FleetPlan::Peer& wanted : peers) {
+    names.insert(wanted.name);
+    Peer& peer = peers_[wanted.name];
+    const bool moved = !peer.address.text.empty() && peer.address.text != wanted.address.text;
+    const bool fresh = peer.address.text.empty();
+    peer.address = wanted.address;
+    if (moved && peer.dial) onEnd(*peer.dial, LinkEnd::kRemoved);
+    if (moved && peer.link) onEnd(*peer.link, LinkEnd::kRemoved);
+    if (fresh || moved) peer.pauseMs = 0, dialLater(wanted.name, peer);
+  }
+  for (auto at = peers_.begin(); at != peers_.end();) {
+    if (names.count(at->first)) {
+      ++at;
+      continue;
+    }
+    if (at->second.dial) onEnd(*at->second.dial, LinkEnd::kRemoved);
+    if (at->second.link) onEnd(*at->second.link, LinkEnd::kRemoved);
+    std::erase_if(told_, [&](const auto& said) { return said.first == at->first; });
+    at = peers_.erase(at);
+  }
+}
+
+// ---- what other packages see ----
+bool Links::send(const std::string& name, FleetKind kind, std::string payload) {
+  const auto at = peers_.find(name);
+  const Link::Lane lane = laneOf(kind);
+  if (at == peers_.end() || !at->second.link || kind == FleetKind::kHello ||
+      payload.size() > kMostFleetPayload)
+    return false;
+  Peer& peer = at->second;
+  const std::size_t most = lane == Link::Lane::kMembers ? kMembersLaneBytes : options_.queueBytes;
+  if (peer.link->queued(lane) + kFrameHeaderBytes + payload.size() > most) {
+    ++figures_.refusedSends;
+    peer.refused = peer.refused || lane == Link::Lane::kOthers;
+    return false;
+  }
+  ++figures_.framesOut;
+  figures_.bytesOut += payload.size();
+  peer.link->queue(lane, kind, payload);
+  return true;
+}
+
+bool Links::up(const std::string& name) const {
+  const auto at = peers_.find(name);
+  return at != peers_.end() && at->second.link;
+}
+
+std::size_t Links::room(const std::string& name) const {
+  if (!up(name)) return 0;
+  const std::size_t taken = peers_.at(name).link->queued(Link::Lane::kOthers) + kFrameHeaderBytes;
+  return std::min(kMostFleetPayload, options_.queueBytes - std::min(options_.queueBytes, taken));
+}
+
+std::size_t Links::linksUp() const {
+  return static_cast<std::size_t>(std::count_if(
+      peers_.begin(), peers_.end(), [](const auto& peer) { return peer.second.link != nullptr; }));
+}
+
+// ---- connections ----
+std::unique_ptr<Link> Links::linkOn(Fd fd, bool dialled) {
+  Link::Owner& owner = *this;
+  return std::make_unique<Link>(parts_.loop, owner, options_.tuning, std::move(fd), dialled);
+}
+
+void Links::accept() {
+  for (int i = 0; i < kAcceptsPerTurn; ++i) {
+    int error = 0;
+    Fd fd = acceptFrom(listener_, error);
+    if (!fd) {
+      // Without a descriptor to be had, poll would come back at once: the next tick looks again.
+      if (error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM)
+        parts_.loop.setEvents(listener_.get(), 0);
+      return;
+    }
+    if (strangers_.size() >= kMostStrangers) onEnd(*strangers_.front(), LinkEnd::kCrowded);
+    strangers_.push_back(linkOn(std::move(fd), false));
+  }
+}
+
+void Links::dial(const std::string& name, Peer& peer) {
+  ++figures_.dials;
+  peer.dial = linkOn(connectTo(peer.address), true);
+  if (peer.dial->phase() != Link::Phase::kClosed) return;
+  peer.dial.reset();  // no descriptor
+  dialLater(name, peer);
+}
+
+void Links::dialLater(const std::string& name, Peer& peer) {
+  const LinkTuning& t = options_.tuning;
+  const double first = peer.pauseMs == 0 ? 0 : t.firstPauseMs;
+  peer.dialAtMs = parts_.loop.nowMs() + std::max(first, peer.pauseMs) * drawn() +
+                  (options_.me.name < name ? 0 : t.headStartMs);
+  peer.pauseMs = std::clamp(2 * peer.pauseMs, t.firstPauseMs, t.mostPauseMs);
+}
+
+void Links::tick() {
+  const double now = parts_.loop.nowMs();
+  const bool stood = now - std::exchange(lastTickMs_, now) > options_.tuning.gapMs;
+  parts_.loop.setEvents(listener_.get(), POLLIN);
+  std::vector<Link*> all;
+  for (const auto& link : strangers_) all.push_back(link.get());
+  for (auto& [name, peer] : peers_) {
+    if (peer.link) all.push_back(peer.link.get());
+    if (peer.dial) all.push_back(peer.dial.get());
+  }
+  for (Link* link : all) {
+    if (stood) link->forgive();
+    const LinkEnd end = link->overdue();
+    if (end != LinkEnd::kClosed) onEnd(*link, end);
+  }
+  for (auto& [name, peer] : peers_)
+    if (!peer.link && !peer.dial && now >= peer.dialAtMs) dial(name, peer);
+  tickTimer_ = parts_.loop.after(options_.tuning.tickMs, [this] { tick(); });
+}
+
+std::size_t Links::readShare() const {
+  return std::max(kLeastShareBytes, options_.tuning.bytesPerTurn / std::max<std::size_t>(1, linksUp()));
+}
+
+void Links::onConnected(Link& link) {
+  link.queue(Link::Lane::kMembers, FleetKind::kHello, encodeIntroduction(options_.me));
+}
+
+void Links::onFrame(Link& link, const Frame& frame) {
+  if (link.phase() != Link::Phase::kUp) return introduced(link, frame);
+  if (frame.kind == FleetKind::kHello) return onEnd(link, LinkEnd::kSecondHello);
+  ++figures_.framesIn;
+  figures_.bytesIn += frame.payload.size();
+  const auto at = ownerOf(link);
+  if (!sink_.onPeerMessage(at->first, frame.kind, frame.payload)) onEnd(link, LinkEnd::kBadPayload);
+}
+
+void Links::onWritten(Link& link) {
+  const auto at = ownerOf(link);
+  if (at == peers_.end() || !at->second.refused) return;
+  if (link.queued(Link::Lane::kOthers) > options_.queueBytes / 2) return;
+  at->second.refused = false;
+  sink_.onPeerRoom(at->first);
+}
+
+void Links::onEnd(Link& link, LinkEnd end) {
+  const auto at = ownerOf(link);
+  finish(link, end, at == peers_.end() ? "" : at->first);
+}
+
+Links::Peers::iterator Links::ownerOf(const Link& link) {
+  return std::find_if(peers_.begin(), peers_.end(), [&](const auto& peer) {
+    return peer.second.link.get() == &link || peer.second.dial.get() == &link;
+  });
+}
+
+std::unique_ptr<Link> Links::takeOut(Link& link) {
+  const auto at = ownerOf(link);
+  if (at != peers_.end())
+    return std::move(at->second.link.get() == &link ? at->second.link : at->second.dial);
+  const auto stranger = std::find_if(strangers_.begin(), strangers_.end(),
+                                     [&](const auto& other) { return other.get() == &link; });
+  if (stranger == strangers_.end()) return nullptr;
+  std::unique_ptr<Link> taken = std::move(*stranger);
+  strangers_.erase(stranger);
+  return taken;
+}
+
+// `name`: whom it is told of; a stranger's is what it said, if that is a peer's.
+void Links::finish(Link& link, LinkEnd end, const std::string& name) {
+  const bool wasUp = link.phase() == Link::Phase::kUp;
+  const double upMs = parts_.loop.nowMs() - link.beganMs();
+  const auto at = ownerOf(link);
+  std::unique_ptr<Link> taken = takeOut(link);
+  if (!taken) return;
+  taken->close();
+  retire(std::move(taken));
+  ++figures_.ends[static_cast<std::size_t>(end)];
+  if (isRefusal(end)) tell(name, end);
+  if (at == peers_.end()) return;
+  Peer& peer = at->second;
+  if (wasUp && upMs >= options_.tuning.mostPauseMs) peer.pauseMs = 0;
+  if (!peer.link && !peer.dial && end != LinkEnd::kReplaced) dialLater(at->first, peer);
+  if (!wasUp) return;
+  ++figures_.downs;
+  peer.refused = false;
+  sink_.onPeerDown(at->first);
+}
+
+void Links::retire(std::unique_ptr<Link> link) {
+  over_.push_back(std::move(link));
+  if (over_.size() > 1) return;
+  overTimer_ = parts_.loop.after(0, [this] {
+    overTimer_ = Loop::kNoTimer;
+    over_.clear();
+  });
+}
+
+void Links::tell(const std::string& name, LinkEnd end) {
+  ++figures_.refused;
+  if (!told_.emplace(name, end).second) return;
+  const std::string who = name.empty() ? "one that did not say who it is" : name;
+  parts_.log.write(LogLevel::kWarning, "fleet.refused",
+                   "fleet: closed a link to " + who + ": " + nameOf(end) + " (told once)",
+                   {{"peer", name}, {"reason", nameOf(end)}});
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/relay/impl.h
@@ -0,0 +1,82 @@
+// The parts of one relay, put together; what `Relay` (myrtleloft/relay.h) runs, and puts anew after it ran
+// out of memory.
+#pragma once
+
+#include <memory>
+#include <ostream>
+#include <string>
+
+#include "config/config.h"
+#include "counters/counters.h"
+#include "discovery/membership.h"
+#include "discovery/watch.h"
+#include "exchange/exchange.h"
+#include "fleet/fleet.h"
+#include "inbound/inbound.h"
+#include "journal/journal.h"
+#include "journal/syncer.h"
+#include "log/log.h"
+#include "myrtleloft/relay.h"
+#include "net/loop.h"
+#include "notices/notices.h"
+#include "outbound/outbound.h"
+#include "quota/quota_door.h"
+
+namespace myrtleloft {
+
+class Relay::Impl {
+ public:
+  Impl(LiveConfig& live, std::ostream& log, const RelayParts& parts);
+
+  // `drains`: its predecessor was told to stop.
+  int run(bool drains);
+  void drain();
+  // An allocation failed somewhere in the middle of something: what this one has in memory is not to be
+  // trusted any more, the journal is. Clients that wait are answered by what stands there.
+  void dismiss();
+  Phase phase() const { return phase_; }
+  bool served() const { return phase_ == Phase::kServing || phase_ == Phase::kDraining; }
+  void printCounters() const;
+
+ private:
+  static constexpr std::size_t kReserveBytes = 256 * 1024;
+
+  std::unique_ptr<ThreadSyncer> syncerWhere(bool wanted);
+  void enter(Phase phase);
+  bool start(std::string& error);
+  bool startFleet(std::string& error);
+  // Whether draining is over.
+  void look();
+  bool takeSignals();
+  void onSignal();
+  // In any phase: what is still owed while draining has to reach the new address too.
+  void reload();
+
+  Clock systemClock_;
+  const Clock& clock_;
+  LiveConfig& live_;
+  const Config& config_ = live_.get();
+  Log log_;
+  Counters counters_;
+  Loop loop_;
+  Fd signals_;
+  PosixFiles posixFiles_;
+  Files& files_;
+  // None at the level `process`. Of the journal and of the kept list, which must not wait for one another.
+  std::unique_ptr<ThreadSyncer> syncer_, listSyncer_;
+  Journal journal_;
+  Membership membership_;
+  Notices notices_;
+  Outbound outbound_;
+  DiscoveryWatch watch_;
+  QuotaDoor quotas_;
+  Exchange exchange_;
+  Inbound inbound_;
+  std::unique_ptr<Fleet> fleet_;  // none without a section [fleet]
+  Phase phase_ = Phase::kStarting;
+  double drainingMs_ = 0;
+  // Given back when an allocation fails, for what has to be done then.
+  std::unique_ptr<char[]> reserve_ = std::make_unique<char[]>(kReserveBytes);
+};
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/tests/fleet_processes_test.cpp
@@ -0,0 +1,162 @@
+// The real program: several of them that find each other, and one that has no fleet.
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "lab/hub.h"
+#include "lab/site.h"
+#include "lab/stand_ins.h"
+
+namespace {
+
+using namespace myrtleloft::lab;
+namespace fs = std::filesystem;
+
+constexpr int kPatienceMs = 20000;
+
+struct Place {
+  Place() {
+    std::string name = (fs::temp_directory_path() / "fleet-XXXXXX").string();
+    REQUIRE(::mkdtemp(name.data()));
+    folder = name;
+  }
+  ~Place() { fs::remove_all(folder); }
+  std::string folder;
+};
+
+// One relay's folder, files and process.
+struct Member {
+  Member(Hub& hub, const std::string& folder, const std::string& relay, bool inFleet)
+      : name(relay), path(folder + "/" + relay), file(path + "/operator.toml") {
+    const std::string config = R"({"name":")" + name +
+                               R"(","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":)" +
+                               kSiteSettings + "}";
+    program = std::make_unique<Program>(hub, MYRTLELOFT_PROGRAM, path, config, file);
+    write(inFleet ? "[fleet]\nname = \"vina\"\nlisten = \"127.0.0.1:0\"\n" : "");
+  }
+  void write(const std::string& text) const { std::ofstream(file) << text; }
+  void writePeers(const std::vector<std::string>& peers) const {
+    std::string text = "[fleet]\nname = \"vina\"\nlisten = \"" + address + "\"\npeers = [";
+    for (const std::string& peer : peers) text += "\"" + peer + "\", ";
+    write(text + "]\n");
+  }
+  std::size_t count(const std::string& words) const {
+    std::size_t found = 0;
+    const std::string& log = program->log();
+    for (std::size_t at = log.find(words); at != std::string::npos; at = log.find(words, at + 1)) ++found;
+    return found;
+  }
+  std::string listed() const { return name + "=" + address; }
+  void learnAddress() {
+    const std::string words = "are taken at ";
+    const std::size_t from = program->log().find(words) + words.size();
+    address = program->log().substr(from, program->log().find('\n', from) - from);
+  }
+
+  std::string name, path, file, address;
+  std::unique_ptr<Program> program;
+};
+
+struct Held {
+  std::size_t descriptors = 0, listeners = 0, threads = 0;
+  std::set<std::string> files;
+};
+
+Held heldBy(const Member& member) {
+  Held held;
+  const std::string proc = "/proc/" + std::to_string(member.program->pid());
+  std::set<std::string> sockets;
+  for (const auto& entry : fs::directory_iterator(proc + "/fd")) {
+    ++held.descriptors;
+    std::error_code error;
+    const std::string target = fs::read_symlink(entry, error).string();
+    if (target.rfind("socket:[", 0) == 0) sockets.insert(target.substr(8, target.size() - 9));
+  }
+  std::ifstream table(proc + "/net/tcp");
+  for (std::string line; std::getline(table, line);) {
+    std::istringstream words(line);
+    std::vector<std::string> w{std::istream_iterator<std::string>(words), {}};
+    if (w.size() > 9 && w[3] == "0A" && sockets.count(w[9])) ++held.listeners;
+  }
+  for (const auto& task : fs::directory_iterator(proc + "/task")) held.threads += !task.path().empty();
+  for (const auto& entry : fs::directory_iterator(member.path + "/state"))
+    held.files.insert(entry.path().filename());
+  return held;
+}
+
+}  // namespace
+
+TEST_CASE("without a section [fleet] there is no listener, no descriptor, no thread and no file of it") {
+  Place place;
+  Hub hub;
+  Member without(hub, place.folder, "n1", false), with(hub, place.folder, "n2", true);
+  for (Member* member : {&without, &with}) {
+    member->program->start();
+    REQUIRE(hub.run([&] { return member->program->ready(); }, kPatienceMs));
+  }
+  CHECK(without.count("fleet") == 0);
+  REQUIRE(hub.run([&] { return with.count("are taken at ") == 1; }, kPatienceMs));
+  const Held less = heldBy(without), more = heldBy(with);
+  CHECK_EQ(less.listeners, 1);
+  CHECK_EQ(less.files.count("incarnation"), 0);
+  // And this sees them where they are: the one is the other and no more than that.
+  CHECK_EQ(more.listeners, 2);
+  CHECK_EQ(more.descriptors, less.descriptors + 1);
+  CHECK_EQ(more.threads, less.threads);
+  std::set<std::string> files = less.files;
+  files.insert("incarnation");
+  CHECK(more.files == files);
+}
+
+TEST_CASE("three relays find each other, one is killed and comes again, and a bad file changes nothing") {
+  Place place;
+  Hub hub;
+  std::vector<std::unique_ptr<Member>> all;
+  for (const char* name : {"n1", "n2", "n3"}) {
+    all.push_back(std::make_unique<Member>(hub, place.folder, name, true));
+    all.back()->program->start();
+    REQUIRE(hub.run([&] { return all.back()->program->ready(); }, kPatienceMs));
+    all.back()->learnAddress();
+  }
+  Member &n1 = *all[0], &n2 = *all[1], &n3 = *all[2];
+  n1.writePeers({n2.listed(), n3.listed()});
+  n2.writePeers({n1.listed(), n3.listed()});
+  n3.writePeers({n1.listed(), n2.listed()});
+  for (const auto& member : all) member->program->signal(SIGHUP);
+  for (const auto& a : all)
+    for (const auto& b : all)
+      if (a != b)
+        CHECK(
+            hub.run([&] { return a->count("fleet: linked to " + b->name + ", start 1") > 0; }, kPatienceMs));
+
+  n3.program->kill();
+  for (Member* left : {&n1, &n2})
+    CHECK(hub.run([&] { return left->count("fleet: the link to n3 is down") > 0; }, kPatienceMs));
+  n3.program->start();
+  for (Member* left : {&n1, &n2})
+    CHECK(hub.run([&] { return left->count("fleet: linked to n3, start 2 of its life") > 0; }, kPatienceMs));
+  CHECK_EQ(n1.count("fleet: the link to n2 is down"), 0);
+
+  n1.writePeers({n2.listed(), "n1=127.0.0.1:1"});
+  n1.program->signal(SIGHUP);
+  CHECK(hub.run([&] { return n1.count("fleet.peers: expected other relays than this one, found") > 0; },
+                kPatienceMs));
+  CHECK_EQ(n1.count("operator.toml:4:"), 1);
+  n1.program->signal(SIGUSR1);
+  CHECK(hub.run([&] { return n1.count("counters fleet: peers=2 up=2") > 0; }, kPatienceMs));
+
+  // n3 is taken off n1's list, and refused there.
+  n1.writePeers({n2.listed()});
+  n1.program->signal(SIGHUP);
+  CHECK(hub.run([&] { return n1.count("unknown-name (told once)") == 1; }, kPatienceMs));
+  CHECK_EQ(n1.count("fleet: the link to n3 is down"), 2);
+}
--- /dev/null
+++ b/tests/fleet_site.h
@@ -0,0 +1,120 @@
+// Relays' links on one loop, and a peer that is a bare socket with a script.
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet/frame.h"
+#include "fleet/links.h"
+#include "net/clock.h"
+#include "net/loop.h"
+
+namespace myrtleloft {
+
+// One relay's links, and what its packages were told.
+struct LinkedRelay : PeerSink {
+  LinkedRelay(Loop& loop, const std::string& name, LinkTuning tuning, Incarnation incarnation = {5, 1},
+              const std::string& listen = "127.0.0.1:0")
+      : name_(name) {
+    Links::Options options;
+    options.me = {"vina", name, "norte", incarnation};
+    options.listen = parseAddress(listen).value();
+    options.tuning = tuning;
+    options.queueBytes = kLeastQueueBytes;
+    links = std::make_unique<Links>(Links::Parts{loop, log}, std::move(options), *this);
+    std::string error;
+    opened = links->open(error);
+  }
+  void onPeerUp(const PeerIntroduction& peer) override {
+    told.push_back("up " + peer.name), last[peer.name] = peer;
+  }
+  void onPeerDown(const std::string& peer) override { told.push_back("down " + peer); }
+  bool onPeerMessage(const std::string& peer, FleetKind kind, std::string_view payload) override {
+    if (kind == FleetKind::kAudit) return false;  // as a package that cannot read it
+    got[peer].emplace_back(kind, std::string(payload));
+    return true;
+  }
+  void onPeerRoom(const std::string& peer) override { rooms.push_back(peer); }
+
+  const std::string& name() const { return name_; }
+  std::size_t count(const std::string& what) const {
+    return static_cast<std::size_t>(std::count(told.begin(), told.end(), what));
+  }
+  std::uint64_t ends(LinkEnd end) const { return links->figures().ends[static_cast<std::size_t>(end)]; }
+  FleetPlan::Peer peer(const std::string& name) const {
+    return {name, parseAddress(links->listening()).value()};
+  }
+
+  std::string name_;
+  std::ostringstream log;
+  bool opened = false;
+  std::vector<std::string> told, rooms;
+  std::map<std::string, PeerIntroduction> last;
+  std::map<std::string, std::vector<std::pair<FleetKind, std::string>>> got;
+  std::unique_ptr<Links> links;
+};
+
+// A socket that says what it is told to.
+struct RawPeer {
+  explicit RawPeer(const std::string& address) : fd(connectTo(parseAddress(address).value())) {}
+  explicit RawPeer(Fd accepted) : fd(std::move(accepted)) {}
+
+  void say(const std::string& bytes) { out += bytes; }
+  void hello(const PeerIntroduction& me) { say(frameOf(FleetKind::kHello, encodeIntroduction(me))); }
+  void turn() {
+    if (!fd || closed) return;
+    std::size_t put = 0;
+    if (writeSome(fd, out, put) == Io::kFailed) closed = true;
+    out.erase(0, put);
+    while (reads && !closed) {
+      const Io io = readSome(fd, in);
+      if (io == Io::kWouldBlock) break;
+      if (io != Io::kProgress) closed = true;
+    }
+  }
+
+  Fd fd;
+  std::string in, out;
+  bool reads = true, closed = false;
+};
+
+struct FleetSite {
+  // Spans short enough for a test to wait for, and long ones where nothing may fall due.
+  static LinkTuning tuning() {
+    LinkTuning t;
+    t.helloMs = 300;
+    t.tornMs = 200;
+    t.stallMs = 300;
+    t.firstPauseMs = 10;
+    t.mostPauseMs = 50;
+    t.headStartMs = 20;
+    t.tickMs = 10;
+    t.duelMs = 100;
+    t.silentMs = 60e3;
+    t.gapMs = 60e3;
+    return t;
+  }
+  // false: not done within the patience.
+  template <typename Done>
+  bool until(Done&& done) {
+    const double endMs = clock.steadyMs() + 20e3;
+    while (!done()) {
+      if (clock.steadyMs() > endMs) return false;
+      for (RawPeer* raw : raws) raw->turn();
+      loop.after(2, [] {});
+      loop.runOnce();
+    }
+    return true;
+  }
+
+  Clock clock;
+  Loop loop{clock};
+  std::vector<RawPeer*> raws;
+};
+
+}  // namespace myrtleloft
