--- /dev/null
+++ b/tests/fleet_members_laws_test.cpp
@@ -0,0 +1,92 @@
+// What many members come to on a drawn network: the living are not called dead, the dead are found, and both
+// are agreed on again. Each run has its seed, and a failure names it.
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <string>
+
+#include "lab/watched_members.h"
+
+using namespace myrtleloft;
+using namespace myrtleloft::lab;
+
+namespace {
+
+constexpr double kMostLoss = 0.05;
+
+NetworkTraits drawnTraits(std::uint64_t seed) {
+  NetworkTraits traits;
+  traits.slowestMs = static_cast<double>(1 + seed % 12);
+  traits.loss = kMostLoss * static_cast<double>(seed % 5) / 4;
+  traits.hiccupOdds = seed % 3 == 0 ? 0.01 : 0;
+  traits.hiccupMs = 150;
+  return traits;
+}
+
+// From a crash to where all know: its turn with somebody, the span, the last question, and the news of it.
+double boundMs(int relays, double spanMs) {
+  const MembersTuning tuning;
+  return tuning.periodMs * (2.0 * relays + 6 * std::log2(relays + 1)) + 2 * spanMs;
+}
+
+// Cuts and stalls that leave every two relays within reach of each other, for as long as `untilMs`.
+void trouble(WatchedMembers& all, double untilMs, double longestStallMs) {
+  DrawnFleet& fleet = all.fleet;
+  const auto one = [&] { return static_cast<int>(fleet.drawn() % static_cast<std::uint64_t>(fleet.size())); };
+  while (fleet.nowMs() < untilMs) {
+    const int a = one(), b = one();
+    const auto kind = fleet.drawn() % 4;
+    if (kind == 3) {
+      all.out = a;
+      if (all.allReach()) {
+        const double forMs = fleet.drawn(50, longestStallMs);
+        fleet.stall(a, forMs);
+        fleet.runUntil(fleet.nowMs() + forMs);
+      }
+      all.out = -1;
+    } else if (a != b && kind < 2) {
+      fleet.cut(a, b);
+      if (kind == 1) fleet.cut(b, a);
+      if (!all.allReach()) {
+        fleet.uncut(a, b);
+        fleet.uncut(b, a);
+      }
+    } else if (a != b) {
+      fleet.uncut(a, b);
+      fleet.uncut(b, a);
+    }
+    fleet.runUntil(fleet.nowMs() + fleet.drawn(100, 3000));
+  }
+}
+
+}  // namespace
+
+TEST_CASE("no relay that lives and can be reached is called dead, and every crash is found") {
+  int suspicions = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    CAPTURE(seed);
+    const int relays = 3 + static_cast<int>(seed % 7);
+    WatchedMembers all(relays, seed, drawnTraits(seed));
+    all.startAll();
+    CHECK(all.wellWithin(5000));
+    const double spanMs = all.at(0)->spanMs();
+    trouble(all, 35000, spanMs / 2);
+    for (const auto& death : all.falseDeaths) {
+      FAIL_CHECK(death.by << " called " << death.about << " dead at " << death.atMs);
+    }
+    suspicions += static_cast<int>(all.falseSuspicions.size());
+
+    // A crash amid the trouble that is left; only cuts may go, for a third may be the one that crashed.
+    for (int a = 0; a < relays; ++a) {
+      for (int b = 0; b < relays; ++b) all.fleet.uncut(a, b);
+    }
+    const int lost = static_cast<int>(seed % static_cast<std::uint64_t>(relays));
+    all.fleet.crash(lost, seed % 2 == 0 ? Folder::kKept : Folder::kLost, seed % 4 < 2);
+    CHECK(all.untilAllSay(lost, Standing::kDead, boundMs(relays, spanMs)));
+    all.fleet.start(lost);
+    CHECK(all.untilAllSay(lost, Standing::kAlive, 2000));
+    CHECK(all.wellWithin(5000));
+    CHECK(all.falseDeaths.empty());
+  }
+  CHECK(suspicions > 0);  // else nothing was put to the test
+}
