--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -120,20 +120,23 @@
   m.heardAtMs = nowMs;
   m.heard = true;
   m.hears = Hears::kNotKnown;
-  // A start beyond this one that was only hearsay, of the same life, is not true.
-  if (MemberLife* life = m.find(m.link.life); life != nullptr && life->incarnation.start > m.link.start) {
-    *life = {m.link, 0, Standing::kAlive, peer.building};
-  }
-  believe(nowMs, m, {peer.name, peer.incarnation, 0, Standing::kAlive, peer.building});
   // Its other lives are over: their folder is lost, or another took the name.
   for (MemberLife& life : m.lives) {
     if (life.incarnation.life == m.link.life || life.standing == Standing::kDead) continue;
     life.standing = Standing::kDead;
     life.sent = 0;
   }
-  // At its next turn it hears what is believed of it, and denies it if it is wrong.
-  round_.first(peer.name);
-  if (catchingUp_) ask(peer.name, "", "", ++numbers_);
+  // A start beyond this one that was only hearsay, of the same life, is not true.
+  if (MemberLife* life = m.find(m.link.life); life != nullptr && life->incarnation.start > m.link.start) {
+    *life = {m.link, 0, Standing::kAlive, peer.building};
+  }
+  believe(nowMs, m, {peer.name, peer.incarnation, 0, Standing::kAlive, peer.building});
+  // At its next turn it hears what is held against it, and denies it.
+  if (m.standing() != Standing::kAlive) round_.first(peer.name);
+  if (catchingUp_ && asked_ < tuning_.catchUp) {
+    ++asked_;
+    ask(peer.name, "", "", ++numbers_);
+  }
   return finish(nowMs);
 }
 
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -143,6 +143,7 @@
   std::uint64_t awakeFrom_ = 1;  // replies to questions from this number on are later than the own stall
   bool catchingUp_ = false, begun_ = false;
   int health_ = 0;
+  int asked_ = 0;  // this period, to catch up
   double dueMs_ = 0, periodAtMs_ = 0, repliedAtMs_ = 0;
   Step step_;  // in the making
 };
--- a/src/fleet/members_questions.cpp
+++ b/src/fleet/members_questions.cpp
@@ -29,6 +29,7 @@
 
 void Members::startPeriod(double nowMs) {
   periodAtMs_ = nowMs + tuning_.periodMs * stretch();
+  asked_ = 0;
   if (catchingUp_) askToCatchUp();
   std::vector<std::string> eligible;
   for (const Member& m : table_.all()) {
@@ -89,6 +90,7 @@
   }
   const auto drawn = round_.draw(silent, static_cast<std::size_t>(std::max(0, tuning_.catchUp)));
   for (const std::string& name : drawn) ask(name, "", "", ++numbers_);
+  asked_ = static_cast<int>(drawn.size());
 }
 
 std::uint32_t Members::heardMsAgo(double nowMs, const std::string& name) const {
--- /dev/null
+++ b/tests/fleet_members_faults_test.cpp
@@ -0,0 +1,225 @@
+// Single troubles among members on the drawn network: a stall, a deaf one, a mute one, a broken link, a liar,
+// a lost folder, two halves.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+
+#include "lab/watched_members.h"
+
+using namespace myrtleloft;
+using namespace myrtleloft::lab;
+
+namespace {
+
+MemberView viewOf(WatchedMembers& all, int by, int about) {
+  for (MemberView& view : all.at(by)->all()) {
+    if (view.name == WatchedMembers::nameOf(about)) return view;
+  }
+  return {};
+}
+
+void cutAll(WatchedMembers& all, int node, bool in, bool out) {
+  for (int i = 0; i < all.fleet.size(); ++i) {
+    if (i != node && in) all.fleet.cut(i, node);
+    if (i != node && out) all.fleet.cut(node, i);
+  }
+}
+
+void uncutAll(WatchedMembers& all) {
+  for (int a = 0; a < all.fleet.size(); ++a) {
+    for (int b = 0; b < all.fleet.size(); ++b) all.fleet.uncut(a, b);
+  }
+}
+
+// Says anything of anybody, in messages that are well made.
+class Liar : public FleetNode {
+ public:
+  Liar(FleetPort& port, DrawnFleet& fleet) : port_(port), fleet_(fleet), nextMs_(port.nowMs()) {}
+  void onTimer() override {
+    nextMs_ = port_.nowMs() + 20;
+    MemberQuestion question{1 + below(1000), "", "", {}};
+    for (int i = 0; i < 8; ++i) question.news.push_back(lie());
+    const std::string payload =
+        below(2) == 0 ? encodeMembers(question)
+                      : encodeMembers(MemberReply{question.number, below(2) == 0, 0, question.news});
+    // A reply and a question differ in length alone, so either may be read as the other, or refused.
+    MemberQuestion q;
+    const auto kind = decodeMembers(payload, q) ? FleetKind::kQuestion : FleetKind::kReply;
+    const auto peers = port_.peers();
+    port_.send(peers[below(peers.size())], kind, payload);
+  }
+  double nextMs() const override { return nextMs_; }
+  void onPeerUp(const PeerIntroduction& peer) override { known_.push_back(peer); }
+  void onPeerDown(const std::string&) override {}
+  bool onPeerMessage(const std::string&, FleetKind, std::string_view) override { return true; }
+  void onPeerRoom(const std::string&) override {}
+
+ private:
+  std::uint64_t below(std::uint64_t n) { return fleet_.drawn() % n; }
+  MemberNews lie() {
+    const PeerIntroduction& of = known_.empty() ? port_.self() : known_[below(known_.size())];
+    MemberNews n{of.name, of.incarnation, below(3), static_cast<Standing>(1 + below(3)), "nowhere"};
+    if (below(4) == 0) n.name = "nobody";
+    if (below(4) == 0) n.incarnation.life = 1 + below(5);
+    if (below(4) == 0) n.incarnation.start = 1 + below(5);
+    if (below(4) == 0) n.denial = std::uint64_t{1} << below(49);
+    return n;
+  }
+
+  FleetPort& port_;
+  DrawnFleet& fleet_;
+  std::vector<PeerIntroduction> known_;
+  double nextMs_;
+};
+
+}  // namespace
+
+TEST_CASE("one that stood still calls nobody dead, must ask, and is alive again soon") {
+  int deaths = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    WatchedMembers all(3 + static_cast<int>(seed % 5), seed, {});
+    all.startAll();
+    REQUIRE(all.wellWithin(5000));
+    const double fromMs = all.fleet.nowMs(), forMs = all.fleet.drawn(700, 10000);
+    all.fleet.stall(1, forMs);
+    all.fleet.runUntil(fromMs + forMs);
+    // The first call after the stall, whatever it is, says so.
+    bool asked = false;
+    for (int i = 0; i < 50 && !asked; ++i) {
+      all.fleet.runUntil(fromMs + forMs + 0.1 * i);
+      asked = all.at(1)->mustAsk();
+    }
+    CHECK(asked);
+    CHECK(all.wellWithin(3000));
+    all.fleet.runUntil(all.fleet.nowMs() + 5000);
+    for (const auto& death : all.falseDeaths) {
+      CHECK(death.about == "n1");
+      CHECK(death.by != "n1");
+    }
+    deaths += static_cast<int>(all.falseDeaths.size());
+  }
+  CHECK(deaths > 0);  // long stalls are taken for deaths, and taken back
+}
+
+TEST_CASE("a deaf one blames nobody; to the others it is dead, though it is heard") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    NetworkTraits traits;
+    traits.dropAfterMs = 1e9;  // the links stay up, so that only silence tells
+    WatchedMembers all(5, seed, traits);
+    all.startAll();
+    REQUIRE(all.wellWithin(5000));
+    cutAll(all, 0, true, false);
+    all.fleet.runUntil(all.fleet.nowMs() + 20000);
+    CHECK(all.at(0)->mustAsk());
+    CHECK(all.allSay(0, Standing::kDead));
+    for (const auto& suspicion : all.falseSuspicions) CHECK(suspicion.about == "n0");
+    uncutAll(all);
+    CHECK(all.wellWithin(5000));
+  }
+}
+
+TEST_CASE("a mute one hears that it is dead, and must ask") {
+  NetworkTraits traits;
+  traits.dropAfterMs = 1e9;
+  WatchedMembers all(5, 3, traits);
+  all.startAll();
+  REQUIRE(all.wellWithin(5000));
+  cutAll(all, 0, false, true);
+  all.fleet.runUntil(all.fleet.nowMs() + 20000);
+  CHECK(all.at(0)->mustAsk());
+  CHECK(all.at(0)->ownDenial() > 0);
+  CHECK(all.allSay(0, Standing::kDead));
+  for (int i = 1; i < 5; ++i) CHECK(all.at(0)->standing(WatchedMembers::nameOf(i)) == Standing::kAlive);
+  uncutAll(all);
+  CHECK(all.wellWithin(5000));
+}
+
+TEST_CASE("one broken link raises no suspicion, and each side knows which way it is broken") {
+  for (const bool bothWays : {false, true}) {
+    CAPTURE(bothWays);
+    NetworkTraits traits;
+    traits.dropAfterMs = 1e9;
+    WatchedMembers all(4, 9, traits);
+    all.startAll();
+    REQUIRE(all.wellWithin(5000));
+    all.fleet.cut(2, 0);
+    if (bothWays) all.fleet.cut(0, 2);
+    all.fleet.runUntil(all.fleet.nowMs() + 60000);
+    CHECK(all.falseSuspicions.empty());
+    CHECK(!viewOf(all, 0, 2).heard);
+    CHECK(viewOf(all, 0, 2).hears == (bothWays ? Hears::kNo : Hears::kYes));
+    CHECK(viewOf(all, 2, 0).heard == !bothWays);
+    CHECK((viewOf(all, 2, 0).hears) == Hears::kNo);
+    CHECK((viewOf(all, 0, 1).hears) == Hears::kYes);
+  }
+}
+
+TEST_CASE("a liar among them makes nobody dead, and leaves nothing behind") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    WatchedMembers all(5, seed, {});
+    const int liar = all.fleet.add(
+        "liar", "nowhere", [&all](FleetPort& port) { return std::make_unique<Liar>(port, all.fleet); });
+    for (int i = 0; i < 5; ++i) all.fleet.start(i);
+    all.fleet.runUntil(3000);
+    all.fleet.start(liar);
+    all.fleet.runUntil(23000);
+    all.fleet.crash(liar, Folder::kLost);
+    for (const auto& death : all.falseDeaths) CHECK(death.about == "liar");
+    all.fleet.runUntil(40000);
+    for (int a = 0; a < 5; ++a) {
+      CHECK(!all.at(a)->mustAsk());
+      for (int b = 0; b < 5; ++b) {
+        if (a == b) continue;
+        CHECK(viewOf(all, a, b).standing == Standing::kAlive);
+        CHECK(viewOf(all, a, b).incarnation == all.fleet.self(b).incarnation);
+      }
+    }
+  }
+}
+
+TEST_CASE("after a restart, with or without its folder, all know the new incarnation and deny the old") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    WatchedMembers all(5, seed, {});
+    all.startAll();
+    REQUIRE(all.wellWithin(5000));
+    for (const Folder folder : {Folder::kKept, Folder::kLost, Folder::kLost, Folder::kKept}) {
+      all.fleet.crash(2, folder);
+      all.fleet.runUntil(all.fleet.nowMs() + (seed % 2 == 0 ? 0 : 6000));
+      // One of the others has no link to it, and hears of it by news alone.
+      all.fleet.cut(0, 2);
+      all.fleet.start(2);
+      all.fleet.runUntil(all.fleet.nowMs() + 2000);
+      for (const int by : {0, 1, 3, 4}) {
+        CHECK(viewOf(all, by, 2).incarnation == all.fleet.self(2).incarnation);
+        CHECK(viewOf(all, by, 2).standing == Standing::kAlive);
+        CHECK(viewOf(all, by, 2).building == "east");
+      }
+      all.fleet.uncut(0, 2);
+      CHECK(all.wellWithin(2000));
+    }
+  }
+}
+
+TEST_CASE("two halves that could not reach each other are one again") {
+  WatchedMembers all(6, 4, {});
+  all.startAll();
+  REQUIRE(all.wellWithin(5000));
+  for (int a = 0; a < 2; ++a) {
+    for (int b = 2; b < 6; ++b) {
+      all.fleet.cut(a, b);
+      all.fleet.cut(b, a);
+    }
+  }
+  all.fleet.runUntil(all.fleet.nowMs() + 30000);
+  CHECK(all.at(2)->standing("n0") == Standing::kDead);
+  CHECK(all.at(0)->standing("n2") == Standing::kDead);
+  CHECK(all.at(0)->standing("n1") == Standing::kAlive);
+  uncutAll(all);
+  CHECK(all.wellWithin(5000));
+}
