--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -39,11 +39,11 @@
 
 const char* nameOf(LinkEnd end) {
   static constexpr const char* kNames[] = {
-      "closed",         "unreachable",  "replaced",  "removed",      "no-hello",
-      "silent",         "crowded",      "stalled",   "torn",         "no-frame",
-      "version",        "checksum",     "oversized", "unknown-kind", "flood",
-      "no-hello-first", "second-hello", "bad-hello", "other-fleet",  "unknown-name",
-      "own-name",       "other-name",   "older",     "name-taken",   "bad-payload"};
+      "closed",       "unreachable",  "replaced",  "removed",      "no-hello",
+      "silent",       "crowded",      "stalled",   "torn",         "no-frame",
+      "version",      "checksum",     "oversized", "unknown-kind", "flood",
+      "before-hello", "second-hello", "bad-hello", "other-fleet",  "unknown-name",
+      "own-name",     "other-name",   "older",     "name-taken",   "bad-payload"};
   static_assert(sizeof kNames / sizeof *kNames == static_cast<std::size_t>(LinkEnd::kCount));
   return kNames[static_cast<std::size_t>(end)];
 }
