--- a/tests/fleet_site.h
+++ b/tests/fleet_site.h
@@ -83,6 +83,12 @@
   bool reads = true, closed = false;
 };
 
+// The real one, and as much as a test puts on top.
+struct SkippingClock : Clock {
+  double steadyMs() const override { return Clock::steadyMs() + skippedMs; }
+  double skippedMs = 0;
+};
+
 struct FleetSite {
   // Spans short enough for a test to wait for, and long ones where nothing may fall due.
   static LinkTuning tuning() {
@@ -112,7 +118,7 @@
     return true;
   }
 
-  Clock clock;
+  SkippingClock clock;
   Loop loop{clock};
   std::vector<RawPeer*> raws;
 };
