Wait for replies that lie unread, and ask again the third that reached a member

Two tests written for it failed: a process that is a little late took the lateness off the reply's time but left no moment to read it, so it asked thirds at once; and a relay with a single link left in a fleet of twelve was suspected again and again, because three drawn thirds mostly miss the one that has it. Now lateness gives a quarter of the reply's time more, once a question, and the third that reached it last time is asked first.

--- a/src/fleet/member_probing.cpp
+++ b/src/fleet/member_probing.cpp
@@ -14,10 +14,10 @@
   return phase == Phase::kThirds ? endsAtMs : kNever;
 }
 
-void MemberProbe::excuse(double lateMs) {
+void MemberProbe::excuse(double byMs) {
   if (!running() || std::exchange(excused, true)) return;
-  directByMs += lateMs;
-  endsAtMs += lateMs;
+  directByMs += byMs;
+  endsAtMs += byMs;
 }
 
 std::optional<ThirdQuestion> ThirdQuestions::answered(const std::string& by, std::uint64_t ours) {
@@ -44,8 +44,8 @@
   return next;
 }
 
-void ThirdQuestions::excuse(double lateMs) {
-  for (ThirdQuestion& q : waiting_) q.byMs += lateMs;
+void ThirdQuestions::excuse(double byMs) {
+  for (ThirdQuestion& q : waiting_) q.byMs += byMs;
 }
 
 void MemberRound::first(const std::string& name) {
--- a/src/fleet/member_probing.h
+++ b/src/fleet/member_probing.h
@@ -26,7 +26,7 @@
   double nextMs() const;
   // We were late ourselves, by so much: those asked get as much longer, once, for their replies may lie
   // unread.
-  void excuse(double lateMs);
+  void excuse(double byMs);
 };
 
 // A question that another asked us to put.
@@ -47,7 +47,7 @@
   std::optional<ThirdQuestion> answered(const std::string& by, std::uint64_t ours);
   std::optional<ThirdQuestion> overdue(double nowMs);
   double nextMs() const;
-  void excuse(double lateMs);
+  void excuse(double byMs);
   void clear() { waiting_.clear(); }
 
  private:
--- a/src/fleet/member_table.h
+++ b/src/fleet/member_table.h
@@ -39,6 +39,7 @@
   double heardAtMs = -std::numeric_limits<double>::infinity();
   bool heard = false;  // false as well: the last question to it was not answered by itself
   Hears hears = Hears::kNotKnown;
+  std::string via;             // the third that reached it last time; empty: none had to, or it failed since
   std::uint64_t answered = 0;  // the highest number of ours that it replied to
   double askedAtMs = -std::numeric_limits<double>::infinity();
   // As last told to the caller.
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -49,9 +49,9 @@
   const double lateMs = nowMs - dueMs_;
   if (lateMs > tuning_.stallMs) {
     wake(nowMs);
-  } else if (lateMs > tuning_.replyMs / 4) {
-    probe_.excuse(lateMs);
-    forOthers_.excuse(lateMs);
+  } else if (const double unreadMs = tuning_.replyMs / 4; lateMs > unreadMs) {
+    probe_.excuse(lateMs + unreadMs);
+    forOthers_.excuse(lateMs + unreadMs);
   }
 }
 
--- a/src/fleet/members_questions.cpp
+++ b/src/fleet/members_questions.cpp
@@ -55,8 +55,14 @@
 void Members::askThirds(double nowMs) {
   probe_.phase = MemberProbe::Phase::kThirds;
   probe_.endsAtMs = std::max(probe_.endsAtMs, nowMs + 2 * tuning_.replyMs * stretch());
-  const auto thirds =
-      round_.draw(thirdsFor(probe_.about, true), static_cast<std::size_t>(std::max(0, tuning_.thirds)));
+  // Where few links to it are left, the one that worked is not left to chance.
+  std::vector<std::string> linked = thirdsFor(probe_.about, true), thirds;
+  const std::string& via = table_.find(probe_.about)->via;
+  if (std::erase(linked, via) > 0) thirds.push_back(via);
+  for (std::string& third :
+       round_.draw(std::move(linked), static_cast<std::size_t>(std::max(0, tuning_.thirds)))) {
+    if (std::ssize(thirds) < tuning_.thirds) thirds.push_back(std::move(third));
+  }
   probe_.thirds = static_cast<int>(thirds.size());
   for (const std::string& third : thirds) ask(third, probe_.about, "", probe_.number);
 }
@@ -71,6 +77,7 @@
   Member& m = *table_.find(probe.about);
   if (m.heardAtMs < probe.askedAtMs) m.heard = false;
   m.hears = Hears::kNotKnown;
+  m.via.clear();
   const MemberLife* life = m.present();
   if (life == nullptr) return;
   MemberNews news = MemberTable::newsOf(m.name, *life);
@@ -127,7 +134,7 @@
   }
   Member& m = *table_.find(from);
   m.answered = std::max(m.answered, reply.number);
-  if (reply.number >= awakeFrom_) repliedAtMs_ = nowMs;
+  repliedAtMs_ = nowMs;
   if (const auto question = forOthers_.answered(from, reply.number)) {
     this->reply(question->from, question->theirs, true, reply.heardMsAgo, question->about);
   }
@@ -141,7 +148,10 @@
       probe_.missed = std::min(probe_.missed + 1, probe_.thirds);
     } else {
       probe_.phase = MemberProbe::Phase::kReached;
-      if (Member* about = table_.find(probe_.about)) learnHears(nowMs, *about, reply.heardMsAgo);
+      if (Member* about = table_.find(probe_.about)) {
+        about->via = from;
+        learnHears(nowMs, *about, reply.heardMsAgo);
+      }
     }
   }
   return finish(nowMs);
--- /dev/null
+++ b/tests/fleet_members_news_test.cpp
@@ -0,0 +1,97 @@
+// One member by hand: what it takes of what others say, and what it does with nonsense.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "tests/one_member.h"
+
+using namespace myrtleloft;
+using namespace myrtleloft::testing;
+
+TEST_CASE("of itself only a member says anything") {
+  One one({"n2", "n3"});
+  tickFor(one, 1000, kAllAnswer);
+  one.hear("n2", news("n1", Standing::kSuspect, 0, 1));
+  CHECK(one.members.ownDenial() == 1);
+  CHECK(!one.members.mustAsk());
+  one.hear("n2", news("n1", Standing::kSuspect, 0, 1));  // denied already
+  CHECK(one.members.ownDenial() == 1);
+  one.hear("n2", news("n1", Standing::kDead, 4, 1));  // forged, for nobody has heard of so many denials
+  CHECK(one.members.ownDenial() == 5);
+  CHECK(one.members.mustAsk());
+  one.hear("n2", news("n1", Standing::kDead, std::uint64_t{1} << 40, 1));
+  one.hear("n2", news("n1", Standing::kDead, kMostDenial, 1));
+  one.hear("n2", news("n1", Standing::kDead, 5, 2));  // another life
+  one.hear("n2", news("n1", Standing::kDead, 5, 1, 9));
+  CHECK(one.members.ownDenial() == 5);
+}
+
+TEST_CASE("what is old, of nobody or absurd changes nothing") {
+  One one({"n2", "n3"});
+  tickFor(one, 1000, kAllAnswer);
+  one.take(one.members.onLinkUp(one.now, introduction("n3", 7, 4)));
+  one.hear("n3", news("n3", Standing::kAlive, 3, 7, 4));
+  one.changes.clear();
+  one.hear("n2", news("n3", Standing::kDead, 9, 7, 3));        // an older start
+  one.hear("n2", news("n3", Standing::kSuspect, 2, 7, 4));     // denied
+  one.hear("n2", news("n3", Standing::kDead, 1 << 20, 7, 4));  // nobody denies so often
+  one.hear("n2", news("n3", Standing::kDead, 0, 7, 5));        // a start that its link knows nothing of
+  one.hear("n2", news("n9", Standing::kAlive));                // not of the peers
+  one.hear("n2", news("n2", Standing::kDead, 7));              // nobody says so of itself
+  one.hear("n2", news("n3", static_cast<Standing>(7), 3, 7, 4));
+  one.take(one.members.onQuestion(one.now, "n9", {1, "", "", {news("n3", Standing::kSuspect, 3, 7, 4)}}));
+  CHECK(one.sends.empty());
+  one.take(
+      one.members.onReply(one.now, "n2", {1u << 30, true, 0, {news("n3", Standing::kSuspect, 3, 7, 4)}}));
+  CHECK(one.changes.empty());
+  CHECK(one.members.all().size() == 2);
+  CHECK(one.view("n3").denial == 3);
+  CHECK(one.members.refuses(introduction("n3", 7, 3)));
+  CHECK(one.members.refuses(introduction("n9")));
+  one.take(one.members.onLinkUp(one.now, introduction("n3", 7, 3)));
+  CHECK(one.view("n3").incarnation == Incarnation{7, 4});
+}
+
+TEST_CASE("absurd hearsay of one that is not linked is mended by its own word") {
+  One one({"n2"});
+  one.take(one.members.setPeers(one.now, {"n2", "n3"}));
+  one.hear("n2", news("n3", Standing::kAlive, kMostDenial, 7, 90));
+  one.take(one.members.onLinkUp(one.now, introduction("n3", 7, 2)));
+  one.hear("n3", news("n3", Standing::kAlive, 1, 7, 2));
+  CHECK(one.view("n3").incarnation == Incarnation{7, 2});
+  CHECK(one.view("n3").denial == 1);
+}
+
+TEST_CASE("whom we hear is not dead by hearsay") {
+  One one({"n2", "n3"});
+  tickFor(one, 1000, kAllAnswer);
+  one.hear("n3", news("n3", Standing::kAlive));
+  one.hear("n2", news("n3", Standing::kDead));
+  CHECK(one.members.standing("n3") == Standing::kSuspect);
+  one.take(one.members.onLinkDown(one.now, "n3"));
+  one.hear("n2", news("n3", Standing::kDead));
+  CHECK(one.members.standing("n3") == Standing::kDead);
+}
+
+TEST_CASE("whoever is suspect is told of it with the next message, long after the news of it was spread") {
+  std::vector<std::string> peers;
+  for (int i = 2; i < 20; ++i) peers.push_back("n" + std::to_string(i));
+  One one(peers);
+  tickFor(one, 1000, kAllAnswer);
+  one.hear("n2", news("n3", Standing::kSuspect));
+  const std::string about = "n3";
+  tickFor(one, 6000, [&](const std::string& to, const MemberQuestion& q) {
+    return to == about ? Answer() : Answer(q.about != about);
+  });
+  for (int i = 0; i < 5; ++i) {
+    one.hear("n3", news("n3", Standing::kAlive));
+    MemberReply reply;
+    REQUIRE(!one.sends.empty());
+    REQUIRE(decodeMembers(one.sends[0].payload, reply));
+    REQUIRE(reply.news.size() >= 2);
+    CHECK(reply.news[1].name == "n3");
+    CHECK(reply.news[1].standing > Standing::kAlive);
+  }
+}
