--- a/tests/fleet_members_news_test.cpp
+++ b/tests/fleet_members_news_test.cpp
@@ -95,3 +95,30 @@
     CHECK(reply.news[1].standing > Standing::kAlive);
   }
 }
+
+TEST_CASE("two that claim one name: the one with the link is the present one, whatever the other denies") {
+  One one({"n2", "n3"});
+  one.take(one.members.onLinkUp(one.now, introduction("n3", 9)));
+  CHECK(one.view("n3").incarnation == Incarnation{9, 1});
+  one.hear("n2", news("n3", Standing::kAlive, 1, 7));
+  CHECK(one.view("n3").incarnation == Incarnation{9, 1});
+  one.take(one.members.onLinkUp(one.now, introduction("n3", 7)));
+  CHECK(one.view("n3").incarnation == Incarnation{7, 1});
+  CHECK(one.members.standing("n3") == Standing::kAlive);
+  // Without a link: one that is not dead.
+  one.take(one.members.onLinkDown(one.now, "n3"));
+  CHECK(one.view("n3").incarnation == Incarnation{7, 1});
+  one.hear("n2", news("n3", Standing::kDead, 1, 7));
+  one.hear("n2", news("n3", Standing::kAlive, 1, 9));
+  CHECK(one.view("n3").incarnation == Incarnation{9, 1});
+  CHECK(one.members.standing("n3") == Standing::kAlive);
+}
+
+TEST_CASE("true lives get in though forged ones fill the name's places") {
+  One one({"n2"});
+  one.take(one.members.setPeers(one.now, {"n2", "n3"}));
+  for (std::uint64_t life = 20; life < 30; ++life) one.hear("n2", news("n3", Standing::kAlive, 0, life));
+  one.take(one.members.onLinkUp(one.now, introduction("n3", 7)));
+  CHECK(one.view("n3").incarnation == Incarnation{7, 1});
+  CHECK(one.members.standing("n3") == Standing::kAlive);
+}
--- a/tests/fleet_members_test.cpp
+++ b/tests/fleet_members_test.cpp
@@ -100,6 +100,17 @@
   CHECK(one.members.mustAsk());
 }
 
+TEST_CASE("two that fail in one moment leave a third that cannot tell that from being cut off") {
+  One one({"n2", "n3"});
+  tickFor(one, 1000, kAllAnswer);
+  for (const char* gone : {"n2", "n3"}) one.take(one.members.onLinkDown(one.now, gone));
+  tickFor(one, 30000, [](const std::string&, const MemberQuestion&) { return Answer(); });
+  CHECK(one.members.standing("n2") == Standing::kAlive);
+  CHECK(one.members.standing("n3") == Standing::kAlive);
+  CHECK(!one.view("n2").heard);
+  CHECK(one.members.mustAsk());
+}
+
 TEST_CASE("one that stood still suspects nobody for it, and must ask more than half") {
   One one({"n2", "n3", "n4", "n5"});
   tickFor(one, 1000, kAllAnswer);
