--- a/lab/hub.cpp
+++ b/lab/hub.cpp
@@ -128,6 +128,12 @@
   peers_.erase(at);
 }
 
+void Hub::pause(Id id, bool paused) {
+  if (open(id)) peers_.at(id).paused = paused;
+}
+
+std::size_t Hub::queued(Id id) const { return open(id) ? peers_.at(id).out.size() : 0; }
+
 bool Hub::gone(Id id) const {
   const auto at = peers_.find(id);
   if (at == peers_.end()) return true;
@@ -150,7 +156,8 @@
   std::vector<Id> ids;
   for (const auto& [id, peer] : peers_) {
     const bool writes = peer.connecting || !peer.out.empty();
-    polled.push_back({peer.refuses ? -1 : peer.fd, static_cast<short>(POLLIN | (writes ? POLLOUT : 0)), 0});
+    const int wanted = (peer.paused ? 0 : POLLIN) | (writes ? POLLOUT : 0);
+    polled.push_back({peer.refuses || !wanted ? -1 : peer.fd, static_cast<short>(wanted), 0});
     ids.push_back(id);
   }
   if (::poll(polled.data(), polled.size(), waitMs) <= 0) return;
@@ -184,6 +191,7 @@
     fresh.fd = fd;
     fresh.address = address;
     fresh.handler = handler;
+    if (handler.opened) handler.opened(last_);
     return;
   }
   std::array<char, 65536> chunk;
--- a/lab/hub.h
+++ b/lab/hub.h
@@ -34,6 +34,7 @@
     std::function<void(Id, const Message&)> message;
     std::function<void(Id)> closed;               // by the other side, or refused
     std::function<void(Id, std::string&)> bytes;  // in place of `message`: all that came, raw
+    std::function<void(Id)> opened = {};          // accepted; nothing has come yet
   };
 
   Hub() = default;
@@ -53,6 +54,10 @@
   void send(Id to, const std::string& bytes);
   // `reset`: with RST instead of FIN.
   void close(Id id, bool reset = false);
+  // Paused, it is not read, so that its sender's window fills.
+  void pause(Id id, bool paused);
+  // Bytes sent to it that the system has not taken.
+  std::size_t queued(Id id) const;
   bool open(Id id) const { return peers_.count(id) > 0; }
   // Whether the other side has ended it, though its turn to be told so has not come.
   bool gone(Id id) const;
@@ -63,7 +68,7 @@
  private:
   struct Peer {
     int fd = -1;
-    bool listens = false, connecting = false, refuses = false;
+    bool listens = false, connecting = false, refuses = false, paused = false;
     std::string address;  // where it listens, or was accepted
     std::string in, out;
     Handler handler;
