--- /dev/null
+++ b/src/audit/audit_message.cpp
@@ -0,0 +1,98 @@
+#include "audit/audit_message.h"
+
+#include <exception>
+
+#include "journal/archive.h"
+
+namespace myrtleloft {
+
+// ---- the fields, for cereal ----
+template <typename Archive>
+void serialize(Archive& ar, Hash& h) {
+  ar(h.high, h.low);
+}
+template <typename Archive>
+void serialize(Archive& ar, Incarnation& i) {
+  ar(i.life, i.start);
+}
+template <typename Archive>
+void serialize(Archive& ar, NodeName& n) {
+  ar(n.version, n.level, n.branches, n.index, n.step);
+}
+template <typename Archive>
+void serialize(Archive& ar, AuditTold& t) {
+  for (Hash& part : t.version.parts) ar(part);
+  for (std::uint32_t& held : t.heldS) ar(held);
+  ar(t.listRev, t.branches, t.root);
+}
+template <typename Archive>
+void serialize(Archive& ar, AuditQuestion& q) {
+  ar(q.node);
+}
+// A flag is a whole byte: one that is neither of the two would be no bool.
+template <typename Archive>
+void flag(Archive& ar, bool& value) {
+  auto byte = static_cast<std::uint8_t>(value);
+  ar(byte);
+  if (byte > 1) throw TooShort();
+  value = byte == 1;
+}
+template <typename Archive>
+void serialize(Archive& ar, AuditAnswer& a) {
+  ar(a.node);
+  flag(ar, a.there);
+  ar(a.children, a.asked, a.did);
+}
+template <typename Archive>
+void serialize(Archive& ar, AuditWindow& w) {
+  ar(w.program, w.settings, w.digest, w.bytes);
+}
+template <typename Archive>
+void serialize(Archive& ar, AuditPlayed& p) {
+  flag(ar, p.same);
+}
+template <typename Archive>
+void serialize(Archive& ar, AuditMessage& m) {
+  ar(m.from, m.to, m.number, m.heard);
+  std::visit([&](auto& what) { ar(what); }, m.what);
+}
+
+std::string encode(const AuditMessage& message) {
+  std::string bytes(1, static_cast<char>(message.what.index()));
+  TextOut out(bytes);
+  AuditMessage copy = message;
+  out(copy);
+  return bytes;
+}
+
+bool decode(std::string_view bytes, AuditMessage& message) {
+  if (bytes.empty() || bytes.size() > kMostAuditMessage) return false;
+  switch (bytes[0]) {
+    case 0:
+      message.what = AuditTold();
+      break;
+    case 1:
+      message.what = AuditQuestion();
+      break;
+    case 2:
+      message.what = AuditAnswer();
+      break;
+    case 3:
+      message.what = AuditWindow();
+      break;
+    case 4:
+      message.what = AuditPlayed();
+      break;
+    default:
+      return false;
+  }
+  try {
+    TextIn in(bytes.substr(1));
+    in(message);
+    return in.left() == 0;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/audit/cases.cpp
@@ -0,0 +1,27 @@
+#include "audit/cases.h"
+
+#include <utility>
+
+namespace myrtleloft {
+
+Hash CaseStep::digest() const { return hashOf(std::vector<Hash>{hashOf(asked), hashOf(did)}); }
+
+CaseSet::CaseSet(const Hash& version, std::vector<std::unique_ptr<CaseFamily>> families)
+    : version_(version), families_(std::move(families)) {
+  for (const auto& family : families_) size_ += family->cases();
+}
+
+CaseSet::Place CaseSet::at(std::size_t number) const {
+  for (const auto& family : families_) {
+    if (number < family->cases()) return {family.get(), number};
+    number -= family->cases();
+  }
+  return {};
+}
+
+std::unique_ptr<CaseRun> CaseSet::begin(std::size_t number) const {
+  const Place place = at(number);
+  return place.family->begin(version_, place.index);
+}
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/audit/hash_tree.h
@@ -0,0 +1,46 @@
+// The hashes of all cases as a tree: a root over branches, a branch over kFanOut cases, a case over its
+// steps. Cases are added in their order; what is compared is the root over the branches that are whole so
+// far, so that two relays need not have played equally far. 16 bytes a case.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+#include "audit/hash.h"
+
+namespace myrtleloft {
+
+inline constexpr std::size_t kFanOut = 16;
+
+class HashTree {
+ public:
+  explicit HashTree(std::size_t cases) : cases_(cases) { leaves_.reserve(cases); }
+
+  void add(const Hash& leaf) { leaves_.push_back(leaf); }  // played() < cases()
+  std::size_t cases() const { return cases_; }
+  std::size_t played() const { return leaves_.size(); }
+  bool whole() const { return played() == cases_; }
+  // Branches whose cases are all played; the last one may have fewer.
+  std::size_t branches() const { return whole() ? allBranches() : played() / kFanOut; }
+  std::size_t allBranches() const { return (cases_ + kFanOut - 1) / kFanOut; }
+
+  const Hash& leaf(std::size_t number) const { return leaves_[number]; }
+  std::vector<Hash> leavesOf(std::size_t branch) const {
+    const auto from = leaves_.begin() + static_cast<std::ptrdiff_t>(branch * kFanOut);
+    return {from, std::min(leaves_.end(), from + static_cast<std::ptrdiff_t>(kFanOut))};
+  }
+  // The first `n` branches; n <= branches().
+  std::vector<Hash> firstBranches(std::size_t n) const {
+    std::vector<Hash> all;
+    for (std::size_t i = 0; i < n; ++i) all.push_back(hashOf(leavesOf(i)));
+    return all;
+  }
+  Hash root(std::size_t n) const { return hashOf(firstBranches(n)); }
+
+ private:
+  std::size_t cases_;
+  std::vector<Hash> leaves_;
+};
+
+}  // namespace myrtleloft
--- /dev/null
+++ b/src/audit/step_codec.cpp
@@ -0,0 +1,211 @@
+#include "audit/step_codec.h"
+
+#include <cmath>
+#include <type_traits>
+#include <utility>
+
+#include "journal/archive.h"
+
+namespace myrtleloft {
+namespace {
+
+constexpr std::uint32_t kMostInBatch = 65536;
+
+// One description of the fields serves both directions.
+template <typename Archive>
+constexpr bool kReads = std::is_same_v<Archive, TextIn>;
+
+// A flag or an enumeration, as one byte that is no more than its last name.
+template <typename Archive, typename T>
+void small(Archive& ar, T& value, int most) {
+  auto code = static_cast<std::uint8_t>(value);
+  ar(code);
+  if (code > most) throw TooShort();
+  if constexpr (kReads<Archive>) value = static_cast<T>(code);
+}
+template <typename Archive>
+void number(Archive& ar, double& value) {
+  ar(value);
+  if (kReads<Archive> && !std::isfinite(value)) throw TooShort();
+}
+template <typename Archive, typename T, typename Each>
+void list(Archive& ar, std::vector<T>& items, const Each& each) {
+  auto size = static_cast<std::uint32_t>(items.size());
+  ar(size);
+  if constexpr (kReads<Archive>) {
+    if (size > kMostInBatch || size > ar.left()) throw TooShort();
+    items.resize(size);
+  }
+  for (T& item : items) each(item);
+}
+
+template <typename Archive>
+void fields(Archive& ar, MessageEvent& e) {
+  ar(e.id, e.cls, e.tenant, e.orderKey);
+  number(ar, e.notAfterMs);
+  number(ar, e.effortMs);
+  ar(e.destination);
+  small(ar, e.isRetry, 1);
+  ar(e.attempts);
+  list(ar, e.doubts, [&](EarlierAttempt& earlier) {
+    ar(earlier.zone);
+    number(ar, earlier.sentMs);
+  });
+}
+template <typename Archive>
+void fields(Archive& ar, OutcomeEvent& e) {
+  ar(e.id, e.attempt, e.target);
+  small(ar, e.outcome, static_cast<int>(Outcome::kNop));
+  small(ar, e.ended, 1);
+  ar(e.detail);
+  bool told = e.report.limitPerS.has_value();
+  small(ar, told, 1);
+  if (!told) return;
+  if (!e.report.limitPerS) e.report.limitPerS = 0;
+  number(ar, *e.report.limitPerS);
+}
+template <typename Archive>
+void fields(Archive& ar, ListEvent& e) {
+  small(ar, e.kind, static_cast<int>(ListKind::kError));
+  list(ar, e.entries, [&](ListEntry& entry) {
+    ar(entry.target, entry.zone, entry.kind, entry.destination);
+    small(ar, entry.state, static_cast<int>(RouteState::kDeleted));
+    number(ar, entry.rating);
+  });
+}
+template <typename Archive>
+void fields(Archive& ar, TimerEvent& e) {
+  ar(e.token);
+}
+template <typename Archive>
+void fields(Archive& ar, HangUpEvent& e) {
+  ar(e.id);
+}
+template <typename Archive>
+void fields(Archive& ar, SendAction& a) {
+  ar(a.id, a.target);
+  number(ar, a.capMs);
+}
+template <typename Archive>
+void fields(Archive& ar, RefuseAction& a) {
+  ar(a.id);
+  number(ar, a.comeBackMs);
+}
+template <typename Archive>
+void fields(Archive& ar, FailAction& a) {
+  ar(a.id);
+}
+template <typename Archive>
+void fields(Archive& ar, CallOffAction& a) {
+  ar(a.id, a.attempt);
+}
+template <typename Archive>
+void fields(Archive& ar, TimerAction& a) {
+  number(ar, a.spanMs);
+  ar(a.token);
+}
+template <typename Archive>
+void fields(Archive& ar, WatchListAction& a) {
+  small(ar, a.active, 1);
+}
+template <typename Archive>
+void fields(Archive& ar, FreeLinksAction& a) {
+  ar(a.target);
+}
+
+template <typename Variant, std::size_t... I>
+void makeAt(std::size_t index, Variant& value, std::index_sequence<I...>) {
+  ((I == index ? static_cast<void>(value.template emplace<I>()) : static_cast<void>(0)), ...);
+}
+template <typename Archive, typename Variant>
+void oneOf(Archive& ar, Variant& value) {
+  constexpr std::size_t kKinds = std::variant_size_v<Variant>;
+  std::size_t kind = value.index();
+  small(ar, kind, static_cast<int>(kKinds) - 1);
+  if constexpr (kReads<Archive>) makeAt(kind, value, std::make_index_sequence<kKinds>());
+  std::visit([&](auto& held) { fields(ar, held); }, value);
+}
+
+template <typename Read>
+bool readWhole(std::string_view bytes, const Read& read) {
+  try {
+    TextIn in(bytes);
+    read(in);
+    return in.left() == 0;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+// ---- as text ----
+std::string plain(double value) {
+  char text[40];
+  std::snprintf(text, sizeof text, "%.17g", value);
+  return text;
+}
+std::string textOf(const MessageEvent& e) {
+  return "message " + e.id + " class " + std::to_string(e.cls) + " to " + std::to_string(e.destination);
+}
+std::string textOf(const OutcomeEvent& e) {
+  constexpr const char* kNames[] = {"good",          "bad",   "full",      "late",
+                                    "no connection", "reset", "cancelled", "not sent"};
+  return "outcome " + e.id + " " + kNames[static_cast<int>(e.outcome)] + " of " + e.target;
+}
+std::string textOf(const ListEvent& e) { return "list of " + std::to_string(e.entries.size()); }
+std::string textOf(const TimerEvent& e) { return "timer " + std::to_string(e.token); }
+std::string textOf(const HangUpEvent& e) { return "hang-up " + e.id; }
+std::string text(const SendAction& a) {
+  return "send " + a.id + " to " + a.target + " cap " + plain(a.capMs);
+}
+std::string text(const RefuseAction& a) { return "refuse " + a.id + " for " + plain(a.comeBackMs); }
+std::string text(const FailAction& a) { return "fail " + a.id; }
+std::string text(const CallOffAction& a) {
+  return "call off " + a.id + " attempt " + std::to_string(a.attempt);
+}
+std::string text(const TimerAction& a) {
+  return "timer " + std::to_string(a.token) + " in " + plain(a.spanMs);
+}
+std::string text(const WatchListAction& a) { return a.active ? "watch the list" : "leave the list"; }
+std::string text(const FreeLinksAction& a) { return "free links of " + a.target; }
+
+}  // namespace
+
+// The archives take what they write as what they would read into.
+std::string encodeEvents(double nowMs, const std::vector<Event>& events) {
+  std::string bytes;
+  TextOut out(bytes);
+  out(nowMs, static_cast<std::uint32_t>(events.size()));
+  for (const Event& e : events) oneOf(out, const_cast<Event&>(e));
+  return bytes;
+}
+std::string encodeActions(const std::vector<Action>& actions) {
+  std::string bytes;
+  TextOut out(bytes);
+  out(static_cast<std::uint32_t>(actions.size()));
+  for (const Action& a : actions) oneOf(out, const_cast<Action&>(a));
+  return bytes;
+}
+bool decodeEvents(std::string_view bytes, Batch& batch) {
+  return readWhole(bytes, [&](TextIn& in) {
+    number(in, batch.nowMs);
+    list(in, batch.events, [&](Event& e) { oneOf(in, e); });
+  });
+}
+bool decodeActions(std::string_view bytes, std::vector<Action>& actions) {
+  return readWhole(bytes, [&](TextIn& in) { list(in, actions, [&](Action& a) { oneOf(in, a); }); });
+}
+
+std::string textOf(const Batch& batch) {
+  std::string all = "at " + plain(batch.nowMs);
+  for (const Event& e : batch.events) {
+    if (all.size() > kLongestTold) break;
+    all += "; ";
+    all += std::visit([](const auto& held) { return textOf(held); }, e);
+  }
+  return all.substr(0, kLongestTold);
+}
+std::string textOf(const Action& action) {
+  return std::visit([](const auto& held) { return text(held); }, action).substr(0, kLongestTold);
+}
+
+}  // namespace myrtleloft
