Plant differences in the audit's fleet: each found and named, and none where there is none

A checker that cries wolf, or sleeps, is worse than none. A virtual fleet with loss, delay, doubling, spoilt and forged messages, restarts and rolling changes plays a hundred drawn plans (--plans=N for more); modules built with another constant and with -ffast-math, another order of equal endpoints, and each part of the version are planted. 22 cases; a constant and one ulp of a timer are named 22 s after the start, an old version 10 min after.

--- /dev/null
+++ b/cmake/audit_tests.cmake
@@ -0,0 +1,46 @@
+# Decision modules that were built otherwise, for the audit's tests alone: each a shared library in which all
+# but one name is hidden, so that nothing of it is mixed up with the program's own module.
+function(myrtleloft_variant name)
+  cmake_parse_arguments(V "" "FROM;TO" "OPTIONS" ${ARGN})
+  set(folder ${CMAKE_CURRENT_BINARY_DIR}/variant-${name})
+  set(sources "")
+  set(changed 0)
+  foreach(file IN LISTS decisionFiles)
+    set(source ${CMAKE_CURRENT_SOURCE_DIR}/${file})
+    set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${source})
+    file(READ ${source} text)
+    if(V_FROM AND NOT file MATCHES "^include/")
+      string(FIND "${text}" "${V_FROM}" at)
+      if(NOT at EQUAL -1)
+        set(changed 1)
+      endif()
+      set(copy ${folder}/${file})
+      add_custom_command(OUTPUT ${copy}
+                         COMMAND ${CMAKE_COMMAND} -DIN=${source} -DOUT=${copy} "-DFROM=${V_FROM}" "-DTO=${V_TO}"
+                                 -P ${CMAKE_CURRENT_SOURCE_DIR}/cmake/audit_variant.cmake
+                         DEPENDS ${source} ${CMAKE_CURRENT_SOURCE_DIR}/cmake/audit_variant.cmake VERBATIM)
+      list(APPEND sources ${copy})
+    else()
+      list(APPEND sources ${source})
+    endif()
+  endforeach()
+  if(V_FROM AND NOT changed)
+    message(FATAL_ERROR "audit variant ${name}: no file of the decision code has '${V_FROM}'")
+  endif()
+  add_library(myrtleloft_variant_${name} SHARED tests/audit_variant.cpp ${sources})
+  target_include_directories(myrtleloft_variant_${name} PRIVATE ${folder}/src include src)
+  target_compile_definitions(myrtleloft_variant_${name} PRIVATE Dispatcher=Dispatcher_${name} VARIANT=auditVariant_${name})
+  target_compile_options(myrtleloft_variant_${name} PRIVATE ${V_OPTIONS})
+  target_link_options(myrtleloft_variant_${name} PRIVATE -Wl,-Bsymbolic
+                      -Wl,--version-script=${CMAKE_CURRENT_SOURCE_DIR}/tests/audit_variant.map)
+endfunction()
+
+myrtleloft_variant(constant FROM "kTimeShare = 0.5;" TO "kTimeShare = 0.51;")
+myrtleloft_variant(floats OPTIONS -ffast-math)
+
+add_executable(myrtleloft_audit_tests tests/audit_cases_test.cpp tests/audit_main.cpp tests/audit_planted_test.cpp
+                                      tests/audit_plans_test.cpp tests/audit_rules_test.cpp)
+target_include_directories(myrtleloft_audit_tests PRIVATE . src)
+target_link_libraries(myrtleloft_audit_tests PRIVATE myrtleloft_relay myrtleloft_variant_constant myrtleloft_variant_floats
+                                                     doctest::doctest)
+add_test(NAME audit COMMAND myrtleloft_audit_tests)
--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -22,12 +22,10 @@
 void Audit::onPeerDown(const std::string& peer) {
   const auto at = peers_.find(peer);
   if (at != peers_.end()) at->second.down();
-  offered_.erase(peer);
 }
 
 void Audit::forget(const std::string& peer) {
   peers_.erase(peer);
-  offered_.erase(peer);
   if (visit_ && visit_->peer == peer) visit_.reset();
   retune();
 }
@@ -123,15 +121,7 @@
   } else if (auto* answer = std::get_if<AuditAnswer>(&message.what)) {
     if (own_.known()) comparison.onAnswer(message.number, std::move(*answer), own_, counters_);
   } else if (const auto* window = std::get_if<AuditWindow>(&message.what)) {
-    onWindow(peer, message.number, *window);
-  } else if (const auto* result = std::get_if<AuditPlayed>(&message.what)) {
-    const auto offered = offered_.find(peer);
-    if (offered == offered_.end() || offered->second != message.number) {
-      ++counters_.stale;
-    } else {
-      offered_.erase(offered);
-      if (!result->same && own_.known()) comparison.differs(own_);
-    }
+    onWindow(peer, *window);
   }
   proceed(nowMs, out);
   return true;
@@ -150,14 +140,13 @@
     offered.digest = hashOf(window);
     offered.bytes = std::move(window);
     lastOffered_ = at->first;
-    offered_[at->first] = ++lastNumber_;
-    send(at->first, {{}, {}, lastNumber_, 0, std::move(offered)}, out);
+    send(at->first, {{}, {}, ++lastNumber_, 0, std::move(offered)}, out);
     return true;
   }
   return false;
 }
 
-void Audit::onWindow(const std::string& peer, std::uint64_t number, const AuditWindow& window) {
+void Audit::onWindow(const std::string& peer, const AuditWindow& window) {
   if (visit_ || !settings_ || !own_.known()) return;
   if (window.program != own_.version().of(RulesPart::kProgram) ||
       window.settings != own_.version().of(RulesPart::kSettings))
@@ -167,7 +156,7 @@
     ++counters_.refused;
     return;
   }
-  visit_.emplace(Visit{peer, number, WindowPlay(*settings_, make_, std::move(traffic))});
+  visit_.emplace(Visit{peer, WindowPlay(*settings_, make_, std::move(traffic))});
 }
 
 bool Audit::playWindow(Out& out) {
@@ -176,8 +165,6 @@
   const auto& mine = visit_->play.mine();
   const auto peer = peers_.find(visit_->peer);
   ++counters_.windows;
-  if (peer != peers_.end() && peer->second.isUp())
-    send(visit_->peer, {{}, {}, visit_->number, 0, AuditPlayed{!mine}}, out);
   if (mine && peer != peers_.end()) {
     AuditReport& report = out.reports.emplace_back();
     report.kind = AuditReport::Kind::kDiffer;
--- a/src/audit/audit.h
+++ b/src/audit/audit.h
@@ -71,13 +71,12 @@
  private:
   struct Visit {  // another's window
     std::string peer;
-    std::uint64_t number = 0;
     WindowPlay play;
   };
   void retune();
   void send(const std::string& peer, AuditMessage message, Out& out);
   void proceed(double nowMs, Out& out);
-  void onWindow(const std::string& peer, std::uint64_t number, const AuditWindow& window);
+  void onWindow(const std::string& peer, const AuditWindow& window);
   bool playWindow(Out& out);
 
   AuditTuning base_, tuning_;
@@ -92,7 +91,6 @@
   std::optional<Settings> settings_;
   ModuleMaker make_;
   std::optional<Visit> visit_;
-  std::map<std::string, std::uint64_t> offered_;  // number of the window that is out at a peer
 };
 
 }  // namespace myrtleloft
--- a/src/audit/audit_message.cpp
+++ b/src/audit/audit_message.cpp
@@ -1,5 +1,6 @@
 #include "audit/audit_message.h"
 
+#include <cstring>
 #include <exception>
 
 #include "journal/archive.h"
@@ -48,10 +49,6 @@
   ar(w.program, w.settings, w.digest, w.bytes);
 }
 template <typename Archive>
-void serialize(Archive& ar, AuditPlayed& p) {
-  flag(ar, p.same);
-}
-template <typename Archive>
 void serialize(Archive& ar, AuditMessage& m) {
   ar(m.from, m.to, m.number, m.heard);
   std::visit([&](auto& what) { ar(what); }, m.what);
@@ -62,11 +59,17 @@
   TextOut out(bytes);
   AuditMessage copy = message;
   out(copy);
+  out(hashOf(std::string_view(bytes)).low);
   return bytes;
 }
 
 bool decode(std::string_view bytes, AuditMessage& message) {
-  if (bytes.empty() || bytes.size() > kMostAuditMessage) return false;
+  constexpr std::size_t kCheck = sizeof(std::uint64_t);
+  if (bytes.size() <= kCheck || bytes.size() > kMostAuditMessage) return false;
+  const std::string_view all = bytes.substr(0, bytes.size() - kCheck);
+  std::uint64_t check = 0;
+  std::memcpy(&check, bytes.data() + all.size(), kCheck);
+  if (check != hashOf(all).low) return false;
   switch (bytes[0]) {
     case 0:
       message.what = AuditTold();
@@ -80,14 +83,11 @@
     case 3:
       message.what = AuditWindow();
       break;
-    case 4:
-      message.what = AuditPlayed();
-      break;
     default:
       return false;
   }
   try {
-    TextIn in(bytes.substr(1));
+    TextIn in(all.substr(1));
     in(message);
     return in.left() == 0;
   } catch (const std::exception&) {
--- a/src/audit/audit_message.h
+++ b/src/audit/audit_message.h
@@ -4,10 +4,10 @@
 //   *question* one node of your tree, for that version
 //   *answer*   its children; of a step, what was asked and done
 //   *window*   real traffic as a shadow of my module decided on it, for you to play
-//   *played*   what came of it
 //
 // Each names both processes by their incarnations, so that a message from or to an earlier one is known as
-// such. 137 bytes for a round's word; the others are bounded by kMostAuditMessage.
+// such, and ends with a check over its bytes. 165 bytes for a round's word; no message is over
+// kMostAuditMessage.
 #pragma once
 
 #include <array>
@@ -57,15 +57,12 @@
   Hash digest;        // of the bytes
   std::string bytes;  // recorder.h
 };
-struct AuditPlayed {
-  bool same = false;
-};
 
 struct AuditMessage {
   Incarnation from, to;      // `to` is not known before the other was heard
   std::uint64_t number = 0;  // of this message; of an answer, the question's
   std::uint64_t heard = 0;   // the newest *told* of the other that came here; 0: none
-  std::variant<AuditTold, AuditQuestion, AuditAnswer, AuditWindow, AuditPlayed> what;
+  std::variant<AuditTold, AuditQuestion, AuditAnswer, AuditWindow> what;
 };
 
 std::string encode(const AuditMessage& message);
--- a/src/audit/comparison.h
+++ b/src/audit/comparison.h
@@ -52,7 +52,7 @@
   AuditVerdict verdict(double nowMs, const OwnDecisions& own) const;
   // The first part in which its version differed at two of its words in a row; it stands until they are
   // equal.
-  std::optional<RulesPart> differing() const;
+  std::optional<RulesPart> differing() const { return versions_.differing(); }
   // A window of real traffic that came out otherwise.
   void differs(const OwnDecisions& own) { differed_ = own.digest(); }
 
--- /dev/null
+++ b/tests/audit_planted_test.cpp
@@ -0,0 +1,229 @@
+// Differences planted in one relay of three: each is found, and named as what it is.
+#include <doctest/doctest.h>
+
+#include "lab/module_site.h"
+#include "tests/audit_fleet.h"
+
+using namespace myrtleloft;
+using myrtleloft::testing::AuditFleet;
+
+namespace myrtleloft {
+extern "C" PlayedModule* auditVariant_constant(const Settings& settings);
+extern "C" PlayedModule* auditVariant_floats(const Settings& settings);
+}  // namespace myrtleloft
+
+namespace {
+
+// Endpoints of a destination in another order than the list names them.
+class OtherOrder : public PlayedModule {
+ public:
+  explicit OtherOrder(const Settings& settings) : module_(settings) {}
+  std::vector<Action> onBatch(double nowMs, const std::vector<Event>& events) override {
+    std::vector<Event> turned = events;
+    for (Event& e : turned)
+      if (auto* list = std::get_if<ListEvent>(&e)) std::reverse(list->entries.begin(), list->entries.end());
+    return module_.onBatch(nowMs, turned);
+  }
+
+ private:
+  Dispatcher module_;
+};
+
+struct Relay {
+  std::string stamp = "stamp";
+  Settings settings = lab::moduleSettings(1);
+  OperatorFile rules;
+  std::int64_t rev = 1;
+  ModuleMaker make = ownModule;
+};
+
+class Site {
+ public:
+  explicit Site(std::size_t stepsASecond = 600) : fleet(3, {4, 4}, AuditTuning(), stepsASecond) {
+    for (const std::string& name : fleet.names()) relays[name];
+  }
+  void start() {
+    for (const std::string& name : fleet.names()) begin(name, true);
+  }
+  void begin(const std::string& name, bool fresh) {
+    const Relay& r = relays[name];
+    DestinationSet set;
+    std::vector<EndpointEntry> endpoints;
+    for (int e = 0; e < 6; ++e) {
+      EndpointEntry& one = endpoints.emplace_back();
+      one.entry = {"e" + std::to_string(e),
+                   e % 2,
+                   0,
+                   e / 3,
+                   RouteState::kRunning,
+                   static_cast<double>(4 + (e == 0 ? r.rev : 0))};
+      one.address = *parseAddress("10.0.0.1:80");
+    }
+    set.apply({r.rev, true, endpoints}, ListKind::kSnapshot, 0);
+    const RulesVersion version = rulesVersion(r.stamp, r.settings, r.rules, set.all());
+    std::vector<std::unique_ptr<CaseFamily>> families;
+    families.push_back(std::make_unique<ModuleCases>(r.settings, set.all(), r.make));
+    const auto cases = std::make_shared<CaseSet>(version.digest(), std::move(families));
+    if (fresh)
+      fleet.start(name, version, r.rev, cases);
+    else
+      fleet.become(name, version, r.rev, cases);
+    fleet.at(name).playWindowsWith(r.settings, r.make);
+  }
+  // n3 differs, n1 and n2 know, and say by which action.
+  void named() {
+    for (const char* by : {"n1", "n2"}) {
+      const auto* said = fleet.find(AuditReport::Kind::kDiffer, by, "n3");
+      REQUIRE(said);
+      MESSAGE(std::string(by) << " after " << said->atMs / 1000 << " s: case " << said->report.number
+                              << " step " << said->report.step << ", " << said->report.said.event
+                              << " | here " << said->report.said.here << " | there "
+                              << said->report.said.there);
+      CHECK(said->report.family == "module");
+      CHECK(said->report.said.event.find("at ") == 0);
+      CHECK(said->report.said.here != said->report.said.there);
+      CHECK(fleet.at(by).verdict(fleet.nowMs, "n3") == AuditVerdict::kDiffer);
+      CHECK_FALSE(fleet.at(by).differsFromAllOthers(fleet.nowMs));
+    }
+    CHECK(fleet.at("n1").verdict(fleet.nowMs, "n2") == AuditVerdict::kAgree);
+    CHECK(fleet.at("n3").differsFromAllOthers(fleet.nowMs));
+    CHECK(fleet.count(AuditReport::Kind::kDiffer) == 4);  // each pair once a side, however long it lasts
+  }
+  // Nothing compared, and after its time n3 is told of as the late one.
+  void toldLate(RulesPart part, OlderVersion older) {
+    CHECK_FALSE(fleet.find(AuditReport::Kind::kDiffer));
+    for (const char* by : {"n1", "n2"}) {
+      const auto* first = fleet.find(AuditReport::Kind::kOtherVersion, by, "n3");
+      REQUIRE(first);
+      CHECK(first->report.part == part);
+      const auto* late = fleet.find(AuditReport::Kind::kLateVersion, by, "n3");
+      REQUIRE(late);
+      MESSAGE(std::string(by) << ": other after " << first->atMs / 1000 << " s, late after "
+                              << late->atMs / 1000 << " s");
+      CHECK(late->report.part == part);
+      CHECK(late->report.forMs >= AuditTuning().lateMs);
+      CHECK(late->report.older == older);
+      CHECK(fleet.at(by).differing("n3") == part);
+      CHECK(fleet.at(by).verdict(fleet.nowMs, "n3") == AuditVerdict::kNotKnown);
+    }
+    CHECK_FALSE(fleet.find(AuditReport::Kind::kLateVersion, "n1", "n2"));
+  }
+
+  AuditFleet fleet;
+  std::map<std::string, Relay> relays;
+};
+
+}  // namespace
+
+TEST_CASE("three that are alike agree, at one message a round to each") {
+  Site site;
+  site.start();
+  site.fleet.seconds(600);
+  CHECK(site.fleet.all(AuditVerdict::kAgree));
+  CHECK(site.fleet.count(AuditReport::Kind::kAgree) == 6);
+  CHECK(site.fleet.said.size() == 6);
+  CHECK(site.fleet.sent <= 6 * (600 / 27 + 1));
+  CHECK(site.fleet.bytes == 165 * site.fleet.sent);
+}
+
+TEST_CASE("a constant of the module that was changed") {
+  Site site;
+  site.relays["n3"].make = [](const Settings& s) {
+    return std::unique_ptr<PlayedModule>(auditVariant_constant(s));
+  };
+  site.start();
+  site.fleet.seconds(400);
+  site.named();
+}
+
+TEST_CASE("a build with other floating-point rules") {
+  Site site;
+  site.relays["n3"].make = [](const Settings& s) {
+    return std::unique_ptr<PlayedModule>(auditVariant_floats(s));
+  };
+  site.start();
+  site.fleet.seconds(400);
+  site.named();
+}
+
+// The module takes equal endpoints in the order in which they were named to it: relays that were told in
+// other orders decide otherwise, though their lists are the same.
+TEST_CASE("another order of equal endpoints") {
+  Site site;
+  site.relays["n3"].make = [](const Settings& s) { return std::make_unique<OtherOrder>(s); };
+  site.start();
+  site.fleet.seconds(400);
+  site.named();
+}
+
+TEST_CASE("another program, as its stamp says it") {
+  Site site;
+  site.relays["n3"].stamp = "another";
+  site.start();
+  site.fleet.seconds(800);
+  site.toldLate(RulesPart::kProgram, OlderVersion::kNotKnown);
+}
+
+TEST_CASE("one digit of the settings") {
+  Site site;
+  site.relays["n3"].settings.classes[2].targetMs = 2001;
+  site.start();
+  site.fleet.seconds(800);
+  site.toldLate(RulesPart::kSettings, OlderVersion::kNotKnown);
+}
+
+TEST_CASE("one relay that missed the operator's change") {
+  Site site;
+  site.start();
+  site.fleet.seconds(300);
+  CHECK(site.fleet.all(AuditVerdict::kAgree));
+  for (const char* name : {"n1", "n2"}) {
+    site.relays[name].rules.membership.guardPercent = 30;
+    site.begin(name, false);
+  }
+  site.fleet.seconds(800);
+  site.toldLate(RulesPart::kRules, OlderVersion::kThere);
+}
+
+TEST_CASE("a list that is a rev behind for good, while it goes on changing") {
+  Site site(20);
+  site.start();
+  for (int round = 0; round < 20; ++round) {
+    for (const std::string& name : site.fleet.names()) {
+      site.relays[name].rev = round + (name == "n3" ? 1 : 2);
+      site.begin(name, false);
+    }
+    site.fleet.seconds(45);
+  }
+  site.toldLate(RulesPart::kList, OlderVersion::kThere);
+}
+
+TEST_CASE("real traffic that another relay decides otherwise on") {
+  Site site;
+  site.relays["n3"].make = [](const Settings& s) {
+    return std::unique_ptr<PlayedModule>(auditVariant_constant(s));
+  };
+  site.start();
+  site.fleet.seconds(2);
+  Recorder recorder(site.relays["n1"].settings, ownModule);
+  recorder.begin(0, {ListKind::kSnapshot, {{"e0", 0, 0, 1, RouteState::kRunning, 9}}});
+  MessageEvent e;
+  e.id = "m1";
+  e.destination = 1;
+  e.notAfterMs = 4000;  // so that what was changed bounds its call
+  recorder.feed(10, {e});
+  const std::string window = recorder.take();
+  for (int i = 0; i < 2; ++i) {  // to each of the others in turn
+    Audit::Out out;
+    REQUIRE(site.fleet.at("n1").offer(window, out));
+    site.fleet.takeUp("n1", out);
+    site.fleet.seconds(60);
+  }
+  const auto* said = site.fleet.find(AuditReport::Kind::kDiffer, "n3", "n1", "traffic");
+  REQUIRE(said);
+  CHECK(said->report.step == 1);
+  CHECK(said->report.said.event.find("message m1") != std::string::npos);
+  CHECK(said->report.said.here.find("send m1 to e0") == 0);
+  CHECK(site.fleet.at("n2").counters().windows == 1);
+  CHECK_FALSE(site.fleet.find(AuditReport::Kind::kDiffer, "n2", "n1"));
+}
