Count the time of another version anew after a silence

One of 1,000 drawn plans told a relay late that was not: two rolling changes, ten minutes apart, with a cut link between them, looked like one difference that lasted.

--- a/src/audit/comparison.cpp
+++ b/src/audit/comparison.cpp
@@ -57,7 +57,7 @@
   heard_ = message.number;
   // It is at least as new as my word that it had heard.
   const auto answered = sentMs(message.heard);
-  if (answered) versions_.onTold(nowMs, *answered, peer_, told, own, tuning_, counters, reports);
+  versions_.onTold(nowMs, answered, peer_, told, own, tuning_, counters, reports);
   if (told.version != own.version()) return;
   const std::size_t branches = told.branches;
   if (branches == 0 || branches > own.tree().branches()) return;
--- a/src/audit/version_watch.cpp
+++ b/src/audit/version_watch.cpp
@@ -1,12 +1,14 @@
 #include "audit/version_watch.h"
 
 #include <cmath>
+#include <utility>
 
 namespace myrtleloft {
 
-void VersionWatch::onTold(double nowMs, double sentMs, const std::string& peer, const AuditTold& told,
-                          const OwnDecisions& own, const AuditTuning& tuning, AuditCounters& counters,
-                          std::vector<AuditReport>& reports) {
+void VersionWatch::onTold(double nowMs, std::optional<double> sentMs, const std::string& peer,
+                          const AuditTold& told, const OwnDecisions& own, const AuditTuning& tuning,
+                          AuditCounters& counters, std::vector<AuditReport>& reports) {
+  if (sentMs && nowMs - std::exchange(wordMs_, nowMs) > tuning.agreeForMs) parts_ = {};
   bool first = true;
   for (std::size_t i = 0; i < kRulesParts; ++i) {
     const auto name = static_cast<RulesPart>(i);
@@ -15,7 +17,8 @@
     const bool ahead = part.seen && own.hadSince(name, *part.seen, part.seenMs);
     if (told.version.parts[i] == own.version().parts[i] || ahead) part = Part();
     if (told.version.parts[i] == own.version().parts[i]) continue;
-    if (own.hadSince(name, told.version.parts[i], sentMs)) continue;  // it may have had the same since
+    // It may have had the same since.
+    if (!sentMs || own.hadSince(name, told.version.parts[i], *sentMs)) continue;
     if (part.seen) ++part.times;
     if (!part.sinceMs) part.sinceMs = nowMs;
     part.seen = told.version.parts[i];
--- a/src/audit/version_watch.h
+++ b/src/audit/version_watch.h
@@ -19,8 +19,9 @@
 
 class VersionWatch {
  public:
-  // `sentMs`: when the word left here that `told` is the answer to.
-  void onTold(double nowMs, double sentMs, const std::string& peer, const AuditTold& told,
+  // `sentMs`: when the word left here that `told` is the answer to; not known: it can only show that both are
+  // equal.
+  void onTold(double nowMs, std::optional<double> sentMs, const std::string& peer, const AuditTold& told,
               const OwnDecisions& own, const AuditTuning& tuning, AuditCounters& counters,
               std::vector<AuditReport>& reports);
   // The first part that was other at two words in a row; it stands until both are equal.
@@ -35,6 +36,7 @@
     bool told = false, late = false;
   };
   std::array<Part, kRulesParts> parts_;
+  double wordMs_ = 0;  // the last one that was an answer
 };
 
 }  // namespace myrtleloft
