--- a/src/audit/rules_version.h
+++ b/src/audit/rules_version.h
@@ -41,8 +41,8 @@
 
 // Without what is each relay's own by nature: its seed, its number and its zone.
 std::string canonicalSettings(const Settings& settings);
-// What decides of the operator's file: durability, membership and quotas. Not what a machine is given (sizes
-// of segments and slices), whom to ask (directories, and how often), nor the log.
+// What decides of the operator's file: durability, membership, quotas, copies and the audit itself. Not what
+// a machine is given (sizes of segments and slices), whom to ask (directories, and how often), nor the log.
 std::string canonicalRules(const OperatorFile& file);
 // One endpoint by uid, place, state and rating; not its address, which may be told by different names, nor
 // when it was told, nor the number behind a uid that came again, which counts from the relay's own start.
--- a/src/config/fleet_section.cpp
+++ b/src/config/fleet_section.cpp
@@ -7,10 +7,10 @@
 
 // What these keys ask for is not built yet: each is refused rather than read and forgotten. Lifted by its
 // line.
-constexpr bool kCopiesBuilt = false, kPopularityBuilt = false, kAuditBuilt = false;
+constexpr bool kCopiesBuilt = false, kPopularityBuilt = false;
 
 constexpr std::int64_t kMostCopies = 4;  // further ones cost a write each and survive no likelier failure
-constexpr std::int64_t kLeastWarmKb = 16, kMostWarmKb = 64 * 1024, kMostAuditS = 24 * 3600;
+constexpr std::int64_t kLeastWarmKb = 16, kMostWarmKb = 64 * 1024, kMostAuditS = 24 * 3600, kAuditS = 30;
 
 void refuseWhereNotBuilt(const Section& s, const char* key, bool built) {
   if (!built && s.has(key)) s.refuse(key, "not built yet, expected to be left out");
@@ -60,9 +60,8 @@
     below.whole("warm_kb", kLeastWarmKb, kMostWarmKb);
     refuseWhereNotBuilt(below, "warm_kb", kPopularityBuilt);
   });
-  s.below("audit", [](Section& below) {
-    below.whole("every_s", 1, kMostAuditS);
-    refuseWhereNotBuilt(below, "every_s", kAuditBuilt);
+  s.below("audit", [&](Section& below) {
+    plan.auditEveryS = static_cast<int>(below.whole("every_s", 1, kMostAuditS).value_or(kAuditS));
   });
   std::sort(plan.peers.begin(), plan.peers.end(),
             [](const FleetPlan::Peer& a, const FleetPlan::Peer& b) { return a.name < b.name; });
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleet.h"
 
+#include <set>
 #include <utility>
 
 namespace myrtleloft {
@@ -16,6 +17,9 @@
   options.tuning = options_.tuning;
   links_.emplace(Links::Parts{parts_.loop, parts_.log}, std::move(options), static_cast<PeerSink&>(*this));
   if (!links_->open(error)) return false;
+  if (plan.auditEveryS > 0)
+    audit_.emplace(AuditDriver::Parts{parts_.loop, *links_, parts_.log, parts_.rules}, plan.auditEveryS,
+                   incarnation_, options_.seed);
   parts_.log.write(LogLevel::kInfo, "fleet.listening",
                    "fleet: the relays of '" + plan.name + "' are taken at " + listening(),
                    {{"address", listening()}, {"fleet", plan.name}, {"peers", links_->peers()}});
@@ -44,6 +48,9 @@
   if (!links_) return;
   options_.plan.peers = peers;
   links_->setPeers(peers);
+  std::set<std::string> names;
+  for (const FleetPlan::Peer& peer : peers) names.insert(peer.name);
+  if (audit_) audit_->setPeers(names);
   parts_.log.write(LogLevel::kInfo, "fleet.peers",
                    "fleet: " + std::to_string(peers.size()) + " peers from now on",
                    {{"peers", peers.size()}});
@@ -54,15 +61,19 @@
   parts_.log.write(LogLevel::kInfo, "fleet.up",
                    "fleet: linked to " + peer.name + ", start " + std::to_string(start) + " of its life",
                    {{"peer", peer.name}, {"start", start}, {"building", peer.building}});
+  if (audit_) audit_->onPeerUp(peer);
 }
 
 void Fleet::onPeerDown(const std::string& peer) {
   parts_.log.write(LogLevel::kInfo, "fleet.down", "fleet: the link to " + peer + " is down",
                    {{"peer", peer}});
+  if (audit_) audit_->onPeerDown(peer);
 }
 
-// Nobody takes any kind yet.
-bool Fleet::onPeerMessage(const std::string&, FleetKind, std::string_view) { return false; }
+bool Fleet::onPeerMessage(const std::string& peer, FleetKind kind, std::string_view payload) {
+  if (kind != FleetKind::kAudit) return false;         // nobody takes any other kind yet
+  return !audit_ || audit_->onMessage(peer, payload);  // a fleet may have it at some relays only
+}
 
 void Fleet::onPeerRoom(const std::string&) {}
 
@@ -75,6 +86,7 @@
       << " bytes-in=" << f.bytesIn << " bytes-out=" << f.bytesOut;
   for (std::size_t i = 0; i < f.ends.size(); ++i)
     if (f.ends[i] > 0) out << " end-" << nameOf(static_cast<LinkEnd>(i)) << '=' << f.ends[i];
+  if (audit_) audit_->print(out);
   out << '\n';
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "audit/audit_driver.h"
 #include "fleet/incarnation.h"
 #include "fleet/links.h"
 #include "fleet/plan.h"
@@ -32,6 +33,7 @@
     Files& files;
     DiskShare& disk;
     Log log;
+    AuditedRules rules;  // for the audit, where the section asks for one
   };
   struct Options {
     FleetPlan plan;
@@ -61,6 +63,7 @@
   Options options_;
   Incarnation incarnation_;
   std::optional<Links> links_;
+  std::optional<AuditDriver> audit_;
 };
 
 }  // namespace myrtleloft
--- a/src/fleet/plan.h
+++ b/src/fleet/plan.h
@@ -40,6 +40,7 @@
   std::vector<Peer> peers;  // by name; the one thing here that SIGHUP may change
   int copies = 0;           // further relays that hold what this one owes
   WhenShort whenShort = WhenShort::kRefuse;
+  int auditEveryS = 0;  // a round of the audit; 0: none, the section is missing
 };
 
 }  // namespace myrtleloft
--- a/src/relay/impl.cpp
+++ b/src/relay/impl.cpp
@@ -152,7 +152,8 @@
 }
 
 bool Relay::Impl::startFleet(std::string& error) {
-  fleet_ = std::make_unique<Fleet>(Fleet::Parts{loop_, files_, journal_, log_}, fleetOptions(config_));
+  fleet_ = std::make_unique<Fleet>(Fleet::Parts{loop_, files_, journal_, log_, {config_, membership_.set()}},
+                                   fleetOptions(config_));
   if (!fleet_->start(error)) return false;
   if (const auto here = parseAddress(fleet_->listening())) live_.fleetListensOn(*here);
   return true;
