--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleet.h"
 
+#include <set>
 #include <utility>
 
 namespace myrtleloft {
@@ -40,6 +41,9 @@
   members_.emplace(options_.members, options.me, namesOf(plan.peers), options_.seed);
   links_.emplace(Links::Parts{parts_.loop, parts_.log}, std::move(options), static_cast<PeerSink&>(*this));
   if (!links_->open(error)) return false;
+  if (plan.auditEveryS > 0)
+    audit_.emplace(AuditDriver::Parts{parts_.loop, *links_, parts_.log, parts_.rules}, plan.auditEveryS,
+                   incarnation_, options_.seed);
   parts_.log.write(LogLevel::kInfo, "fleet.listening",
                    "fleet: the relays of '" + plan.name + "' are taken at " + listening(),
                    {{"address", listening()}, {"fleet", plan.name}, {"peers", links_->peers()}});
@@ -71,6 +75,9 @@
   options_.plan.peers = peers;
   links_->setPeers(peers);
   take(members_->setPeers(nowMs(), namesOf(peers)));
+  std::set<std::string> names;
+  for (const FleetPlan::Peer& peer : peers) names.insert(peer.name);
+  if (audit_) audit_->setPeers(names);
   parts_.log.write(LogLevel::kInfo, "fleet.peers",
                    "fleet: " + std::to_string(peers.size()) + " peers from now on",
                    {{"peers", peers.size()}});
@@ -130,6 +137,7 @@
                    "fleet: linked to " + peer.name + ", start " + std::to_string(start) + " of its life",
                    {{"peer", peer.name}, {"start", start}, {"building", peer.building}});
   take(members_->onLinkUp(nowMs(), peer));
+  if (audit_) audit_->onPeerUp(peer);
 }
 
 void Fleet::onPeerDown(const std::string& peer) {
@@ -137,10 +145,12 @@
   parts_.log.write(LogLevel::kInfo, "fleet.down", "fleet: the link to " + peer + " is down",
                    {{"peer", peer}});
   take(members_->onLinkDown(nowMs(), peer));
+  if (audit_) audit_->onPeerDown(peer);
 }
 
 bool Fleet::onPeerMessage(const std::string& peer, FleetKind kind, std::string_view payload) {
   wake();
+  if (kind == FleetKind::kAudit) return !audit_ || audit_->onMessage(peer, payload);  // some may audit, some not
   // Nobody takes the other kinds yet.
   if (kind != FleetKind::kQuestion && kind != FleetKind::kReply) return false;
   Members::Step step;
@@ -167,6 +177,7 @@
       << " stalls=" << stalls_ << " catching-up=" << members_->mustAsk() << " health=" << members_->health();
   for (std::size_t i = 0; i < f.ends.size(); ++i)
     if (f.ends[i] > 0) out << " end-" << nameOf(static_cast<LinkEnd>(i)) << '=' << f.ends[i];
+  if (audit_) audit_->print(out);
   out << '\n';
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -19,6 +19,7 @@
 #include <string>
 #include <vector>
 
+#include "audit/audit_driver.h"
 #include "fleet/incarnation.h"
 #include "fleet/links.h"
 #include "fleet/members.h"
@@ -37,6 +38,7 @@
     Files& files;
     DiskShare& disk;
     Log log;
+    AuditedRules rules;  // for the audit, where the section asks for one
   };
   struct Options {
     FleetPlan plan;
@@ -81,6 +83,7 @@
   double dueMs_ = 0;        // when the members are to be called again
   bool mustAsked_ = false;  // as last told
   std::uint64_t stalls_ = 0;
+  std::optional<AuditDriver> audit_;
 };
 
 }  // namespace myrtleloft
