Hold the example's section [fleet] to being good, and a building's name to its bound

The keys in deploy/example.toml stood in comments that nothing read, and a building's name beyond 256 bytes would have made every other relay refuse the hello.

--- a/src/fleet/frame.cpp
+++ b/src/fleet/frame.cpp
@@ -104,8 +104,7 @@
   TextIn in(payload);
   in(peer);
   return in.left() == 0 && isFleetName(peer.fleet) && isFleetName(peer.name) &&
-         peer.building.size() <= 4 * kMostFleetName && peer.incarnation.life != 0 &&
-         peer.incarnation.start != 0;
+         peer.building.size() <= kMostBuilding && peer.incarnation.life != 0 && peer.incarnation.start != 0;
 } catch (const std::exception&) {
   return false;
 }
--- a/src/fleet/plan.h
+++ b/src/fleet/plan.h
@@ -14,8 +14,8 @@
 
 // All of a fleet but oneself. Bounds of links are stated for 100 (fleet/links.h).
 inline constexpr std::size_t kMostPeers = 127;
-// Of a relay, a fleet or a building: it stands in the first frame of a link.
-inline constexpr std::size_t kMostFleetName = 64;
+// Of a relay or a fleet, and of a building, in bytes: they stand in the first frame of a link.
+inline constexpr std::size_t kMostFleetName = 64, kMostBuilding = 256;
 
 inline bool isFleetName(std::string_view name) {
   return !name.empty() && name.size() <= kMostFleetName && std::all_of(name.begin(), name.end(), [](char c) {
--- a/src/relay/options.cpp
+++ b/src/relay/options.cpp
@@ -110,7 +110,7 @@
   options.name = config.name;
   const int zone = config.settings.zone;
   if (zone >= 0 && static_cast<std::size_t>(zone) < config.names.zones.size())
-    options.building = config.names.zones[static_cast<std::size_t>(zone)];
+    options.building = config.names.zones[static_cast<std::size_t>(zone)].substr(0, kMostBuilding);
   options.folder = config.stateFolder;
   options.memoryBytes = config.memoryBytes;
   options.seed = std::max<std::uint64_t>(1, drawnSalt());
--- a/tests/fleet_config_test.cpp
+++ b/tests/fleet_config_test.cpp
@@ -96,6 +96,16 @@
   CHECK((plan.peers[0].name == "n2" && plan.peers[1].address.text == "127.0.0.1:7103"));
 }
 
+TEST_CASE("the section in deploy/example.toml is good once its comment signs are gone") {
+  std::ifstream in(MYRTLELOFT_DEPLOY "/example.toml");
+  std::string text;
+  for (std::string line; std::getline(in, line) && line != "#[fleet.popularity]";)
+    if (line == "#[fleet]" || (!text.empty() && line.size() > 1 && line[0] == '#' && line[1] != ' '))
+      text += line.substr(1) + "\n";
+  const FleetPlan plan = parseOperatorFile(text, "example.toml", "n1").fleet;
+  CHECK((plan.on && plan.name == "vina" && plan.peers.size() == 2));
+}
+
 TEST_CASE("the section [fleet]: what it cannot be, by line, column and key") {
   const auto fault = [](const std::string& lines) { return faultOf(kHead + lines); };
   CHECK(has(faultOf("[fleet]\nlisten = \"127.0.0.1:1\"\n"), "f.toml:1:1: fleet.name: missing"));
