--- a/bench/fleet_members_bench.cpp
+++ b/bench/fleet_members_bench.cpp
@@ -124,7 +124,7 @@
       for (const double loss : {0.0, 0.05}) crashes(relays, told, loss, seeds);
     }
   }
-  std::puts("\n| relays | loss | seeds | relay-hours | suspicions an hour, of each by each | false deaths |");
+  std::puts("\n| relays | loss | seeds | relay-hours | suspicions an hour, by one of one | false deaths |");
   std::puts("| --- | --- | --- | --- | --- | --- |");
   for (int relays : sizes) {
     const int seeds = relays > 100 ? 1 : relays > 30 ? 5 : 50;
