--- a/tests/auditor_story.h
+++ b/tests/auditor_story.h
@@ -5,8 +5,9 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
-#include "lab/fleet_history.h"
+#include "lab/auditor.h"
 
 namespace myrtleloft::lab {
 
@@ -80,4 +81,28 @@
   }
 };
 
+inline std::string toldOf(const std::vector<AuditFinding>& findings, const FleetHistory& history) {
+  std::string text;
+  for (const AuditFinding& f : findings) text += describe(f, history);
+  return text;
+}
+
+// A cold endpoint that takes 10 calls a second: 50 and a few in 2 s. All of `told` had a call fail there.
+inline Story coldReturn(int calls, const std::vector<std::string>& told) {
+  Story s;
+  s.endpoint(0, Saw::kCapacity, "a", 10);
+  std::int64_t number = 0;
+  const auto once = [&](double atMs, const std::string& relay, int status) {
+    const std::string id = "m" + std::to_string(++number);
+    s.handed(atMs, id, "any")
+        .call(atMs + 1, "a", number, relay, id)
+        .answer(atMs + 2, "a", number, status, 0, relay, id);
+  };
+  s.endpoint(10, Saw::kOutage, "a");
+  for (const std::string& relay : told) once(20, relay, 503);
+  s.endpoint(1000, Saw::kBack, "a");
+  for (int i = 0; i < calls; ++i) once(1100 + i * 10, i % 2 ? "n1" : "n2", 200);
+  return s;
+}
+
 }  // namespace myrtleloft::lab
--- a/tests/auditor_test.cpp
+++ b/tests/auditor_test.cpp
@@ -22,12 +22,6 @@
   return r;
 }
 
-std::string toldOf(const std::vector<AuditFinding>& findings, const FleetHistory& history) {
-  std::string text;
-  for (const AuditFinding& f : findings) text += describe(f, history);
-  return text;
-}
-
 void good(const FleetHistory& history) {
   const std::vector<AuditFinding> findings = audit(rules(), history);
   CHECK_MESSAGE(findings.empty(), toldOf(findings, history));
@@ -43,24 +37,6 @@
   CHECK(findings[0].lines.back() == last);
 }
 
-// A cold endpoint that takes 10 calls a second: 50 and a few in 2 s. All of `told` had a call fail there.
-Story coldReturn(int calls, const std::vector<std::string>& told) {
-  Story s;
-  s.endpoint(0, Saw::kCapacity, "a", 10);
-  std::int64_t number = 0;
-  const auto once = [&](double atMs, const std::string& relay, int status) {
-    const std::string id = "m" + std::to_string(++number);
-    s.handed(atMs, id, "any")
-        .call(atMs + 1, "a", number, relay, id)
-        .answer(atMs + 2, "a", number, status, 0, relay, id);
-  };
-  s.endpoint(10, Saw::kOutage, "a");
-  for (const std::string& relay : told) once(20, relay, 503);
-  s.endpoint(1000, Saw::kBack, "a");
-  for (int i = 0; i < calls; ++i) once(1100 + i * 10, i % 2 ? "n1" : "n2", 200);
-  return s;
-}
-
 }  // namespace
 
 TEST_CASE("each message taken on has its end in time") {
@@ -192,6 +168,16 @@
   good(waits(2000, "a", true));
   broken(waits(1101, "a", false), Rule::kWaitBroken, 4);
   broken(waits(3999, "a", false), Rule::kWaitBroken, 4);
+  // Of two, the one that ends later binds.
+  broken(Story()
+             .taken("any")
+             .call(30, "a", 1)
+             .answer(1000, "a", 1, 429, 3000)
+             .call(1050, "a", 2)
+             .answer(1060, "a", 2, 429, 500)
+             .call(2000, "a", 3)
+             .answer(2001, "a", 3, 200),
+         Rule::kWaitBroken, 6);
   AuditRules shared = rules();
   shared.routesApart = false;
   const Story other = waits(2000, "b", false);
