--- a/src/copies/names.h
+++ b/src/copies/names.h
@@ -14,9 +14,9 @@
 namespace myrtleloft {
 
 struct LedgerId {
-  std::string maker;      // the relay that opened it
-  Incarnation made;       // the start that did
-  std::uint8_t slot = 0;  // which of that start's ledgers
+  std::string maker;       // the relay that opened it
+  Incarnation made;        // the start that did
+  std::uint32_t slot = 0;  // counts that start's ledgers
 
   friend bool operator==(const LedgerId&, const LedgerId&) = default;
   friend bool operator<(const LedgerId& a, const LedgerId& b) {
