Compare the whole of a register, and change ensembles by fresh words alone

Cause: 1,500 drawn worlds of three found an owner that woke from a stall and named as only holder one that had lost its folder meanwhile; and a change compared the epoch alone, where a voter may know a value never decided.

Change: a change compares all that is there; each holder of a wanted ensemble must have acknowledged within the span.

--- a/src/copies/copies.cpp
+++ b/src/copies/copies.cpp
@@ -45,9 +45,9 @@
   return c;
 }
 
-void Copies::ask(Case& c, LedgerState wanted, double nowMs, CopyStep& out) {
+void Copies::ask(Case& c, LedgerState there, LedgerState wanted, double nowMs, CopyStep& out) {
   c.asked = wanted;
-  c.proposer.change(std::move(wanted), nowMs, random(), out);
+  c.proposer.change(std::move(there), std::move(wanted), nowMs, random(), out);
 }
 
 void Copies::own(const LedgerId& id, Case& c, const LedgerState& state, std::vector<OwedRequest> requests) {
@@ -93,7 +93,7 @@
         wanted.start = setup_.self;
         if (state.epoch == 0) wanted.ensemble = holdersFor(id, nullptr);
         c.stage = Stage::kClaiming;
-        return ask(c, std::move(wanted), nowMs, out);
+        return ask(c, state, std::move(wanted), nowMs, out);
       } else {
         return giveUp(id, c, out);
       }
--- a/src/copies/copies.h
+++ b/src/copies/copies.h
@@ -123,7 +123,7 @@
   };
 
   Case& begin(const LedgerId& id, Stage stage);
-  void ask(Case& c, LedgerState wanted, double nowMs, CopyStep& out);
+  void ask(Case& c, LedgerState there, LedgerState wanted, double nowMs, CopyStep& out);
   void onDecided(const LedgerId& id, Case& c, double nowMs, CopyStep& out);
   void own(const LedgerId& id, Case& c, const LedgerState& state, std::vector<OwedRequest> requests);
   void giveUp(const LedgerId& id, Case& c, CopyStep& out);
--- a/src/copies/copies_tick.cpp
+++ b/src/copies/copies_tick.cpp
@@ -93,7 +93,7 @@
     c.ledger->want(holdersFor(id, &*c.ledger));
     c.ledger->onTick(nowMs, setup_.worthOf, budget, out);
     if (!c.proposer.busy())
-      if (auto wanted = c.ledger->change()) ask(c, *wanted, nowMs, out);
+      if (auto wanted = c.ledger->change(nowMs)) ask(c, c.ledger->state(), *wanted, nowMs, out);
     tellPromised(id, c, out);
   }
   budget_ -= static_cast<double>(before - budget);
@@ -143,7 +143,7 @@
       continue;
     }
     shares_[share] = id;
-    ask(begin(id, Stage::kOpening), std::move(first), nowMs, out);
+    ask(begin(id, Stage::kOpening), {}, std::move(first), nowMs, out);
   }
 }
 
@@ -175,7 +175,7 @@
     ++wanted.epoch;
     wanted.owner = setup_.name;
     wanted.start = setup_.self;
-    ask(begin(id, Stage::kTaking), std::move(wanted), nowMs, out);
+    ask(begin(id, Stage::kTaking), r.value, std::move(wanted), nowMs, out);
   }
 }
 
--- a/src/copies/ledger.cpp
+++ b/src/copies/ledger.cpp
@@ -72,7 +72,7 @@
   return in(state_.ensemble) || in(wanted_) || (asked_ && in(asked_->ensemble));
 }
 
-std::optional<LedgerState> Ledger::change() {
+std::optional<LedgerState> Ledger::change(double nowMs) {
   if (asked_) return std::nullopt;
   auto wanted = wanted_, now = state_.ensemble;
   std::sort(wanted.begin(), wanted.end());
@@ -80,7 +80,8 @@
   if (wanted == now) return std::nullopt;
   for (const RelayLife& h : wanted_) {
     const auto at = streams_.find(h);
-    if (at == streams_.end() || at->second.position() == 0 || at->second.position() < promised_)
+    if (at == streams_.end() || at->second.position() == 0 || at->second.position() < promised_ ||
+        nowMs >= at->second.ackedSentMs() + spanMs_)
       return std::nullopt;
   }
   asked_ = state_;
@@ -128,7 +129,8 @@
     // One message at least: an empty table costs no budget.
     while (stream.catchingUp() && (budget > 0 || contents_.requests().empty()))
       budget -= std::min(budget, stream.catchUp(contents_, written_, nowMs, out));
-    if (!stream.catchingUp() && !contents_.requests().empty() && nowMs - stream.lastSentMs() >= spanMs_ / 4)
+    if (!stream.catchingUp() && (!contents_.requests().empty() || wanted_ != state_.ensemble) &&
+        nowMs - stream.lastSentMs() >= spanMs_ / 4)
       stream.add({}, written_, nowMs, out);
     stream.onTick(nowMs, out);
   }
--- a/src/copies/ledger.h
+++ b/src/copies/ledger.h
@@ -43,8 +43,10 @@
   bool mayBegin(std::uint64_t position, double nowMs) const;
   // Whom it ought to be copied on from now on.
   void want(std::vector<RelayLife> ensemble) { wanted_ = std::move(ensemble); }
-  // What is to be asked of the register now, if anything. Until `decided` both ensembles count.
-  std::optional<LedgerState> change();
+  // What is to be asked of the register now, if anything. Until `decided` both ensembles count. Each holder
+  // must have acknowledged within the span: after a stall one that is remembered may have lost its folder
+  // long ago.
+  std::optional<LedgerState> change(double nowMs);
   void decided(const LedgerState& state);
   void onHeld(const std::string& from, const HeldMessage& held);
   // `worthOf`: which go first to a new holder. `budget`: bytes of table that may go out now; lowered.
--- a/src/copies/planted.h
+++ b/src/copies/planted.h
@@ -15,6 +15,7 @@
   kAmnesiacVotes,    // a voter with an empty folder votes at once
   kOldLivesCount,    // votes of a life that another voter knows to be over are counted
   kHeirDoesNotWait,  // an heir acts at once
+  kEpochAlone,       // a change compares the epoch and not what is decided under it
   kHalfAnEnsemble,   // one holder's word is enough for a promise
 };
 
--- a/src/copies/proposer.cpp
+++ b/src/copies/proposer.cpp
@@ -7,7 +7,9 @@
 
 namespace myrtleloft {
 
-void Proposer::change(LedgerState wanted, double nowMs, std::uint64_t random, CopyStep& out) {
+void Proposer::change(LedgerState there, LedgerState wanted, double nowMs, std::uint64_t random,
+                      CopyStep& out) {
+  expected_ = std::move(there);
   wanted_ = std::move(wanted);
   decided_.reset();
   prepare(nowMs, random, out);
@@ -69,7 +71,8 @@
       newest = told.accepted;
       there = told.value;
     }
-    const bool applies = wanted_.epoch != 0 && there.epoch + 1 == wanted_.epoch;
+    const bool applies = wanted_.epoch != 0 &&
+                         (planted(Flaw::kEpochAlone) ? there.epoch + 1 == wanted_.epoch : there == expected_);
     proposed_ = applies ? wanted_ : there;
     if (proposed_.epoch != 0) {
       phase_ = Phase::kAccepting;
--- a/src/copies/proposer.h
+++ b/src/copies/proposer.h
@@ -1,8 +1,8 @@
-// One change of one ledger's register, from the side that wants it: CASPaxos' compare-and-set by the epoch.
+// One change of one ledger's register, from the side that wants it: CASPaxos' compare-and-set.
 // No I/O; time and random numbers are passed in.
 //
 //   Proposer proposer(id, {"n1", "n2", "n3"});
-//   proposer.change(wanted, nowMs, step);         // if the register's epoch is wanted.epoch - 1
+//   proposer.change(there, wanted, nowMs, random, step);    // if the register says `there`
 //   proposer.onVote("n2", vote, nowMs, random, step); proposer.onTick(nowMs, random, step);
 //   if (const LedgerState* decided = proposer.decided()) ...    // `wanted`, or what stands there instead
 //
@@ -31,9 +31,11 @@
   Proposer(LedgerId ledger, std::vector<std::string> all)
       : ledger_(std::move(ledger)), all_(std::move(all)) {}
 
-  void change(LedgerState wanted, double nowMs, std::uint64_t random, CopyStep& out);
+  // The whole of what is there is compared, not the epoch alone: of two that were asked for under one epoch
+  // only one is decided, and a voter may know the other.
+  void change(LedgerState there, LedgerState wanted, double nowMs, std::uint64_t random, CopyStep& out);
   // Decides what is there.
-  void look(double nowMs, std::uint64_t random, CopyStep& out) { change({}, nowMs, random, out); }
+  void look(double nowMs, std::uint64_t random, CopyStep& out) { change({}, {}, nowMs, random, out); }
   void onVote(const std::string& from, const Vote& vote, double nowMs, std::uint64_t random, CopyStep& out);
   void onTick(double nowMs, std::uint64_t random, CopyStep& out);
   bool busy() const { return phase_ != Phase::kIdle; }
@@ -55,6 +57,7 @@
   LedgerId ledger_;
   std::vector<std::string> all_;
   Phase phase_ = Phase::kIdle;
+  LedgerState expected_;
   LedgerState wanted_;    // epoch 0: none
   LedgerState proposed_;  // in the accepting phase
   Ballot ballot_;
