--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -150,7 +150,8 @@
 
 bool Fleet::onPeerMessage(const std::string& peer, FleetKind kind, std::string_view payload) {
   wake();
-  if (kind == FleetKind::kAudit) return !audit_ || audit_->onMessage(peer, payload);  // some may audit, some not
+  // Some relays of a fleet may audit, and others not.
+  if (kind == FleetKind::kAudit) return !audit_ || audit_->onMessage(peer, payload);
   // Nobody takes the other kinds yet.
   if (kind != FleetKind::kQuestion && kind != FleetKind::kReply) return false;
   Members::Step step;
