--- a/src/popularity/building_counts.cpp
+++ b/src/popularity/building_counts.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr double kIdleLives = 6, kIdleFallbackMs = 10000;
-constexpr std::size_t kCell = 16, kMostCells = 64, kToldOthers = 3;
+constexpr std::size_t kCell = 16, kMostCells = 64, kToldRelays = 7, kToldCells = 3;
 constexpr double kAheadTaus = 0.5, kSpeaksAfterTaus = 1;
 constexpr double kNeverHeard = -std::numeric_limits<double>::infinity();
 
@@ -88,12 +88,13 @@
           {}};
 }
 
-std::vector<CountsRegister> BuildingCounts::next(const CountsView& view, const CountsView::Key& but) {
+std::vector<CountsRegister> BuildingCounts::next(const CountsView& view, const CountsView::Key& but,
+                                                 std::size_t most) {
   std::vector<std::pair<std::uint64_t, CountsView::Key>> order;
   for (const auto& [key, said] : view.registers())
     if (key != but) order.emplace_back(told_.count(key) ? told_.at(key) : 0, key);
   std::sort(order.begin(), order.end());
-  if (order.size() > kToldOthers) order.resize(kToldOthers);
+  if (order.size() > most) order.resize(most);
   std::vector<CountsRegister> out;
   for (const auto& [when, key] : order) {
     told_[key] = ticks_;
@@ -129,12 +130,16 @@
   const CountsRegister mine = own(now, warm);
   const bool hears = now.steadyMs - nearHeardMs_ <= kQuietPeriods * options_.periodMs || inside.empty();
   const bool speaks = hears && now.steadyMs - bornMs_ >= kSpeaksAfterTaus * options_.tauMs;
-  CountsMessage across{layout_, {}, next(far_, {})};
-  CountsMessage within{layout_, next(near_, CountsView::keyOf(mine)), across.cells};
+  CountsMessage across{layout_, {}, next(far_, {}, kToldCells)};
+  CountsMessage within{layout_, next(near_, CountsView::keyOf(mine), kToldRelays), across.cells};
   within.relays.insert(within.relays.begin(), mine);
   if (speaks && !outside.empty()) across.cells.insert(across.cells.begin(), cell(now, mine));
   std::vector<CountsSend> sends;
-  if (!inside.empty()) sends.push_back({drawn(inside), std::move(within)});
+  if (!inside.empty()) sends.push_back({drawn(inside), within});
+  if (outside.empty() && inside.size() > 1) {
+    std::erase(inside, sends.back().peer);
+    sends.push_back({drawn(inside), std::move(within)});
+  }
   if (!outside.empty() && !across.cells.empty()) sends.push_back({drawn(outside), std::move(across)});
   return sends;
 }
--- a/src/popularity/building_counts.h
+++ b/src/popularity/building_counts.h
@@ -11,10 +11,10 @@
 // Who tells whom. A building's relays stand in cells of 16 at most: neighbours in the order of their names'
 // hashes. Once a period a relay tells one other of its cell, drawn by chance, its own counts and those of
 // three others of the cell, and one relay outside the cell the sum of its cell and those of three other
-// cells, whichever it told longest ago. The same two messages whatever the number of relays: bytes a second
-// are flat. A cell's sum is one register too: the newest wins, whoever of the cell wrote it. Only a relay
-// that has run for a time constant and hears its cell writes one, so that one that has just come back does
-// not take what it has not heard yet for nothing.
+// cells, whichever it told longest ago; with no other cell, a second one of its own. The same two messages
+// whatever the number of relays: bytes a second are flat. A cell's sum is one register too: the newest wins,
+// whoever of the cell wrote it. Only a relay that has run for a time constant and hears its cell writes one,
+// so that one that has just come back does not take what it has not heard yet for nothing.
 //
 // Cut off: a relay that heard nothing of its building for kQuietPeriods goes by its own counts alone.
 //
@@ -99,8 +99,8 @@
   std::size_t cellOf(std::string_view relay) const;
   CountsRegister own(Moment now, const std::vector<WarmMark>& warm);
   CountsRegister cell(Moment now, const CountsRegister& own);
-  // Those told longest ago, without `but`.
-  std::vector<CountsRegister> next(const CountsView& view, const CountsView::Key& but);
+  // The `most` that were told longest ago, without `but`.
+  std::vector<CountsRegister> next(const CountsView& view, const CountsView::Key& but, std::size_t most);
   void refresh(Moment now);
   bool fits(const CountsRegister& said, Moment now) const;
   double fade(const CountsRegister& said, double wallMs) const;
