--- /dev/null
+++ b/bench/popularity_bench.cpp
@@ -0,0 +1,110 @@
+// What stays warm by the counts of a building against today's rule, two known ones and one that knows the
+// trace; and what the relays of a fleet say to each other for it, by their number. All in virtual time.
+//
+//   build-bench/popularity_bench            # both, as tables
+//   build-bench/popularity_bench traces     # or one of them
+//   build-bench/popularity_bench traffic
+//
+// docs/bench/fleet-popularity.md says what the figures came to.
+#include <cstdio>
+#include <cstring>
+
+#include "bench/popularity_choices.h"
+#include "tests/popularity_fleet.h"
+
+namespace {
+
+using namespace myrtleloft;
+using namespace myrtleloft::bench;
+
+void row(const Trace& trace, const char* name, Choice& choice) {
+  const Tally t = World(trace, choice).run();
+  std::printf("| %s | %s | %.3f | %.3f | %.3f | %.4f | %.4f | %.0f |\n", trace.name.c_str(), name,
+              t.warm / t.calls, (t.known + t.hinted) / t.calls, t.handshakes / t.calls,
+              t.refusedFull / t.calls, t.refusedUnlearned / t.calls, t.bytesPerS);
+  std::fflush(stdout);
+}
+
+void playAll(const Trace& trace) {
+  LongestIdle longest;
+  LeastRecent recent;
+  LeastFrequent frequent;
+  KnowsRates rates(trace);
+  KnowsTrace knows;
+  Building alone(trace, false), together(trace, true);
+  row(trace, "longest idle first", longest);
+  row(trace, "LRU", recent);
+  row(trace, "local LFU", frequent);
+  row(trace, "keeper, own counts", alone);
+  row(trace, "keeper, building", together);
+  row(trace, "knows the rates", rates);
+  row(trace, "knows the trace", knows);
+}
+
+void traces() {
+  std::puts(
+      "| trace | choice | met warm | learned or hinted | handshakes | refused, full | refused, unlearned | "
+      "bytes/s |");
+  std::puts("| --- | --- | --- | --- | --- | --- | --- | --- |");
+  for (const double exponent : {0.8, 1.0, 1.2}) {
+    char name[32];
+    std::snprintf(name, sizeof name, "Zipf %.1f", exponent);
+    playAll(drawnTrace(name, Shape::kZipf, exponent, 1));
+  }
+  playAll(drawnTrace("shifting", Shape::kShifting, 1, 2));
+  playAll(drawnTrace("one clump", Shape::kClump, 1, 3));
+  playAll(drawnTrace("a building dies", Shape::kBuildingDies, 1, 4));
+  for (const std::size_t slots : {16, 64, 128}) {
+    Trace trace = drawnTrace("Zipf 1.0, " + std::to_string(slots) + " slots", Shape::kZipf, 1, 1);
+    trace.slots = slots;
+    playAll(trace);
+  }
+  Trace few = drawnTrace("Zipf 1.0, half hold few", Shape::kZipf, 1, 1);
+  few.fewOf = 2;
+  playAll(few);
+}
+
+// Three buildings, 20 asks a second and relay, none lost; the last minute of three counts.
+void traffic() {
+  std::puts(
+      "| relays | cells a building | sent, bytes/s a relay, mean | most of one | received, most of one | "
+      "messages/s "
+      "| longest, bytes | registers held, most | known of the building, mean |");
+  std::puts("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+  for (const int n : {30, 100, 300, 1000}) {
+    testing::DrawnFleet fleet({n, 3, 60000, 0, 0, 0, 20, 1});
+    std::mt19937_64 random(5);
+    const testing::Zipf zipf(600, 1);
+    const auto run = [&](double spanMs) {
+      for (const double endMs = fleet.nowMs() + spanMs; fleet.nowMs() < endMs; fleet.run(250))
+        for (int i = 0; i < 5 * n; ++i) fleet.ask(random() % static_cast<unsigned>(n), zipf.drawn(random), 1);
+    };
+    run(120000);
+    for (auto& r : fleet.relays()) r.bytesOut = r.bytesIn = r.messagesOut = 0;
+    run(60000);
+    double sum = 0, most = 0, in = 0, messages = 0, longest = 0, registers = 0, known = 0;
+    std::map<int, double> exact;
+    for (int b = 0; b < 3; ++b) exact[b] = fleet.exact(b, false).at(0);
+    for (const auto& r : fleet.relays()) {
+      sum += static_cast<double>(r.bytesOut) / 60;
+      most = std::max(most, static_cast<double>(r.bytesOut) / 60);
+      in = std::max(in, static_cast<double>(r.bytesIn) / 60);
+      messages += static_cast<double>(r.messagesOut) / 60;
+      longest = std::max(longest, static_cast<double>(r.mostOut));
+      registers = std::max(registers, static_cast<double>(r.counts->near().registers().size() +
+                                                          r.counts->far().registers().size()));
+      known += r.counts->of(fleet.nowMs(), 0).least / exact[r.building];
+    }
+    std::printf("| %d | %zu | %.0f | %.0f | %.0f | %.2f | %.0f | %.0f | %.2f |\n", n,
+                fleet.relays()[0].counts->cells(), sum / n, most, in, messages / n, longest, registers,
+                known / n);
+    std::fflush(stdout);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2 || std::strcmp(argv[1], "traces") == 0) traces();
+  if (argc < 2 || std::strcmp(argv[1], "traffic") == 0) traffic();
+}
--- a/tests/popularity_fleet.h
+++ b/tests/popularity_fleet.h
@@ -85,6 +85,9 @@
         arrive(onTheWay_.top());
         onTheWay_.pop();
       }
+      alive_.clear();
+      for (const Relay& r : relays_)
+        if (r.diedMs < 0) alive_.push_back(r.name);
       for (std::size_t i = 0; i < relays_.size(); ++i)
         if (relays_[i].diedMs < 0) tick(i);
     }
@@ -129,10 +132,9 @@
   Moment momentOf(const Relay& r) const { return {nowMs_, nowMs_ + kEpochMs + r.skewMs}; }
   void tick(std::size_t i) {
     Relay& r = relays_[i];
-    alive_.clear();
-    for (const Relay& other : relays_)
-      if (other.diedMs < 0 && (!r.stranger || &other == &r)) alive_.push_back(other.name);
-    for (const CountsSend& send : r.counts->onTick(momentOf(r), alive_, {})) {
+    // One that is cut off takes the others for dead.
+    const std::vector<std::string>& alive = r.stranger ? nobody_ : alive_;
+    for (const CountsSend& send : r.counts->onTick(momentOf(r), alive, {})) {
       Letter letter{nowMs_, i, static_cast<std::size_t>(std::stoi(send.peer.substr(1))),
                     encoded(send.message)};
       r.bytesOut += letter.bytes.size();
@@ -158,7 +160,7 @@
   std::mt19937_64 random_;
   double nowMs_ = 0;
   std::vector<Relay> relays_;
-  std::vector<std::string> alive_;
+  std::vector<std::string> alive_, nobody_;
   std::vector<Ask> asks_;
   std::priority_queue<Letter> onTheWay_;
 };
--- a/tests/popularity_traces.h
+++ b/tests/popularity_traces.h
@@ -16,6 +16,7 @@
     double sum = 0;
     for (int i = 1; i <= n; ++i) sums_.push_back(sum += std::pow(i, -exponent));
   }
+  double likelihood(std::size_t i) const { return (sums_[i] - (i > 0 ? sums_[i - 1] : 0)) / sums_.back(); }
   int drawn(std::mt19937_64& random) const {
     const double at = unit(random) * sums_.back();
     return static_cast<int>(std::upper_bound(sums_.begin(), sums_.end(), at) - sums_.begin());
