--- a/tests/popularity_counts_test.cpp
+++ b/tests/popularity_counts_test.cpp
@@ -174,3 +174,23 @@
   b.merge(other), b.merge(one);
   CHECK(a == b);
 }
+
+TEST_CASE("what has faded is forgotten, and what has not is kept") {
+  CountsView view;
+  view.merge({"n1", {1, 1}, 1, 1000, {}, {}});
+  view.merge({"n2", {1, 1}, 1, 2000, {}, {}});
+  view.forget(1500 + kForgetTaus * kTauMs, kTauMs);
+  CHECK(view.registers().size() == 1);
+  CHECK(view.registers().begin()->first.relay == "n2");
+}
+
+TEST_CASE("a table that runs for months counts as on its first day") {
+  HeavyCounts counts(kTauMs, 4);
+  for (double nowMs = 0; nowMs < 5e9; nowMs += 25 * kTauMs)
+    for (std::int64_t d = 0; d < 3; ++d) counts.ask(nowMs, d, 2);
+  const double lastMs = 5e9 - std::fmod(5e9, 25 * kTauMs);
+  CHECK(counts.total(lastMs) == doctest::Approx(6));
+  CHECK(counts.of(lastMs, 1).count == doctest::Approx(2));
+  CHECK(counts.of(lastMs, 1).calls == doctest::Approx(1));
+  CHECK(counts.of(lastMs - 1e9, 1).count == doctest::Approx(2));  // a clock that runs back stands still
+}
--- a/tests/popularity_keeper_test.cpp
+++ b/tests/popularity_keeper_test.cpp
@@ -71,6 +71,12 @@
   CHECK(keeperOf().evictions(0, items, {5000, 0}, w.view()).empty());
 }
 
+TEST_CASE("where descriptors are short, what was learned does not go for it") {
+  World w;
+  w.asked = {{1, asks(0)}, {2, asks(2)}, {3, asks(3)}};
+  CHECK(keeperOf().evictions(0, {learned(1), link(2), link(3)}, {1 << 20, 1}, w.view()) == Gone{1});
+}
+
 TEST_CASE("what binds never goes, though the bounds be passed") {
   World w;
   for (const std::uint8_t why :
@@ -168,6 +174,18 @@
   CHECK(copies.size() > 9);  // by own counts alone all would keep the same six
 }
 
+TEST_CASE("a keeper counts the building's calls, and what a neighbour can tell is worth little") {
+  std::vector<std::int64_t> mine, others;  // that n1 is a keeper of, and not
+  for (std::int64_t d = 0; d < 40; ++d) (firstFor(d, 2) == "n1" ? others : mine).push_back(d);
+  World w;
+  w.asked = {{mine[0], asks(1, 30)}, {others[0], asks(8)}, {others[1], asks(5)}};
+  CHECK(keeperOf().evictions(0, {learned(mine[0]), learned(others[0])}, {1000, 0}, w.view()) == Gone{1});
+  const std::vector<WarmItem> both{learned(others[0]), learned(others[1])};
+  CHECK(keeperOf().evictions(0, both, {1000, 0}, w.view()) == Gone{1});
+  w.held[others[0]] = {"n2"};
+  CHECK(keeperOf().evictions(0, both, {1000, 0}, w.view()) == Gone{0});
+}
+
 TEST_CASE("what is new takes a place only if it is worth more by a margin") {
   World w;
   w.asked = {{1, asks(4)}, {2, asks(4)}, {3, asks(4.9)}};
