Keep who holds what by destination, so that an eviction looks it up once

Asked for each item, holders went through all registers and built a map of names: letting one of 129 learned destinations go took 475 us of the loop. The table is now made once a period, and its rules (by name, the latest start, alive) have a test, which they had not.

--- a/bench/popularity_bench.cpp
+++ b/bench/popularity_bench.cpp
@@ -1,11 +1,14 @@
 // What stays warm by the counts of a building against today's rule, two known ones and one that knows the
-// trace; and what the relays of a fleet say to each other for it, by their number. All in virtual time.
+// trace; and what the relays of a fleet say to each other for it, by their number. In virtual time, and what
+// it takes of the core.
 //
-//   build-bench/popularity_bench            # both, as tables
+//   build-bench/popularity_bench            # all, as tables
 //   build-bench/popularity_bench traces     # or one of them
 //   build-bench/popularity_bench traffic
+//   build-bench/popularity_bench cost
 //
 // docs/bench/fleet-popularity.md says what the figures came to.
+#include <chrono>
 #include <cstdio>
 #include <cstring>
 
@@ -102,9 +105,49 @@
   }
 }
 
+// What it takes of the core: a building of one full cell, 33 idle connections or 129 learned.
+void cost() {
+  testing::DrawnFleet fleet({16, 1, 60000, 0, 0, 0, 20, 1});
+  std::mt19937_64 random(5);
+  const testing::Zipf zipf(600, 1);
+  for (auto& r : fleet.relays())
+    for (std::int64_t d = 0; d < 64; ++d) r.warm.push_back({d, WarmMark::kLearned});
+  for (int i = 0; i < 400; ++i, fleet.run(250))
+    for (std::size_t r = 0; r < 16; ++r)
+      for (int n = 0; n < 10; ++n) fleet.ask(r, zipf.drawn(random), 1);
+  BuildingCounts& counts = *fleet.relays()[0].counts;
+  std::vector<std::string> alive;
+  for (const auto& r : fleet.relays()) alive.push_back(r.name);
+  const double nowMs = fleet.nowMs();
+  const KeepView view{alive, 1, [&](std::int64_t d) { return counts.of(nowMs, d); },
+                      [&](std::int64_t d, WarmKind) { return counts.holders(d, WarmMark::kLearned, alive); }};
+  const auto timed = [](const char* what, int times, const auto& run) {
+    const auto from = std::chrono::steady_clock::now();
+    for (int i = 0; i < times; ++i) run(i);
+    const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - from;
+    std::printf("| %s | %.1f us |\n", what, took.count() / times);
+  };
+  std::puts("| what | takes |\n| --- | --- |");
+  for (const auto& [kind, n] : {std::pair(WarmKind::kConnection, 33), std::pair(WarmKind::kLearned, 129)}) {
+    std::vector<WarmItem> items(static_cast<std::size_t>(n));
+    for (std::size_t i = 0; i < items.size(); ++i) {
+      items[i].destination = static_cast<std::int64_t>(i);
+      items[i].kind = kind;
+      items[i].bytes = 1;
+    }
+    const WarmBudget budget{kind == WarmKind::kLearned ? items.size() - 1 : items.size(), items.size() - 1};
+    Keeper keeper({"n0", 60000, items.size() - 1});
+    timed(kind == WarmKind::kLearned ? "one of 129 learned goes" : "one of 33 connections goes", 1000,
+          [&](int) { keeper.evictions(nowMs, items, budget, view); });
+  }
+  timed("an ask", 100000, [&](int i) { counts.asked(nowMs + i, zipf.drawn(random), 1); });
+  timed("a telling", 200, [&](int i) { counts.onTick({nowMs + 6000.0 * i, 1e12 + nowMs}, alive, {}); });
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   if (argc < 2 || std::strcmp(argv[1], "traces") == 0) traces();
   if (argc < 2 || std::strcmp(argv[1], "traffic") == 0) traffic();
+  if (argc < 2 || std::strcmp(argv[1], "cost") == 0) cost();
 }
--- a/src/popularity/building_counts.cpp
+++ b/src/popularity/building_counts.cpp
@@ -175,6 +175,7 @@
     for (const auto& [key, said] : view->registers()) parts.push_back({&said.counts, fade(said, now.wallMs)});
   others_ = summed(parts, std::numeric_limits<std::size_t>::max());
   refreshedMs_ = now.steadyMs;
+  refreshHeld();
 }
 
 Popularity BuildingCounts::of(double nowMs, std::int64_t destination) const {
@@ -194,21 +195,26 @@
   return p;
 }
 
-std::vector<std::string> BuildingCounts::holders(std::int64_t destination, std::uint8_t what,
-                                                 const std::vector<std::string>& alive) const {
+void BuildingCounts::refreshHeld() {
   std::map<std::string, const CountsRegister*> newest;  // of each relay, its latest start's
   for (const auto& [key, said] : near_.registers())
     if (const auto [at, fresh] = newest.try_emplace(said.relay, &said);
         !fresh && at->second->asOfWallMs < said.asOfWallMs)
       at->second = &said;
+  held_.clear();
+  for (const auto& [relay, said] : newest)
+    if (relay != options_.me)
+      for (const WarmMark& mark : said->warm) held_[mark.destination].emplace_back(relay, mark.what);
+}
+
+std::vector<std::string> BuildingCounts::holders(std::int64_t destination, std::uint8_t what,
+                                                 const std::vector<std::string>& alive) const {
   std::vector<std::string> holders;
-  for (const auto& [relay, said] : newest) {
-    if (relay == options_.me || std::find(alive.begin(), alive.end(), relay) == alive.end()) continue;
-    const auto mark = std::lower_bound(said->warm.begin(), said->warm.end(), destination,
-                                       [](const WarmMark& m, std::int64_t d) { return m.destination < d; });
-    if (mark != said->warm.end() && mark->destination == destination && (mark->what & what))
+  const auto at = held_.find(destination);
+  if (at == held_.end()) return holders;
+  for (const auto& [relay, held] : at->second)
+    if ((held & what) && std::find(alive.begin(), alive.end(), relay) != alive.end())
       holders.push_back(relay);
-  }
   return holders;
 }
 
--- a/src/popularity/building_counts.h
+++ b/src/popularity/building_counts.h
@@ -31,6 +31,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "popularity/messages.h"
@@ -87,7 +88,8 @@
   void onCounts(Moment now, const CountsMessage& message);
 
   Popularity of(double nowMs, std::int64_t destination) const;
-  // Those of `alive` that said of late that they hold that of it warm (bits of WarmMark). O(registers).
+  // Those of `alive` that had said by the last tick that they hold that of it warm (bits of WarmMark), by
+  // name.
   std::vector<std::string> holders(std::int64_t destination, std::uint8_t what,
                                    const std::vector<std::string>& alive) const;
   bool alone(double nowMs) const { return !(nowMs - heardMs_ <= kQuietPeriods * options_.periodMs); }
@@ -102,6 +104,7 @@
   // The `most` that were told longest ago, without `but`.
   std::vector<CountsRegister> next(const CountsView& view, const CountsView::Key& but, std::size_t most);
   void refresh(Moment now);
+  void refreshHeld();
   bool fits(const CountsRegister& said, Moment now) const;
   double fade(const CountsRegister& said, double wallMs) const;
   std::string drawn(const std::vector<std::string>& of);
@@ -119,6 +122,7 @@
   double bornMs_ = -1, nextMs_ = 0, heardMs_, nearHeardMs_, lastWallMs_ = 0;
   HeavySummary others_;  // as of `refreshedMs_`
   double refreshedMs_ = 0;
+  tsl::robin_map<std::int64_t, std::vector<std::pair<std::string, std::uint8_t>>> held_;
 };
 
 }  // namespace myrtleloft
--- a/tests/popularity_fleet.h
+++ b/tests/popularity_fleet.h
@@ -40,6 +40,7 @@
     double skewMs = 0, diedMs = -1;  // -1: it lives
     bool stranger = false;           // cut off from all others
     std::unique_ptr<BuildingCounts> counts;
+    std::vector<WarmMark> warm;
     std::uint64_t bytesOut = 0, bytesIn = 0, messagesOut = 0, mostOut = 0;
   };
 
@@ -134,7 +135,7 @@
     Relay& r = relays_[i];
     // One that is cut off takes the others for dead.
     const std::vector<std::string>& alive = r.stranger ? nobody_ : alive_;
-    for (const CountsSend& send : r.counts->onTick(momentOf(r), alive, {})) {
+    for (const CountsSend& send : r.counts->onTick(momentOf(r), alive, r.warm)) {
       Letter letter{nowMs_, i, static_cast<std::size_t>(std::stoi(send.peer.substr(1))),
                     encoded(send.message)};
       r.bytesOut += letter.bytes.size();
--- a/tests/popularity_fleet_test.cpp
+++ b/tests/popularity_fleet_test.cpp
@@ -191,3 +191,23 @@
   CHECK(before == 0);
   CHECK(after > 3);
 }
+
+TEST_CASE("who holds what warm is known by name in a cell, by the latest start of each that is alive") {
+  DrawnFleet fleet({5, 1, kTauMs, 0, 0, 0, 20, 13});
+  fleet.relays()[1].warm = {{7, WarmMark::kLearned}, {9, WarmMark::kLearned | WarmMark::kConnection}};
+  fleet.relays()[2].warm = fleet.relays()[0].warm = {{7, WarmMark::kLearned}};
+  fleet.run(kSettleMs);
+  const std::vector<std::string> all{"n0", "n1", "n2", "n3"};
+  const auto of = [&](std::int64_t d, std::uint8_t what, const std::vector<std::string>& alive) {
+    return fleet.relays()[0].counts->holders(d, what, alive);
+  };
+  CHECK(of(7, WarmMark::kLearned, all) == std::vector<std::string>{"n1", "n2"});
+  CHECK(of(7, WarmMark::kConnection, all).empty());
+  CHECK(of(9, WarmMark::kConnection, all) == std::vector<std::string>{"n1"});
+  CHECK(of(7, WarmMark::kLearned, {"n0", "n2"}) == std::vector<std::string>{"n2"});
+  CHECK(of(8, WarmMark::kLearned, all).empty());
+  fleet.relays()[1].warm.clear();
+  fleet.start(1);
+  fleet.run(kSettleMs);
+  CHECK(of(7, WarmMark::kLearned, all) == std::vector<std::string>{"n2"});
+}
