Say where the desk's times come from

Constants follow from settings or the protocol; two of the desk's stood without their source. No change of behaviour: comments alone, 31 cases pass as before.

--- a/src/popularity/hint_desk.h
+++ b/src/popularity/hint_desk.h
@@ -22,6 +22,8 @@
 class HintDesk {
  public:
   static constexpr std::size_t kMostOut = 16, kMostAsked = 256;
+  // As long as an endpoint has for the rest of an answer; a twelfth of the usual time constant, in which
+  // counts are told anew, and with them who knows of what.
   static constexpr double kAnswerMs = 500, kAgainMs = 5000;
   struct Ask {
     std::string peer;
