--- a/cmake/audit_tests.cmake
+++ b/cmake/audit_tests.cmake
@@ -44,7 +44,7 @@
 target_link_libraries(myrtleloft_audit_tests PRIVATE myrtleloft_relay myrtleloft_variant_constant myrtleloft_variant_floats
                                                      doctest::doctest)
 add_test(NAME audit COMMAND myrtleloft_audit_tests)
-add_executable(myrtleloft_audit_processes tests/audit_processes_test.cpp lab/stand_ins.cpp)
+add_executable(myrtleloft_audit_processes tests/audit_driver_test.cpp tests/audit_processes_test.cpp lab/stand_ins.cpp)
 target_link_libraries(myrtleloft_audit_processes PRIVATE myrtleloft_lab doctest::doctest)
 target_compile_definitions(myrtleloft_audit_processes PRIVATE MYRTLELOFT_PROGRAM="$<TARGET_FILE:myrtleloft_program>")
 add_dependencies(myrtleloft_audit_processes myrtleloft_program)
--- a/src/audit/audit_driver.cpp
+++ b/src/audit/audit_driver.cpp
@@ -24,7 +24,11 @@
 }  // namespace
 
 AuditDriver::AuditDriver(const Parts& parts, int everyS, const Incarnation& self, std::uint64_t seed)
-    : parts_(parts), audit_(tuningFor(everyS), self, seed), everyMs_(everyS * 1000.0) {
+    : parts_(parts),
+      audit_(tuningFor(everyS), self, seed),
+      recorder_(parts.rules.config.settings, ownModule),
+      windowMs_(parts.loop.nowMs()),
+      everyMs_(everyS * 1000.0) {
   audit_.playWindowsWith(parts_.rules.config.settings, ownModule);
   tick();
 }
@@ -33,6 +37,8 @@
   timer_ = parts_.loop.after(kTickMs, [this] { tick(); });
   const double nowMs = parts_.loop.nowMs();
   lookAtRules(nowMs);
+  if (recorder_.full() || (recorder_.recording() && nowMs - windowMs_ >= kWindowLasts * everyMs_))
+    closeWindow(nowMs);
   carryOut(audit_.onTick(nowMs));
   const std::size_t steps = share_.steps(nowMs);
   if (steps == 0) return;
@@ -62,6 +68,27 @@
   audit_.onRules(nowMs, version, list.rev(), std::move(cases));
 }
 
+void AuditDriver::onBatch(double nowMs, const std::vector<Event>& events) {
+  if (recorder_.full()) return;
+  if (!recorder_.recording()) {
+    if (parts_.loop.nowMs() < windowMs_ || peers_.empty()) return;
+    windowMs_ = parts_.loop.nowMs();
+    ListEvent list{ListKind::kSnapshot, {}};
+    for (const auto& [uid, endpoint] : parts_.rules.list.all()) list.entries.push_back(endpoint.entry);
+    recorder_.begin(nowMs, std::move(list));
+  }
+  recorder_.feed(nowMs, events);
+}
+
+void AuditDriver::closeWindow(double nowMs) {
+  Audit::Out out;
+  // The list alone, or not even that: no traffic.
+  if (recorder_.batches() > 1) audit_.offer(recorder_.take(), out);
+  recorder_.take();
+  windowMs_ = nowMs + kWindowEvery * everyMs_;
+  carryOut(out);
+}
+
 void AuditDriver::onPeerUp(const PeerIntroduction& peer) {
   peers_.insert(peer.name);
   audit_.onPeerUp(peer);
@@ -143,8 +170,8 @@
     differ += verdict == AuditVerdict::kDiffer;
   }
   out << " audit-agree=" << agree << " audit-differ=" << differ << " audit-rounds=" << c.rounds
-      << " audit-steps=" << c.steps << " audit-late=" << c.late << " audit-stale=" << c.stale
-      << " audit-refused=" << c.refused << " audit-bytes-out=" << c.bytesOut;
+      << " audit-steps=" << c.steps << " audit-windows=" << c.windows << " audit-late=" << c.late
+      << " audit-stale=" << c.stale << " audit-refused=" << c.refused << " audit-bytes-out=" << c.bytesOut;
 }
 
 }  // namespace myrtleloft
--- a/src/audit/audit_driver.h
+++ b/src/audit/audit_driver.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "audit/audit.h"
 #include "audit/share.h"
@@ -45,20 +46,27 @@
   void setPeers(const std::set<std::string>& names);
   // false: no message of an audit.
   bool onMessage(const std::string& peer, std::string_view payload);
+  // What the module is told, before it decides: now and then a window of it goes to another relay.
+  void onBatch(double nowMs, const std::vector<Event>& events);
   // As a part of the line "counters fleet: ...".
   void print(std::ostream& out) const;
   const Audit& audit() const { return audit_; }
 
  private:
   static constexpr double kTickMs = 100, kListMs = 1000;
+  // In rounds: how often a window of real traffic begins, and how long it lasts where it is not full before.
+  static constexpr double kWindowEvery = 10, kWindowLasts = 1;
   void tick();
   void lookAtRules(double nowMs);
+  void closeWindow(double nowMs);
   void carryOut(const Audit::Out& out);
   void tell(const AuditReport& report);
 
   Parts parts_;
   Audit audit_;
   CoreShare share_;
+  Recorder recorder_;
+  double windowMs_;  // when the next one begins; while one is open: when it began
   std::set<std::string> peers_;
   Loop::Timer timer_ = Loop::kNoTimer;
   double lookedMs_ = -kListMs, digestedMs_ = 0;
--- a/src/audit/recorder.h
+++ b/src/audit/recorder.h
@@ -46,7 +46,7 @@
   bool full() const { return full_; }
   // What was recorded so far; the window is over.
   std::string take();
-  std::size_t bytes() const { return bytes_; }
+  std::size_t batches() const { return window_.steps.size(); }
 
  private:
   Settings settings_;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -211,6 +211,7 @@
   ++parts_.counters.batches;
   const std::vector<Event> events = std::exchange(pending_, {});
   const std::vector<std::string> fresh = std::exchange(fresh_, {});
+  if (watcher_) watcher_(lastBatchMs_, events);
   const std::vector<Action> actions = dispatcher_.onBatch(lastBatchMs_, events);
 
   // Ends and calls given up come before anything is taken on or sent; the sends keep their order.
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -46,6 +46,9 @@
   // From now on the module decides nothing more: calls out are seen to their end, the rest is the journal's.
   void quiesce();
   bool settled() const { return open_.empty(); }
+  // Somebody sees what the module is told of each batch, just before it decides; it changes nothing.
+  using Watcher = std::function<void(double nowMs, const std::vector<Event>& events)>;
+  void watchBatches(Watcher watcher) { watcher_ = std::move(watcher); }
   // Answers the clients that still wait, for a process that goes no further than this: `recorded` is what the
   // journal would bring back, and so taken on; the rest is refused. At the level `group`, what no sync has
   // covered stays unanswered.
@@ -132,6 +135,7 @@
   std::vector<std::string> fresh_;  // came in since the last batch, in their order
   double lastBatchMs_ = -1e9;
   bool quiet_ = false;
+  Watcher watcher_;
   Loop::Timer batchTimer_ = Loop::kNoTimer, sliceTimer_ = Loop::kNoTimer, recordTimer_ = Loop::kNoTimer;
 };
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -49,6 +49,9 @@
   bool start(std::string& error);
   std::string listening() const { return links_ ? links_->listening() : ""; }
   void setPeers(const std::vector<FleetPlan::Peer>& peers);
+  // Whether onBatch wants what the module is told, before it decides.
+  bool watchesBatches() const { return audit_.has_value(); }
+  void onBatch(double nowMs, const std::vector<Event>& events) { audit_->onBatch(nowMs, events); }
   void print(std::ostream& out) const;
 
  private:
--- a/src/relay/impl.cpp
+++ b/src/relay/impl.cpp
@@ -156,6 +156,9 @@
                                    fleetOptions(config_));
   if (!fleet_->start(error)) return false;
   if (const auto here = parseAddress(fleet_->listening())) live_.fleetListensOn(*here);
+  if (fleet_->watchesBatches())
+    exchange_.watchBatches(
+        [this](double nowMs, const std::vector<Event>& events) { fleet_->onBatch(nowMs, events); });
   return true;
 }
 
--- /dev/null
+++ b/tests/audit_driver_test.cpp
@@ -0,0 +1,76 @@
+// The audit on the loop: its round goes out by itself, and a window of what the module is told goes to
+// another relay, which plays it.
+#include "audit/audit_driver.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <sstream>
+
+#include "lab/module_site.h"
+
+using namespace myrtleloft;
+
+namespace {
+
+// What one sends is there at once.
+struct Wire : PeerLinks {
+  bool send(const std::string& peer, FleetKind kind, std::string payload) override {
+    REQUIRE(kind == FleetKind::kAudit);
+    AuditMessage message;
+    REQUIRE(decode(payload, message));
+    if (const auto* window = std::get_if<AuditWindow>(&message.what)) REQUIRE(decode(window->bytes, last));
+    windows += std::holds_alternative<AuditWindow>(message.what);
+    told += std::holds_alternative<AuditTold>(message.what);
+    return other->onMessage(peer == "n1" ? "n2" : "n1", payload);
+  }
+  bool up(const std::string&) const override { return true; }
+  std::size_t room(const std::string&) const override { return kMostFleetPayload; }
+  AuditDriver* other = nullptr;
+  TrafficWindow last;
+  int windows = 0, told = 0;
+};
+
+}  // namespace
+
+TEST_CASE("rounds go out, and a window of real traffic is recorded once, sent and played") {
+  Clock clock;
+  Loop loop(clock);
+  std::ostringstream text;
+  Config config;
+  config.settings = lab::moduleSettings(5);
+  DestinationSet list;
+  EndpointEntry endpoint;
+  endpoint.entry = {"e", 0, 0, 1, RouteState::kRunning, 9};
+  endpoint.address = *parseAddress("10.0.0.1:80");
+  list.apply({1, true, {endpoint}}, ListKind::kSnapshot, 0);
+  Wire from1, from2;
+  AuditDriver n1({loop, from1, Log(text), {config, list}}, 1, {1, 1}, 7);
+  AuditDriver n2({loop, from2, Log(text), {config, list}}, 1, {2, 1}, 8);
+  from1.other = &n2;
+  from2.other = &n1;
+  n1.onPeerUp({"fleet", "n2", "", {2, 1}});
+  n2.onPeerUp({"fleet", "n1", "", {1, 1}});
+  int batch = 0;
+  const double endMs = clock.steadyMs() + 120000;
+  while (n2.audit().counters().windows == 0 ||
+         n1.audit().verdict(loop.nowMs(), "n2") != AuditVerdict::kAgree) {
+    REQUIRE(clock.steadyMs() < endMs);
+    MessageEvent e;
+    e.id = "m" + std::to_string(++batch);
+    e.destination = 1;
+    e.notAfterMs = loop.nowMs() + 9000;
+    if (batch < 100) n1.onBatch(loop.nowMs(), {e});
+    loop.after(20, [] {});
+    loop.runOnce();
+  }
+  CHECK(from1.told > 0);
+  CHECK(from1.windows == 1);
+  CHECK(from2.windows == 0);
+  CHECK(from1.last.seed == 5);
+  CHECK(from1.last.steps.size() > 2);
+  CHECK(n2.audit().counters().differed == 0);
+  CHECK(text.str().find("audit: n2 decides as this relay") != std::string::npos);
+  CHECK_FALSE(n1.onMessage("n2", "nothing of ours"));
+}
