--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -74,10 +74,10 @@
   wake();
   options_.plan.peers = peers;
   links_->setPeers(peers);
-  take(members_->setPeers(nowMs(), namesOf(peers)));
   std::set<std::string> names;
   for (const FleetPlan::Peer& peer : peers) names.insert(peer.name);
   if (audit_) audit_->setPeers(names);
+  take(members_->setPeers(nowMs(), namesOf(peers)));
   parts_.log.write(LogLevel::kInfo, "fleet.peers",
                    "fleet: " + std::to_string(peers.size()) + " peers from now on",
                    {{"peers", peers.size()}});
@@ -136,21 +136,21 @@
   parts_.log.write(LogLevel::kInfo, "fleet.up",
                    "fleet: linked to " + peer.name + ", start " + std::to_string(start) + " of its life",
                    {{"peer", peer.name}, {"start", start}, {"building", peer.building}});
-  take(members_->onLinkUp(nowMs(), peer));
   if (audit_) audit_->onPeerUp(peer);
+  take(members_->onLinkUp(nowMs(), peer));
 }
 
 void Fleet::onPeerDown(const std::string& peer) {
   wake();
   parts_.log.write(LogLevel::kInfo, "fleet.down", "fleet: the link to " + peer + " is down",
                    {{"peer", peer}});
-  take(members_->onLinkDown(nowMs(), peer));
   if (audit_) audit_->onPeerDown(peer);
+  take(members_->onLinkDown(nowMs(), peer));
 }
 
 bool Fleet::onPeerMessage(const std::string& peer, FleetKind kind, std::string_view payload) {
   wake();
-  // Some relays of a fleet may audit, and others not.
+  // A fleet may have the audit at some relays only.
   if (kind == FleetKind::kAudit) return !audit_ || audit_->onMessage(peer, payload);
   // Nobody takes the other kinds yet.
   if (kind != FleetKind::kQuestion && kind != FleetKind::kReply) return false;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -56,6 +56,9 @@
   bool start(std::string& error);
   std::string listening() const { return links_ ? links_->listening() : ""; }
   void setPeers(const std::vector<FleetPlan::Peer>& peers);
+  // Whether onBatch wants what the module is told, before it decides.
+  bool watchesBatches() const { return audit_.has_value(); }
+  void onBatch(double nowMs, const std::vector<Event>& events) { audit_->onBatch(nowMs, events); }
   void print(std::ostream& out) const;
   // Whether this relay must hear of more than half of its fleet before it acts on what it owes; see Members.
   bool mustAsk();
@@ -78,12 +81,12 @@
   Options options_;
   Incarnation incarnation_;
   std::optional<Links> links_;
+  std::optional<AuditDriver> audit_;
   std::optional<Members> members_;
   Loop::Timer timer_ = Loop::kNoTimer;
   double dueMs_ = 0;        // when the members are to be called again
   bool mustAsked_ = false;  // as last told
   std::uint64_t stalls_ = 0;
-  std::optional<AuditDriver> audit_;
 };
 
 }  // namespace myrtleloft
