--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -167,9 +167,7 @@
 }
 
 void Exchange::onConfirmed(const std::string& id) {
-  const auto at = open_.find(id);
-  if (at == open_.end()) return;
-  forget(at);
+  if (const auto at = open_.find(id); at != open_.end()) forget(at);
 }
 
 // Nothing is owed of it any more.
