--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -167,9 +167,7 @@
 }
 
 void Exchange::onConfirmed(const std::string& id) {
-  const auto at = open_.find(id);
-  if (at == open_.end()) return;
-  forget(at);
+  if (const auto at = open_.find(id); at != open_.end()) forget(at);
 }
 
 // Nothing is owed of it any more.
@@ -211,6 +209,7 @@
   ++parts_.counters.batches;
   const std::vector<Event> events = std::exchange(pending_, {});
   const std::vector<std::string> fresh = std::exchange(fresh_, {});
+  if (watcher_) watcher_(lastBatchMs_, events);
   const std::vector<Action> actions = dispatcher_.onBatch(lastBatchMs_, events);
 
   // Ends and calls given up come before anything is taken on or sent; the sends keep their order.
