Give idle connections back where endpoints' tables are full, not only where they refuse

An endpoint whose table is full may take the connection and answer 503; judge counted refused connections alone, so each relay's idle links kept the tables full for 9.5 s. Ruled out: the list's trust (all fresh before the first request), the door, told waits.

Change: a call refused as full on a new connection, with no wait told, counts for its kind as a full table; linkIdle goes by that. A told wait is taken in before the call is judged.

--- a/src/policy/events.cpp
+++ b/src/policy/events.cpp
@@ -47,11 +47,11 @@
   }
   m.call = -1;
   if (e.report.limitPerS) s.limitPerS = *e.report.limitPerS;
-  if (!call.judged) judge(b, r, call, e.outcome);
-  if (e.outcome == kFull && e.detail > b.s.fallMs) s.earned = false;
   // A bulk call may tell a wait beside messages that it delivered; only "not sent" uses the field otherwise.
   if (e.outcome != kNop && e.detail > 0)
     s.waitUntilMs = std::max(s.waitUntilMs, b.nowMs + static_cast<double>(e.detail));
+  if (!call.judged) judge(b, r, call, e.outcome);
+  if (e.outcome == kFull && e.detail > b.s.fallMs) s.earned = false;
   const bool unknown = e.outcome == kLate || e.outcome == kReset || e.outcome == kCancelled;
   if (unknown && m.key) m.key->restUntilMs = b.nowMs + b.s.settleAfterDoubtMs;
   if (unknown || e.outcome == kBad) doubt(b, m, call.sentMs, r.zone);
--- a/src/policy/health.cpp
+++ b/src/policy/health.cpp
@@ -121,8 +121,11 @@
     b.fulls += (full - b.fulls) * kNewestOfAll;
     if (!full) b.strays += (!good - b.strays) * kNewestOfAll;
   }
-  double& crowded = b.crowded[r.kind];
+  // A full table refuses a new connection, or takes it and refuses its first call, with no wait to tell.
+  const bool table = noConn || (full && call.linkAgeMs < 0 && s.waitUntilMs <= b.nowMs);
+  double &crowded = b.crowded[r.kind], &tables = b.fullTables[r.kind];
   crowded += (noConn - crowded) * kCrowdNewest;
+  tables += (table - tables) * kCrowdNewest;
   if (!good && !(full && s.toldMs < 0 && thin(b, s))) tell(b, s, call.sentMs);
   if (staleLink(b, r, call, outcome)) return;
   if (good) return answered(b, r, call);
--- a/src/policy/links.cpp
+++ b/src/policy/links.cpp
@@ -30,7 +30,7 @@
 // are given back at once. It costs a handshake; it hurts where the refusals were an outage's.
 void linkIdle(Book& b, Route& r) {
   r.idleLinks.push_back(b.nowMs);
-  if (b.crowded[r.kind] > kCrowded) freeLinks(b, r);
+  if (b.fullTables[r.kind] > kCrowded) freeLinks(b, r);
 }
 
 // A call that broke on a link that had been idle tells of the link, not of the receiver. Where the next
--- /dev/null
+++ b/tests/policy_links_test.cpp
@@ -0,0 +1,99 @@
+// Idle connections where an endpoint holds few: a full table refuses a new connection, or takes it and
+// refuses its first call as full. Seen where endpoints hold some dozen connections, at 100 relays: 39% of
+// all calls were refused as full with no limit reached, while idle connections filled the tables.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "myrtleloft/dispatcher.h"
+
+namespace myrtleloft {
+namespace {
+
+class FullTables : public testing::Test {
+ protected:
+  FullTables() : module_(settings()) {
+    list_.entries = {{"E1", 0, 0, 1, RouteState::kRunning, 0}};
+    module_.onBatch(now_, {list_});
+  }
+
+  // Messages at once, whose calls end as told in one batch. Whether links were given back.
+  bool play(const std::vector<Outcome>& outcomes, std::int64_t waitMs = 0) {
+    now_ += 3000;  // past every rest
+    std::vector<Event> events;
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+      MessageEvent m;
+      m.id = std::to_string(++last_);
+      m.destination = 1;
+      m.notAfterMs = now_ + 2500;
+      events.emplace_back(m);
+    }
+    std::vector<Event> ends;
+    for (const Action& action : module_.onBatch(now_, events))
+      if (const auto* send = std::get_if<SendAction>(&action)) {
+        OutcomeEvent e;
+        e.id = send->id;
+        e.target = send->target;
+        e.outcome = outcomes[ends.size()];
+        e.ended = e.outcome == Outcome::kGood;
+        e.detail = e.outcome == Outcome::kFull ? waitMs : 0;
+        ends.emplace_back(e);
+      }
+    EXPECT_EQ(ends.size(), outcomes.size());
+    bool freed = false;
+    for (const Action& action : module_.onBatch(now_ + 100, ends))
+      freed = freed || std::holds_alternative<FreeLinksAction>(action);
+    // What is left over ends by itself: a refused message is not sent again here.
+    std::vector<Event> gone;
+    for (const Event& event : events) gone.emplace_back(HangUpEvent{std::get<MessageEvent>(event).id});
+    module_.onBatch(now_ + 100, gone);
+    return freed;
+  }
+
+ private:
+  static Settings settings() {
+    Settings s;
+    s.resolutionMs = 5;
+    s.callSlots = 20;
+    s.maxOpen = 100;
+    s.sendCap = 12;
+    s.connIdleMs = 60000;
+    s.kindApart = {true};
+    s.kindBatch = {1};
+    s.classes.resize(1);
+    s.classes[0].repeat = Repeat::kRepeatable;
+    s.classes[0].targetMs = 2000;
+    s.classes[0].hardLimitMs = 10000;
+    return s;
+  }
+
+  double now_ = 1000;
+  int last_ = 0;
+  ListEvent list_;
+  Dispatcher module_;
+};
+
+constexpr Outcome kGood = Outcome::kGood, kFull = Outcome::kFull;
+
+TEST_F(FullTables, LinksAreGivenBackWhereNewConnectionsAreRefusedAsFull) {
+  EXPECT_FALSE(play({kFull}));
+  EXPECT_TRUE(play({kGood}));
+}
+
+TEST_F(FullTables, LinksAreKeptWhereCallsOnIdleOnesAreRefusedAsFull) {
+  EXPECT_FALSE(play({kGood}));
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_FALSE(play({kFull}));
+    EXPECT_FALSE(play({kGood}));
+  }
+}
+
+TEST_F(FullTables, LinksAreKeptWhereTheRefusalTellsAWait) {
+  EXPECT_FALSE(play({kFull, kFull}, 500));
+  EXPECT_FALSE(play({kGood}));
+}
+
+}  // namespace
+}  // namespace myrtleloft
