--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -8,29 +8,19 @@
 namespace myrtleloft {
 namespace {
 
-// Advice of the relay's own, where the module was not asked: over maxOpen, journal full, about to end.
-constexpr double kComeBackMs = 1000;
 constexpr double kClocksApartMs = 1000;
 constexpr std::size_t kMostWaiting = 256;  // batches that wait for one sync: more than a second's
 constexpr double kSliceMs = 2;  // between two slices of the journal's compaction, where no batch comes sooner
-// What an item of a bulk call takes beside its id, key and body, and what JSON makes of a printable byte.
-constexpr std::size_t kItemFrame = 40, kMostEscaped = 2;
 
 bool provenHarmless(Outcome outcome) {
   return outcome == Outcome::kFull || outcome == Outcome::kNoConn || outcome == Outcome::kNop;
 }
 
-template <typename... Handlers>
-struct Visitor : Handlers... {
-  using Handlers::operator()...;
-};
-
 }  // namespace
 
 Exchange::Exchange(const Parts& parts, const Settings& settings)
     : parts_(parts), settings_(settings), dispatcher_(settings) {}
 
-// ---- events ----
 void Exchange::schedule() {
   if (batchTimer_ != Loop::kNoTimer || quiet_) return;
   const double wait = lastBatchMs_ + settings_.resolutionMs - parts_.loop.nowMs();
@@ -202,43 +192,6 @@
   }
 }
 
-// ---- one batch ----
-void Exchange::runBatch() {
-  batchTimer_ = Loop::kNoTimer;
-  lastBatchMs_ = std::max(lastBatchMs_, parts_.loop.nowMs());
-  ++parts_.counters.batches;
-  const std::vector<Event> events = std::exchange(pending_, {});
-  const std::vector<std::string> fresh = std::exchange(fresh_, {});
-  if (watcher_) watcher_(lastBatchMs_, events);
-  const std::vector<Action> actions = dispatcher_.onBatch(lastBatchMs_, events);
-
-  // Ends and calls given up come before anything is taken on or sent; the sends keep their order.
-  std::vector<const SendAction*> sends;
-  for (const Action& action : actions) {
-    std::visit(Visitor{[&](const SendAction& a) { sends.push_back(&a); },
-                       [&](const RefuseAction& a) { end(a.id, Verdict::kBounced, a.comeBackMs); },
-                       [&](const FailAction& a) { end(a.id, Verdict::kDead, 0); },
-                       [&](const CallOffAction& a) { callOff(a.id); },
-                       [&](const TimerAction& a) {
-                         parts_.loop.after(a.spanMs, [this, token = a.token] { push(TimerEvent{token}); });
-                       },
-                       [](const WatchListAction&) {},  // the watch always runs
-                       [&](const FreeLinksAction& a) { parts_.outbound.freeIdle(a.target); }},
-               action);
-  }
-  for (const std::string& id : fresh) takeOn(id);
-  std::vector<Plan> plans;
-  for (const SendAction* send : sends) plan(*send, plans);
-  for (Plan& plan : plans) carryOut(plan);
-  if (!next_.taken.empty() || !next_.calls.empty()) {
-    next_.position = parts_.journal.position();
-    waiting_.push_back(std::exchange(next_, {}));
-  }
-  parts_.journal.sync();
-  promise();
-  compact();
-}
-
 void Exchange::unchargeRequest(const Open& open) {
   if (open.quota != QuotaDoor::kNoQuota)
     parts_.quotas->takeBack(open.quota, open.owed.cls, open.chargedMs, parts_.loop.nowMs());
@@ -253,234 +206,6 @@
   if (const AnswerTo to = std::exchange(open.answer, nullptr)) to(answer);
 }
 
-// A request that the module did not end in the batch it came with is taken on: recorded first, then answered.
-void Exchange::takeOn(const std::string& id) {
-  const auto at = open_.find(id);
-  if (at == open_.end()) return;
-  if (parts_.journal.taken(at->second.owed)) {
-    next_.taken.push_back(id);
-    return;
-  }
-  // What cannot be recorded would not outlast the process: it is not taken on.
-  ++parts_.counters.journalFaults;
-  unchargeRequest(at->second);
-  answer(at->second, {Answer::Kind::kFailFast, kComeBackMs});
-  open_.erase(at);
-  --held_;
-  push(HangUpEvent{id});
-}
-
-void Exchange::end(const std::string& id, Verdict verdict, double waitMs) {
-  const auto at = open_.find(id);
-  if (at == open_.end() || at->second.owed.verdict != Verdict::kNone) return;
-  --held_;
-  if (at->second.answer) {
-    ++parts_.counters.failFast;
-    const bool dead = verdict == Verdict::kDead;
-    if (!dead) unchargeRequest(at->second);
-    answer(at->second, {dead ? Answer::Kind::kFailed : Answer::Kind::kFailFast, waitMs});
-    return forget(at);
-  }
-  ++(verdict == Verdict::kDead ? parts_.counters.dead : parts_.counters.bounced);
-  parts_.journal.verdict(at->second.owed, verdict, waitMs);
-  parts_.notices.add(id, verdict, waitMs);
-  dropPutOff(id);
-}
-
-std::size_t Exchange::batchOf(int kind) const {
-  const auto k = static_cast<std::size_t>(std::max(0, kind));
-  return k < settings_.kindBatch.size() ? static_cast<std::size_t>(std::max(1, settings_.kindBatch[k])) : 1;
-}
-
-void Exchange::plan(const SendAction& action, std::vector<Plan>& plans) {
-  const auto at = open_.find(action.id);
-  const EndpointEntry* endpoint = destinations().find(action.target);
-  // Not taken on after all, or gone from the list. The module must hear of it, or the slot that it set aside
-  // for the call would stay taken for good.
-  if (at == open_.end() || !endpoint) return notSent(action.id, action.target);
-  const OwedRequest& owed = at->second.owed;
-  const double leftMs = std::max(1.0, at->second.notAfterMs - parts_.loop.nowMs());
-  const double capMs = action.capMs > 0 ? std::min(action.capMs, leftMs) : leftMs;
-  const bool toItsEnd = capMs > leftMs - 2 * std::max(1.0, settings_.resolutionMs);
-  CallItem item{owed.id, owed.key, owed.body, capMs, toItsEnd};
-  const std::size_t bytes =
-      (item.id.size() + item.key.size()) * kMostEscaped + (item.body.size() + 2) / 3 * 4 + kItemFrame;
-  const auto room = std::find_if(plans.begin(), plans.end(), [&](const Plan& plan) {
-    return plan.uid == action.target && plan.items.size() < batchOf(endpoint->entry.kind) &&
-           plan.bytes + bytes < kBodyLimit;  // no body may hold more, a bulk's either
-  });
-  Plan& plan = room != plans.end() ? *room : plans.emplace_back(Plan{action.target, 0, {}});
-  plan.bytes += bytes;
-  plan.items.push_back(std::move(item));
-}
-
-void Exchange::carryOut(Plan& plan) {
-  const EndpointEntry& endpoint = *destinations().find(plan.uid);
-  const Doubt doubt{plan.uid, endpoint.entry.zone, parts_.clock.wallMs(), 0};
-  std::vector<CallItem> items;
-  for (CallItem& item : plan.items) {
-    // Recorded before the first byte: after a restart it must be known that this call may have run.
-    if (!parts_.journal.attempt(open_.at(item.id).owed, doubt)) {
-      ++parts_.counters.journalFaults;
-      putOff({item.id, plan.uid, doubt.zone, parts_.loop.nowMs() + item.capMs});
-      continue;
-    }
-    Open& open = open_.at(item.id);
-    if (open.quota != QuotaDoor::kNoQuota) {
-      open.callChargedMs = parts_.loop.nowMs();
-      parts_.quotas->called(open.quota, open.callChargedMs);
-    }
-    items.push_back(std::move(item));
-  }
-  if (items.empty()) return;
-  plan.items = std::move(items);
-  next_.calls.push_back(std::move(plan));
-}
-
-void Exchange::putOff(Unrecorded send) {
-  unrecorded_.push_back(std::move(send));
-  if (recordTimer_ == Loop::kNoTimer)
-    recordTimer_ = parts_.loop.after(parts_.journal.restMs(), [this] { recordAgain(); });
-}
-
-// One that can be recorded now is not sent all the same: the module chose its endpoint before the disk's
-// trouble, and chooses anew.
-void Exchange::recordAgain() {
-  recordTimer_ = Loop::kNoTimer;
-  for (Unrecorded& send : std::exchange(unrecorded_, {})) {
-    OwedRequest& owed = open_.at(send.id).owed;
-    if (send.untilMs <= parts_.loop.nowMs()) {
-      notSent(send.id, send.uid);
-    } else if (parts_.journal.attempt(owed, {send.uid, send.zone, parts_.clock.wallMs(), 0})) {
-      neverLeft(send.id, send.uid);
-    } else {
-      putOff(std::move(send));
-    }
-  }
-}
-
-// Its request is over, and the module's slot free.
-void Exchange::dropPutOff(const std::string& id) {
-  const auto put = putOffOf(id);
-  if (put == unrecorded_.end()) return;
-  const std::string uid = put->uid;
-  unrecorded_.erase(put);
-  notSent(id, uid);
-}
-
-std::vector<Exchange::Unrecorded>::iterator Exchange::putOffOf(const std::string& id) {
-  return std::find_if(unrecorded_.begin(), unrecorded_.end(),
-                      [&](const Unrecorded& u) { return u.id == id; });
-}
-
-// Does what waited for the journal: at the level `process` at once, else when a sync has covered it.
-void Exchange::promise() {
-  while (!waiting_.empty() && waiting_.front().position <= parts_.journal.durable()) {
-    Waiting ready = std::move(waiting_.front());
-    waiting_.pop_front();
-    for (const std::string& id : ready.taken) {
-      const auto at = open_.find(id);
-      if (at == open_.end() || !at->second.answer) continue;
-      ++parts_.counters.taken;
-      answer(at->second, {Answer::Kind::kTaken});
-    }
-    for (Plan& plan : ready.calls) callOut(plan);
-  }
-}
-
-void Exchange::callOut(Plan& plan) {
-  const EndpointEntry* endpoint = destinations().find(plan.uid);
-  std::vector<CallItem> items;
-  for (CallItem& item : plan.items) {
-    const auto at = open_.find(item.id);
-    // Over while it waited for the disk, or the endpoint has gone or drains by now: the call never left.
-    const bool open = endpoint && endpoint->entry.state == RouteState::kRunning;
-    if (at != open_.end() && at->second.owed.verdict == Verdict::kNone && open)
-      items.push_back(std::move(item));
-    else
-      neverLeft(item.id, plan.uid);
-  }
-  if (!items.empty()) parts_.outbound.call(*endpoint, std::move(items));
-}
-
-// The module gives a call up. One that still waits for the disk never left.
-void Exchange::callOff(const std::string& id) {
-  for (Waiting& waiting : waiting_) {
-    for (Plan& plan : waiting.calls) {
-      const auto item =
-          std::find_if(plan.items.begin(), plan.items.end(), [&](const CallItem& i) { return i.id == id; });
-      if (item == plan.items.end()) continue;
-      plan.items.erase(item);
-      return neverLeft(id, plan.uid);
-    }
-  }
-  const auto put = putOffOf(id);
-  if (put == unrecorded_.end()) return parts_.outbound.abandon(id);
-  put->untilMs = 0;  // told with the others: at once, the next attempt would soon be called off too
-}
-
-void Exchange::onSynced() {
-  if (!parts_.journal.collect()) {
-    // Nothing of what waited may be promised any more. It is refused at once; calls did not leave.
-    ++parts_.counters.journalFaults;
-    for (Waiting& failed : std::exchange(waiting_, {})) {
-      for (const std::string& id : failed.taken) {
-        const auto at = open_.find(id);
-        if (at == open_.end() || !at->second.answer) continue;
-        unchargeRequest(at->second);
-        answer(at->second, {Answer::Kind::kFailFast, kComeBackMs});
-        forget(at);
-        --held_;
-        push(HangUpEvent{id});
-      }
-      for (const Plan& plan : failed.calls)
-        for (const CallItem& item : plan.items) neverLeft(item.id, plan.uid);
-    }
-  }
-  promise();
-  compact();
-}
-
-// An endpoint told to wait: its module may not have known when it decided. Where the limit is its
-// destination's, the same holds for its other endpoints.
-void Exchange::recall(const std::string& uid) {
-  const EndpointEntry* told = destinations().find(uid);
-  takeBack([&](const std::string& other) {
-    if (other == uid || !told) return other == uid;
-    const EndpointEntry* entry = destinations().find(other);
-    const auto kind = static_cast<std::size_t>(std::max(0, told->entry.kind));
-    const bool apart = kind < settings_.kindApart.size() && settings_.kindApart[kind];
-    return !apart && entry && entry->entry.destination == told->entry.destination;
-  });
-}
-
-// It may wait for the disk or for a slot.
-void Exchange::takeBack(const std::function<bool(const std::string& uid)>& bound) {
-  for (Waiting& waiting : waiting_)
-    for (Plan& plan : waiting.calls)
-      if (bound(plan.uid))
-        for (const CallItem& item : std::exchange(plan.items, {})) neverLeft(item.id, plan.uid);
-  parts_.outbound.recall(bound);
-}
-
-// A recorded attempt whose first byte was never written.
-void Exchange::neverLeft(const std::string& id, const std::string& uid) {
-  const auto at = open_.find(id);
-  if (at != open_.end()) {
-    parts_.journal.harmless(at->second.owed);
-    unchargeCall(at->second);
-  }
-  const int attempt = at == open_.end() ? 0 : at->second.owed.attempts - 1;
-  push(OutcomeEvent{id, attempt, uid, Outcome::kNop, at == open_.end(), 0, {}});
-}
-
-// An attempt of the module's that never left: it counts, and is proven harmless.
-void Exchange::notSent(const std::string& id, const std::string& uid) {
-  const auto at = open_.find(id);
-  const int attempt = at == open_.end() ? 0 : at->second.owed.attempts++;  // only first attempts are let go
-  push(OutcomeEvent{id, attempt, uid, Outcome::kNop, at == open_.end(), 0, {}});
-}
-
 // Also while nothing comes in: a full journal must find room without any traffic.
 void Exchange::compact() {
   parts_.loop.cancel(sliceTimer_);
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -61,6 +61,8 @@
 
  private:
   static constexpr double kNotCharged = -1;
+  // Advice of the relay's own, where the module was not asked: over maxOpen, journal full, about to end.
+  static constexpr double kComeBackMs = 1000;
   struct Open {
     OwedRequest owed;
     AnswerTo answer;        // until the client has its answer
--- /dev/null
+++ b/src/exchange/exchange_waiting.cpp
@@ -0,0 +1,153 @@
+// What waits between the module's decision and its carrying out: for the journal, for a sync, for a slot.
+#include <algorithm>
+#include <utility>
+
+#include "exchange/exchange.h"
+
+namespace myrtleloft {
+
+void Exchange::putOff(Unrecorded send) {
+  unrecorded_.push_back(std::move(send));
+  if (recordTimer_ == Loop::kNoTimer)
+    recordTimer_ = parts_.loop.after(parts_.journal.restMs(), [this] { recordAgain(); });
+}
+
+// One that can be recorded now is not sent all the same: the module chose its endpoint before the disk's
+// trouble, and chooses anew.
+void Exchange::recordAgain() {
+  recordTimer_ = Loop::kNoTimer;
+  for (Unrecorded& send : std::exchange(unrecorded_, {})) {
+    OwedRequest& owed = open_.at(send.id).owed;
+    if (send.untilMs <= parts_.loop.nowMs()) {
+      notSent(send.id, send.uid);
+    } else if (parts_.journal.attempt(owed, {send.uid, send.zone, parts_.clock.wallMs(), 0})) {
+      neverLeft(send.id, send.uid);
+    } else {
+      putOff(std::move(send));
+    }
+  }
+}
+
+// Its request is over, and the module's slot free.
+void Exchange::dropPutOff(const std::string& id) {
+  const auto put = putOffOf(id);
+  if (put == unrecorded_.end()) return;
+  const std::string uid = put->uid;
+  unrecorded_.erase(put);
+  notSent(id, uid);
+}
+
+std::vector<Exchange::Unrecorded>::iterator Exchange::putOffOf(const std::string& id) {
+  return std::find_if(unrecorded_.begin(), unrecorded_.end(),
+                      [&](const Unrecorded& u) { return u.id == id; });
+}
+
+// Does what waited for the journal: at the level `process` at once, else when a sync has covered it.
+void Exchange::promise() {
+  while (!waiting_.empty() && waiting_.front().position <= parts_.journal.durable()) {
+    Waiting ready = std::move(waiting_.front());
+    waiting_.pop_front();
+    for (const std::string& id : ready.taken) {
+      const auto at = open_.find(id);
+      if (at == open_.end() || !at->second.answer) continue;
+      ++parts_.counters.taken;
+      answer(at->second, {Answer::Kind::kTaken});
+    }
+    for (Plan& plan : ready.calls) callOut(plan);
+  }
+}
+
+void Exchange::callOut(Plan& plan) {
+  const EndpointEntry* endpoint = destinations().find(plan.uid);
+  std::vector<CallItem> items;
+  for (CallItem& item : plan.items) {
+    const auto at = open_.find(item.id);
+    // Over while it waited for the disk, or the endpoint has gone or drains by now: the call never left.
+    const bool open = endpoint && endpoint->entry.state == RouteState::kRunning;
+    if (at != open_.end() && at->second.owed.verdict == Verdict::kNone && open)
+      items.push_back(std::move(item));
+    else
+      neverLeft(item.id, plan.uid);
+  }
+  if (!items.empty()) parts_.outbound.call(*endpoint, std::move(items));
+}
+
+// The module gives a call up. One that still waits for the disk never left.
+void Exchange::callOff(const std::string& id) {
+  for (Waiting& waiting : waiting_) {
+    for (Plan& plan : waiting.calls) {
+      const auto item =
+          std::find_if(plan.items.begin(), plan.items.end(), [&](const CallItem& i) { return i.id == id; });
+      if (item == plan.items.end()) continue;
+      plan.items.erase(item);
+      return neverLeft(id, plan.uid);
+    }
+  }
+  const auto put = putOffOf(id);
+  if (put == unrecorded_.end()) return parts_.outbound.abandon(id);
+  put->untilMs = 0;  // told with the others: at once, the next attempt would soon be called off too
+}
+
+void Exchange::onSynced() {
+  if (!parts_.journal.collect()) {
+    // Nothing of what waited may be promised any more. It is refused at once; calls did not leave.
+    ++parts_.counters.journalFaults;
+    for (Waiting& failed : std::exchange(waiting_, {})) {
+      for (const std::string& id : failed.taken) {
+        const auto at = open_.find(id);
+        if (at == open_.end() || !at->second.answer) continue;
+        unchargeRequest(at->second);
+        answer(at->second, {Answer::Kind::kFailFast, kComeBackMs});
+        forget(at);
+        --held_;
+        push(HangUpEvent{id});
+      }
+      for (const Plan& plan : failed.calls)
+        for (const CallItem& item : plan.items) neverLeft(item.id, plan.uid);
+    }
+  }
+  promise();
+  compact();
+}
+
+// An endpoint told to wait: its module may not have known when it decided. Where the limit is its
+// destination's, the same holds for its other endpoints.
+void Exchange::recall(const std::string& uid) {
+  const EndpointEntry* told = destinations().find(uid);
+  takeBack([&](const std::string& other) {
+    if (other == uid || !told) return other == uid;
+    const EndpointEntry* entry = destinations().find(other);
+    const auto kind = static_cast<std::size_t>(std::max(0, told->entry.kind));
+    const bool apart = kind < settings_.kindApart.size() && settings_.kindApart[kind];
+    return !apart && entry && entry->entry.destination == told->entry.destination;
+  });
+}
+
+// It may wait for the disk or for a slot.
+void Exchange::takeBack(const std::function<bool(const std::string& uid)>& bound) {
+  for (Waiting& waiting : waiting_)
+    for (Plan& plan : waiting.calls)
+      if (bound(plan.uid))
+        for (const CallItem& item : std::exchange(plan.items, {})) neverLeft(item.id, plan.uid);
+  parts_.outbound.recall(bound);
+}
+
+// A recorded attempt whose first byte was never written.
+void Exchange::neverLeft(const std::string& id, const std::string& uid) {
+  const auto at = open_.find(id);
+  if (at != open_.end()) {
+    parts_.journal.harmless(at->second.owed);
+    unchargeCall(at->second);
+  }
+  const int attempt = at == open_.end() ? 0 : at->second.owed.attempts - 1;
+  push(OutcomeEvent{id, attempt, uid, Outcome::kNop, at == open_.end(), 0, {}});
+}
+
+// An attempt of the module's that never left: it counts, and is proven harmless.
+void Exchange::notSent(const std::string& id, const std::string& uid) {
+  const auto at = open_.find(id);
+  const int attempt = at == open_.end() ? 0 : at->second.owed.attempts++;  // only first attempts are let go
+  push(OutcomeEvent{id, attempt, uid, Outcome::kNop, at == open_.end(), 0, {}});
+}
+
+}  // namespace myrtleloft
