Take what comes on an idle connection as it gets its call for no answer to it

Seen, on the program held at its system calls (endpoint_crossings; these cases fail without the change): - bytes that reach an idle connection after the relay has peeked at it and before it writes the next call were read as that call's answer (ClientConnection::onEvents reads first): a stray 200 counted a charge as delivered of which no byte was ever written (a lost message); half a line, or a 408, ended it as dead. Now a call with no byte out on a connection that has carried another has surely not run, and goes out on a new one. A fresh connection's early answer still counts: it may refuse the call, and tell a wait. - finish(answerBegun() ? ..., reader_.take()): the order of arguments is the compiler's, and gcc takes first, which forgets that the answer had begun. Ruled out by the other cases: FIN and RST in the instant of the write (no byte taken: sent again; bytes taken: in doubt), an answer in the turn of its time-out, a client that goes in the instant of its 202.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -43,6 +43,9 @@
   }
   // Reading comes first: an endpoint may answer and close before it has read the whole call.
   if (revents & (POLLIN | POLLHUP | POLLERR)) {
+    // What comes between two calls answers neither; a fresh connection's may be a refusal of what it will
+    // bring.
+    if (carried_ && !begun()) return finish(End::kNotSent);
     read();
   } else if (revents & POLLOUT) {
     write();
@@ -70,7 +73,8 @@
     }
     if (state == HttpReader::State::kDone) return finish(End::kAnswered, reader_.take());
     if (reader_.partial().status == 0 && !lastByteWritten()) return finish(End::kNotSent);
-    return finish(answerBegun() ? End::kSpoilt : End::kBroken, reader_.take());
+    const End end = answerBegun() ? End::kSpoilt : End::kBroken;  // asked first: taken, it is forgotten
+    return finish(end, reader_.take());
   }
 }
 
@@ -94,6 +98,7 @@
   if (end != End::kAnswered || !answer.keepAlive || !lastByteWritten() || !reader_.buffer().empty()) close();
   out_ = std::string();
   written_ = 0;
+  carried_ = true;
   if (done) done({end, std::move(answer), stalled});  // may destroy this connection
 }
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -63,6 +63,7 @@
   std::string out_;
   std::size_t written_ = 0;
   bool connected_ = false;
+  bool carried_ = false;  // an earlier call has been answered on it
   Done done_;
 };
 
