Keep repeats inside their window over slow syncs and set clocks; end the drain last

Window of repeats (Exchange::callOut, eventOf): - At the level `group` a keyed repeat left whenever its sync came, seconds after the module's decision. It must now be inside the window of the first attempt that may have run, less what its connection may take to come up; else it is reported as not sent. Seen failing without it: syncs of 1 and 3 s, window 1 s. - After a restart attempts up to 1 s "to come" passed for a clock's own step, and only a request's own attempts were looked at: a window of 2 s could look open for 1 s too long. Now anything recorded that seems to be to come closes all windows, and what the kept list's two clocks show of a step back makes every attempt older.

Draining (Relay::Impl::look): - The process ended after 2.6 s, though clients were connected or waited for their 202: at `group` with a hanging sync the connection closed with no answer, and the message was owed. Seen failing without it.

--- a/lab/stand_ins.cpp
+++ b/lab/stand_ins.cpp
@@ -125,7 +125,7 @@
     notices_.emplace(member(line, "ref"), member(line, "result"));
     if (noticed) noticed(member(line, "ref"), member(line, "result"));
   }
-  hub_.send(from, "HTTP/1.1 204 No Content\r\n\r\n");
+  if (confirms) hub_.send(from, "HTTP/1.1 204 No Content\r\n\r\n");
 }
 
 std::string Directory::list() const {
--- a/lab/stand_ins.h
+++ b/lab/stand_ins.h
@@ -93,6 +93,7 @@
   const std::map<std::string, std::string>& notices() const { return notices_; }
 
   double slowMs = 500;
+  bool confirms = true;  // as platform; else notices that come get no answer
   // Told of each line that the platform takes, also of one that was there before.
   std::function<void(const std::string& id, const std::string& result)> noticed;
 
--- a/src/discovery/membership.cpp
+++ b/src/discovery/membership.cpp
@@ -34,6 +34,7 @@
               " endpoints of the kept list are in zones or of kinds that the configuration does not "
               "name",
           {{"endpoints", found.unknownNames}});
+    if (found.there) wallSetBackMs_ = myrtleloft::wallSetBackMs(found.told, now());
     kept_.begin();
   }
   const ListOffer kept{found.there, found.list.rev, found.told, found.whole};
--- a/src/discovery/membership.h
+++ b/src/discovery/membership.h
@@ -74,6 +74,9 @@
   Trust trust() const;
   // Of the whole list; what the guard keeps is older.
   ListAge age() const;
+  // By how many milliseconds the wall clock has been set back since the kept list was last committed, as
+  // `begin` found it, at least 0; 0 too where nothing tells.
+  double wallSetBackMs() const { return wallSetBackMs_; }
   const DestinationSet& set() const { return set_; }
   const KeptList& kept() const { return kept_; }
 
@@ -91,9 +94,10 @@
   ListTrust trust_;
   RemovalGuard guard_;
   std::string machineRun_;
-  Stamp confirmed_;            // when discovery last stood by the list
-  bool whole_ = true;          // false: what was told last may be missing
-  bool spoken_ = false;        // discovery has answered this process
+  Stamp confirmed_;      // when discovery last stood by the list
+  bool whole_ = true;    // false: what was told last may be missing
+  bool spoken_ = false;  // discovery has answered this process
+  double wallSetBackMs_ = 0;
   std::size_t directory_ = 0;  // that was believed last
   bool wantsWhole_ = false, doubted_ = false;
   Trust toldTrust_ = Trust::kFresh;
--- a/src/discovery/trust.cpp
+++ b/src/discovery/trust.cpp
@@ -35,6 +35,11 @@
   return {true, std::max(0.0, ms)};
 }
 
+double wallSetBackMs(const Stamp& stamp, const Stamp& now) {
+  if (!sameRun(stamp, now)) return 0;
+  return std::max(0.0, (now.machineMs - stamp.machineMs) - (now.wallMs - stamp.wallMs));
+}
+
 Trust ListTrust::of(const ListAge& age, bool whole) const {
   if (age.known && age.ms > tuning_.oldMs) return Trust::kExpired;
   if (!age.known || !whole || age.ms > tuning_.ageingMs) return Trust::kOld;
--- a/src/discovery/trust.h
+++ b/src/discovery/trust.h
@@ -41,6 +41,10 @@
 // clock. A list from the future (by more than a clock's own step of a second) has no known age.
 ListAge ageOf(const Stamp& stamp, const Stamp& now);
 
+// By how many milliseconds the wall clock has been set back since that stamp, all its steps together, at
+// least 0; 0 too where nothing tells, as in another run of the machine.
+double wallSetBackMs(const Stamp& stamp, const Stamp& now);
+
 enum class Trust {
   kFresh,   // discovery spoke not long ago
   kAgeing,  // longer ago than discovery is ever away in good order
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -30,10 +30,12 @@
 void Exchange::recover(Recovered found, ListEvent known) {
   // The list goes first: without it every route of a request that may have run would look closed.
   pending_.emplace_back(std::in_place_type<ListEvent>, std::move(known));
-  const double nowMs = parts_.loop.nowMs(), wallMs = parts_.clock.wallMs();
+  const double nowMs = parts_.loop.nowMs();
+  const WallClock wall{parts_.clock.wallMs(), newestWallMs(found.owed), parts_.membership.wallSetBackMs()};
   found.owed.take([&](RecoveredRequest request) {
     ++parts_.counters.recovered;
     Open& open = open_[request.owed.id];
+    open.firstDoubtMs = nowMs;
     open.owed = std::move(request.owed);
     if (parts_.quotas) open.quota = parts_.quotas->leafOf(open.owed.tenant, "");  // its unit is not recorded
     parts_.journal.settle(open.owed);
@@ -44,8 +46,10 @@
     if (owed.verdict != Verdict::kNone) {
       parts_.notices.add(owed.id, owed.verdict, owed.waitMs);
     } else {
-      MessageEvent event = eventOf(owed, nowMs, wallMs, hardLimitMs(owed.cls));
+      MessageEvent event = eventOf(owed, nowMs, wall, hardLimitMs(owed.cls));
       open.notAfterMs = event.notAfterMs;
+      for (const EarlierAttempt& doubt : event.doubts)
+        open.firstDoubtMs = std::min(open.firstDoubtMs, doubt.sentMs);
       pending_.emplace_back(std::in_place_type<MessageEvent>, std::move(event));
       ++held_;
     }
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -46,6 +46,9 @@
   // From now on the module decides nothing more: calls out are seen to their end, the rest is the journal's.
   void quiesce();
   bool settled() const { return open_.empty(); }
+  // No sync will cover what waits for one, or none in time: clients that wait for their 202 are refused at once
+  // and the journal owes nothing of theirs; calls that wait are reported as not sent.
+  void refuseWaiting();
   // Somebody sees what the module is told of each batch, just before it decides; it changes nothing.
   using Watcher = std::function<void(double nowMs, const std::vector<Event>& events)>;
   void watchBatches(Watcher watcher) { watcher_ = std::move(watcher); }
@@ -69,6 +72,7 @@
     double notAfterMs = 0;  // the steady clock's: the wall clock may be set while the request is held
     int quota = QuotaDoor::kNoQuota;  // the node that it is charged to
     double chargedMs = 0, callChargedMs = kNotCharged;
+    double firstDoubtMs = 0;  // while it has doubts: when the earliest of those attempts was decided
   };
   struct Plan {  // sends of one batch that travel as one call
     std::string uid;
@@ -108,6 +112,8 @@
   void carryOut(Plan& plan);
   void promise();
   void callOut(Plan& plan);
+  // Whether a call for it that begins now has its bytes at the endpoint while that still knows the key.
+  bool insideWindow(const Open& open) const;
   void callOff(const std::string& id);
   void recall(const std::string& uid);
   // What was decided for the endpoints for which `bound` holds, and has not left, does not leave any more.
--- a/src/exchange/exchange_batch.cpp
+++ b/src/exchange/exchange_batch.cpp
@@ -121,6 +121,7 @@
   std::vector<CallItem> items;
   for (CallItem& item : plan.items) {
     // Recorded before the first byte: after a restart it must be known that this call may have run.
+    if (Open& o = open_.at(item.id); o.owed.doubts.empty()) o.firstDoubtMs = lastBatchMs_;
     if (!parts_.journal.attempt(open_.at(item.id).owed, doubt)) {
       ++parts_.counters.journalFaults;
       putOff({item.id, plan.uid, doubt.zone, parts_.loop.nowMs() + item.capMs});
--- a/src/exchange/exchange_waiting.cpp
+++ b/src/exchange/exchange_waiting.cpp
@@ -62,9 +62,9 @@
   std::vector<CallItem> items;
   for (CallItem& item : plan.items) {
     const auto at = open_.find(item.id);
-    // Over while it waited for the disk, or the endpoint has gone or drains by now: the call never left.
+    // Over while it waited for the disk, its window too, or the endpoint gone or draining: it never left.
     const bool open = endpoint && endpoint->entry.state == RouteState::kRunning;
-    if (at != open_.end() && at->second.owed.verdict == Verdict::kNone && open)
+    if (at != open_.end() && at->second.owed.verdict == Verdict::kNone && open && insideWindow(at->second))
       items.push_back(std::move(item));
     else
       neverLeft(item.id, plan.uid);
@@ -72,6 +72,16 @@
   if (!items.empty()) parts_.outbound.call(*endpoint, std::move(items));
 }
 
+// The module asked for it inside the window; the disk may have taken any time since. What the connection may
+// take to come up counts as well.
+bool Exchange::insideWindow(const Open& open) const {
+  const auto cls = static_cast<std::size_t>(open.owed.cls);
+  const bool again = open.owed.doubts.size() > 1;  // the last one is this call's own
+  if (!again || settings_.classes.at(cls).repeat != Repeat::kByKey) return true;
+  const double span = settings_.classes.at(cls).memorySpanMs - settings_.connectTimeoutMs;
+  return parts_.loop.nowMs() <= open.firstDoubtMs + span;
+}
+
 // The module gives a call up. One that still waits for the disk never left.
 void Exchange::callOff(const std::string& id) {
   for (Waiting& waiting : waiting_) {
@@ -88,23 +98,27 @@
   put->untilMs = 0;  // told with the others: at once, the next attempt would soon be called off too
 }
 
+void Exchange::refuseWaiting() {
+  for (const Waiting& waiting : std::exchange(waiting_, {})) {
+    for (const std::string& id : waiting.taken) {
+      const auto at = open_.find(id);
+      if (at == open_.end() || !at->second.answer) continue;
+      unchargeRequest(at->second);
+      answer(at->second, {Answer::Kind::kFailFast, kComeBackMs});
+      forget(at);
+      --held_;
+      push(HangUpEvent{id});
+    }
+    for (const Plan& plan : waiting.calls)
+      for (const CallItem& item : plan.items) neverLeft(item.id, plan.uid);
+  }
+}
+
 void Exchange::onSynced() {
   if (!parts_.journal.collect()) {
     // Nothing of what waited may be promised any more. It is refused at once; calls did not leave.
     ++parts_.counters.journalFaults;
-    for (Waiting& failed : std::exchange(waiting_, {})) {
-      for (const std::string& id : failed.taken) {
-        const auto at = open_.find(id);
-        if (at == open_.end() || !at->second.answer) continue;
-        unchargeRequest(at->second);
-        answer(at->second, {Answer::Kind::kFailFast, kComeBackMs});
-        forget(at);
-        --held_;
-        push(HangUpEvent{id});
-      }
-      for (const Plan& plan : failed.calls)
-        for (const CallItem& item : plan.items) neverLeft(item.id, plan.uid);
-    }
+    refuseWaiting();
   }
   promise();
   compact();
--- a/src/exchange/recovered.cpp
+++ b/src/exchange/recovered.cpp
@@ -5,27 +5,32 @@
 namespace myrtleloft {
 namespace {
 
-constexpr double kWallStepMs = 1000;  // clocks are corrected by so much while all is well
 constexpr double kLongAgoMs = 1e12;
 
 }  // namespace
 
-MessageEvent eventOf(const OwedRequest& owed, double nowMs, double wallMs, double hardLimitMs) {
+double newestWallMs(const OwedTable& owed) {
+  double newest = 0;
+  for (const RecoveredRequest& request : owed) {
+    newest = std::max(newest, request.owed.takenWallMs);
+    for (const Doubt& doubt : request.owed.doubts) newest = std::max(newest, doubt.sentWallMs);
+  }
+  return newest;
+}
+
+MessageEvent eventOf(const OwedRequest& owed, double nowMs, const WallClock& wall, double hardLimitMs) {
   MessageEvent event;
   event.id = owed.id;
   event.cls = owed.cls;
   event.tenant = owed.tenant;
-  event.notAfterMs = nowMs + std::min(owed.notAfterWallMs - wallMs, hardLimitMs);
+  event.notAfterMs = nowMs + std::min(owed.notAfterWallMs - wall.nowMs, hardLimitMs);
   event.destination = owed.destination;
   event.isRetry = owed.isRetry;
   event.attempts = owed.attempts;
-  // One that seems to be to come shows that the clock was set back: then the others' times are as wrong.
-  const bool setBack = std::any_of(owed.doubts.begin(), owed.doubts.end(), [&](const Doubt& doubt) {
-    return doubt.sentWallMs > wallMs + kWallStepMs;
-  });
+  const bool toCome = wall.newestMs > wall.nowMs;
   for (const Doubt& doubt : owed.doubts)
     event.doubts.push_back(
-        {doubt.zone, nowMs - (setBack ? kLongAgoMs : std::max(0.0, wallMs - doubt.sentWallMs))});
+        {doubt.zone, nowMs - (toCome ? kLongAgoMs : wall.nowMs - doubt.sentWallMs + wall.setBackMs)});
   return event;
 }
 
--- a/src/relay/impl.cpp
+++ b/src/relay/impl.cpp
@@ -162,11 +162,16 @@
   return true;
 }
 
+// A client that is still connected may be sending, be owed its answer, or read the one it has: with the
+// process its connection would be reset, so it keeps the process for as long as there is time.
 void Relay::Impl::look() {
   const double passed = loop_.nowMs() - drainingMs_;
   const bool quiet = passed >= kQuiesceMs && outbound_.callsOut() == 0 && notices_.empty();
-  const bool done = exchange_.settled() && inbound_.connections() == 0;
-  if (done || quiet || passed >= kStopMs) return enter(Phase::kStopped);
+  if (inbound_.connections() == 0 && (exchange_.settled() || quiet)) return enter(Phase::kStopped);
+  if (passed >= kStopMs) {
+    exchange_.refuseWaiting();
+    return enter(Phase::kStopped);
+  }
   loop_.after(kLookMs, [this] { look(); });
 }
 
--- /dev/null
+++ b/tests/exchange_window_test.cpp
@@ -0,0 +1,102 @@
+// The window of repeats against what lies between the module's decision and a call's first byte: a sync that
+// takes its time, and an earlier process.
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+#include "tests/exchange_site.h"
+#include "tests/membership_site.h"
+
+using namespace myrtleloft;
+using myrtleloft::testing::Site;
+
+namespace {
+
+constexpr double kWindowMs = 1000, kConnectMs = 100;
+
+// Keyed messages at the level `group`; syncs are done when the test says so.
+class Keyed {
+ public:
+  Keyed()
+      : site(true, 1, 4, true, {}, [](Settings& settings) {
+          settings.connectTimeoutMs = kConnectMs;
+          settings.classes[1].memorySpanMs = kWindowMs;
+        }) {}
+  void handIn() {
+    IncomingRequest request;
+    request.id = "m";
+    request.key = "k";
+    request.body = "body";
+    request.cls = 1;
+    request.destination = 7;
+    request.leftMs = 10e3;
+    site.exchange->onRequest(std::move(request), [](const Answer&) {});
+  }
+  void sync() {
+    for (int i = 0; i < 3; ++i) {
+      site.syncer.work();
+      site.exchange->onSynced();
+      site.pass(10);
+    }
+  }
+  // The call that has come, read whole.
+  Fd call() {
+    int error = 0;
+    Fd fd = acceptFrom(site.endpoint, error);
+    std::string bytes;
+    if (fd) readSome(fd, bytes);
+    came += bytes.find("\r\nX-Request-ID: m\r\n") != std::string::npos;
+    return fd;
+  }
+
+  Site site;
+  int came = 0;
+};
+
+}  // namespace
+
+TEST_CASE("group: a keyed repeat whose sync outlasts the window does not leave any more") {
+  for (const double syncMs :
+       {50.0, kWindowMs - kConnectMs - 50, kWindowMs - kConnectMs + 100, 3 * kWindowMs}) {
+    CAPTURE(syncMs);
+    Keyed keyed;
+    Site& site = keyed.site;
+    const double firstMs = site.clock.nowMs;
+    keyed.handIn();
+    site.pass(10);
+    keyed.sync();
+    REQUIRE(keyed.call());  // and closed unanswered: it may have run
+    REQUIRE(keyed.came == 1);
+    // Its repeat is decided at once, and recorded; now the disk hangs.
+    while (site.syncer.jobs.empty() && site.clock.nowMs < firstMs + 200) site.pass(5);
+    REQUIRE(!site.syncer.jobs.empty());
+    REQUIRE(site.outbound.callsOut() == 0);
+    site.pass(firstMs + syncMs - site.clock.nowMs);
+    keyed.sync();
+    const bool inTime = site.clock.nowMs <= firstMs + kWindowMs - kConnectMs;
+    const Fd second = keyed.call();
+    CHECK(keyed.came == (inTime ? 2 : 1));
+    CHECK(site.outbound.callsOut() == (inTime ? 1 : 0));
+  }
+}
+
+TEST_CASE("a wall clock set back by less than the downtime shows in the kept list's two clocks") {
+  const Stamp then{1e12, 1000, "run"};
+  CHECK(wallSetBackMs(then, {1e12 + 2300, 4000, "run"}) == 700);
+  CHECK(wallSetBackMs(then, {1e12 + 9000, 4000, "run"}) == 0);      // set forward
+  CHECK(wallSetBackMs(then, {1e12 + 2300, 4000, "another"}) == 0);  // nothing tells
+  lab::Disk disk;
+  HandClocks clock;
+  {
+    Process first(disk, clock);
+    first.begin();
+    first.told(listOf(41, {endpoint("a")}));
+    first.settle();
+  }
+  clock.nowMs += 1000;
+  clock.wall -= 700;
+  Process second(disk, clock);
+  second.begin();
+  CHECK(second.membership.wallSetBackMs() == 700);
+}
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -119,20 +119,36 @@
   OwedRequest owed;
   owed.notAfterWallMs = 1e12 + 5000;
   owed.doubts = {{"E1", 1, 1e12 - 300, 0}, {"E1", 1, 1e12, 1}};
-  const double nowMs = 70, limitMs = 16000, dayMs = 86400000;
-  const MessageEvent right = eventOf(owed, nowMs, 1e12 + 1000, limitMs);
+  const double nowMs = 70, limitMs = 16000, dayMs = 86400000, newestMs = 1e12;
+  const MessageEvent right = eventOf(owed, nowMs, {1e12 + 1000, newestMs, 0}, limitMs);
   CHECK_EQ(right.notAfterMs, nowMs + 4000);
   CHECK_EQ(right.doubts[0].sentMs, nowMs - 1300);
-  const MessageEvent back = eventOf(owed, nowMs, 1e12 - dayMs, limitMs);
+  const MessageEvent back = eventOf(owed, nowMs, {1e12 - dayMs, newestMs, 0}, limitMs);
   CHECK_EQ(back.notAfterMs, nowMs + limitMs);
   CHECK(back.doubts[0].sentMs < nowMs - dayMs);
-  const MessageEvent step = eventOf(owed, nowMs, 1e12 - 400, limitMs);  // a clock's own correction
-  CHECK_EQ(step.doubts[1].sentMs, nowMs);
-  CHECK_EQ(step.notAfterMs, nowMs + 5400);
-  CHECK(eventOf(owed, nowMs, 1e12 + dayMs, limitMs).notAfterMs < nowMs);
-  // An attempt that is still to come shows that the clock was set back: then the one before it is no younger.
-  owed.doubts = {{"E1", 1, 1e12 - 10000, 0}, {"E1", 1, 1e12, 1}};
-  CHECK(eventOf(owed, nowMs, 1e12 - 5000, limitMs).doubts[0].sentMs < nowMs - dayMs);
+  // However small the step: by so much a window might look open that is not.
+  const MessageEvent step = eventOf(owed, nowMs, {1e12 - 1, newestMs, 0}, limitMs);
+  CHECK(step.doubts[0].sentMs < nowMs - dayMs);
+  CHECK(step.doubts[1].sentMs < nowMs - dayMs);
+  CHECK_EQ(step.notAfterMs, nowMs + 5001);
+  CHECK(eventOf(owed, nowMs, {1e12 + dayMs, newestMs, 0}, limitMs).notAfterMs < nowMs);
+  // What was recorded of another request shows it as well: these attempts are older than they seem.
+  const MessageEvent other = eventOf(owed, nowMs, {1e12 + 1000, 1e12 + 1500, 0}, limitMs);
+  CHECK(other.doubts[1].sentMs < nowMs - dayMs);
+  // Known to have been set back, though nothing seems to be to come.
+  const MessageEvent known = eventOf(owed, nowMs, {1e12 + 1000, newestMs, 700}, limitMs);
+  CHECK_EQ(known.doubts[1].sentMs, nowMs - 1700);
+  CHECK_EQ(known.notAfterMs, nowMs + 4000);
+  OwedTable table;
+  CHECK_EQ(newestWallMs(table), 0);
+  owed.takenWallMs = 1e12 - 400;
+  table.put(owed);
+  CHECK_EQ(newestWallMs(table), 1e12);
+  owed.id = "taken only";
+  owed.takenWallMs = 1e12 + 1500;
+  owed.doubts.clear();
+  table.put(owed);
+  CHECK_EQ(newestWallMs(table), 1e12 + 1500);
   owed.doubts = {{"", Doubt::kLostZone, 0, Doubt::kLostAttempt}};  // of which nothing is known
-  CHECK(eventOf(owed, nowMs, 1e12, limitMs).doubts[0].sentMs < nowMs - dayMs);
+  CHECK(eventOf(owed, nowMs, {1e12, 1e12, 0}, limitMs).doubts[0].sentMs < nowMs - dayMs);
 }
