--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -46,8 +46,8 @@
   // From now on the module decides nothing more: calls out are seen to their end, the rest is the journal's.
   void quiesce();
   bool settled() const { return open_.empty(); }
-  // No sync will cover what waits for one, or none in time: clients that wait for their 202 are refused at once
-  // and the journal owes nothing of theirs; calls that wait are reported as not sent.
+  // No sync will cover what waits for one, or none in time: clients that wait for their 202 are refused at
+  // once and the journal owes nothing of theirs; calls that wait are reported as not sent.
   void refuseWaiting();
   // Somebody sees what the module is told of each batch, just before it decides; it changes nothing.
   using Watcher = std::function<void(double nowMs, const std::vector<Event>& events)>;
--- a/tests/endpoint_crossings_test.cpp
+++ b/tests/endpoint_crossings_test.cpp
@@ -154,7 +154,8 @@
       c.site.gate.hold({call, when, c.client->port()});
       c.client->send(postTo(kCharge, "gone"));
       REQUIRE(c.site.until([&] { return c.site.gate.held(); }));
-      const double heldMs = steadyMs();  // a batch later than the last by its resolution of 5 ms is due at once
+      const double heldMs =
+          steadyMs();  // a batch later than the last by its resolution of 5 ms is due at once
       REQUIRE(c.site.until([&] { return steadyMs() > heldMs + 10; }));
       reset ? c.client->reset() : c.client->close();
       c.site.gate.open();
