Take a request whose time is up out of a call that has not left yet

At fault: Outbound::onCap. In a bulk call, a request whose time was up was reported by itself as never sent (no connection yet), the module refused it, and the call went on for the others, but with the bytes as first composed: when the connection came up late (a third of them, up to 1.5 s), the refused request went out with them. Ruled out: single calls, which are given up whole, and calls off, which close the connection.

Now the call's bytes are composed anew without it; where a part of them is written already, the call is given up whole (its last byte not written, it cannot have run).

--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -9,8 +9,6 @@
 namespace myrtleloft {
 namespace {
 
-// An endpoint closes idle connections itself at the told age; a call must not cross that close on its way.
-constexpr double kRetireEarlyMs = 500, kIdleFallbackMs = 10000;
 constexpr double kDescriptorMs = 50;  // between two looks for a free one
 
 std::string seconds(double ms) {
@@ -59,32 +57,43 @@
     begin(waiting_.extract(waiting_.begin()).value());
 }
 
-void Outbound::begin(std::uint64_t number) {
-  Call& call = calls_.at(number);
+std::string Outbound::bytesOf(const Call& call) const {
   const auto leftMs = [&](double capMs) { return std::max(1.0, call.startedMs + capMs - loop_.nowMs()); };
   const std::string& host = call.address.text;
-  std::string bytes;
   if (call.bulk) {
     const Headers headers = {{"Content-Type", "application/json"},
                              {"X-Timeout", seconds(leftMs(waitOf(call.items)))}};
-    bytes = writeRequest("POST", "/inbox/bulk", host, headers, writeBulk(call.items));
-  } else {
-    const CallItem& item = call.items.front();
-    Headers headers = {{"X-Request-ID", item.id}};
-    if (!item.key.empty()) headers.emplace_back("Idempotency-Key", item.key);
-    headers.emplace_back("X-Timeout", seconds(leftMs(item.capMs)));
-    bytes = writeRequest("POST", "/inbox", host, headers, item.body);
+    return writeRequest("POST", "/inbox/bulk", host, headers, writeBulk(call.items));
   }
+  const CallItem& item = call.items.front();
+  Headers headers = {{"X-Request-ID", item.id}};
+  if (!item.key.empty()) headers.emplace_back("Idempotency-Key", item.key);
+  headers.emplace_back("X-Timeout", seconds(leftMs(item.capMs)));
+  return writeRequest("POST", "/inbox", host, headers, item.body);
+}
+
+void Outbound::write(std::uint64_t number) {
+  Call& call = calls_.at(number);
+  call.connection->send(bytesOf(call),
+                        [this, number](ClientConnection::Result r) { onResult(number, std::move(r)); });
+}
+
+void Outbound::begin(std::uint64_t number) {
+  Call& call = calls_.at(number);
   ++counters_.calls;
   counters_.sends += call.items.size();
-  call.connection = connectionTo(call.uid, call.address);
-  ClientConnection& connection = *call.connection;
-  if (!connection.open()) return awaitDescriptor(number);
-  const bool fresh = !connection.connected();
-  connection.send(std::move(bytes),
-                  [this, number](ClientConnection::Result r) { onResult(number, std::move(r)); });
+  call.connection = idle_.take(call.uid, call.address);
+  const bool fresh = !call.connection;
+  if (fresh) {
+    ++counters_.connectionsOut;
+    call.connection = std::make_unique<ClientConnection>(loop_, call.address);
+    if (!call.connection->open() && idle_.clear())  // no descriptor: those idle are what can be spared
+      call.connection = std::make_unique<ClientConnection>(loop_, call.address);
+  }
+  if (!call.connection->open()) return awaitDescriptor(number);
+  write(number);
   if (!fresh || limits_.connectTimeoutMs <= 0) return;
-  calls_.at(number).connectTimer = loop_.after(limits_.connectTimeoutMs, [this, number] {
+  call.connectTimer = loop_.after(limits_.connectTimeoutMs, [this, number] {
     if (!calls_.at(number).connection->connected()) giveUp(number, Outcome::kNoConn);
   });
 }
@@ -100,46 +109,6 @@
   });
 }
 
-Outbound::Connection Outbound::connectionTo(const std::string& uid, const Address& address) {
-  trimIdle();
-  std::vector<Idle>& idle = idle_[uid];
-  while (!idle.empty()) {  // the newest first: the others may then grow old and go
-    Idle last = std::move(idle.back());
-    idle.pop_back();
-    if (last.address == address.text && last.connection->reusable()) return std::move(last.connection);
-  }
-  ++counters_.connectionsOut;
-  auto fresh = std::make_unique<ClientConnection>(loop_, address);
-  if (fresh->open() || idle_.empty()) return fresh;
-  idle_.clear();  // no descriptor: those idle are what can be spared
-  return std::make_unique<ClientConnection>(loop_, address);
-}
-
-void Outbound::keep(Call& call) {
-  if (!call.connection->reusable()) return;
-  idle_[call.uid].push_back({std::move(call.connection), call.address.text, loop_.nowMs()});
-  trimIdle();
-}
-
-void Outbound::trimIdle() {
-  const double told = limits_.connIdleMs > 0 ? limits_.connIdleMs : kIdleFallbackMs;
-  const double since = loop_.nowMs() - std::max(told / 2, told - kRetireEarlyMs);
-  std::size_t count = 0;
-  for (auto at = idle_.begin(); at != idle_.end();) {
-    std::erase_if(at->second,
-                  [since](const Idle& idle) { return idle.sinceMs < since || !idle.connection->open(); });
-    count += at->second.size();
-    at = at->second.empty() ? idle_.erase(at) : std::next(at);
-  }
-  for (; count > limits_.idleConnections; --count) {
-    const auto longest = std::min_element(idle_.begin(), idle_.end(), [](const auto& a, const auto& b) {
-      return a.second.front().sinceMs < b.second.front().sinceMs;
-    });
-    longest->second.erase(longest->second.begin());
-    if (longest->second.empty()) idle_.erase(longest);
-  }
-}
-
 void Outbound::reconsider(const DestinationSet& set) {
   std::vector<std::uint64_t> moved;
   for (const auto& [number, call] : calls_) {
@@ -152,10 +121,7 @@
       moved.push_back(number);
   }
   takeBack(moved);
-  for (auto& [uid, idle] : idle_) {
-    const EndpointEntry* endpoint = set.find(uid);
-    std::erase_if(idle, [&](const Idle& i) { return !endpoint || i.address != endpoint->address.text; });
-  }
+  idle_.reconsider(set);
 }
 
 // A connection may take seconds to come up, and the wait binds what it then carries. (A call whose first SYN
@@ -173,8 +139,6 @@
     if (calls_.count(number)) giveUp(number, Outcome::kNop);
 }
 
-void Outbound::freeIdle(const std::string& uid) { idle_.erase(uid); }
-
 // A bulk call shares one fate: the first request that is to be given up earlier than its end takes all with
 // it. One whose time is up is reported by itself, and the call goes on for the others. (Waiting for the
 // longest cap lost a message that had 0.2 s left beside nine with more; giving up at once would have hurt the
@@ -193,11 +157,16 @@
   const auto split = std::stable_partition(call.items.begin(), call.items.end(),
                                            [passed](const CallItem& item) { return item.capMs > passed; });
   const bool together = std::any_of(split, call.items.end(), [](const CallItem& i) { return !i.toItsEnd; });
-  if (together || split == call.items.begin()) return giveUp(number, Outcome::kLate);
+  // What is half out cannot be taken back one by one, and what has not left must not leave any more: its
+  // request is refused to its client. (Six were, and went out when their connection came up after all.)
+  const ClientConnection* connection = call.connection.get();
+  const bool halfOut = connection && connection->begun() && !connection->lastByteWritten();
+  if (together || halfOut || split == call.items.begin()) return giveUp(number, Outcome::kLate);
   const Outcome late = unanswered(call.connection.get(), Outcome::kLate);
   std::vector<CallOutcome> outcomes;
   for (auto item = split; item != call.items.end(); ++item) outcomes.push_back({item->id, late, false, 0});
   call.items.erase(split, call.items.end());
+  if (connection && connection->open() && !connection->begun()) write(number);  // without them
   armCap(number);
   report(call, std::move(outcomes), {});
 }
@@ -240,7 +209,7 @@
     reportAll(call, {"", neverRan ? Outcome::kNoConn : Outcome::kReset, false, 0}, {});
     return;
   }
-  keep(call);
+  idle_.keep(call.uid, call.address, std::move(call.connection));
   const Report told = readReport(result.answer, limits_.reportColumns);
   if (call.bulk && result.answer.status == 200)
     report(call, readBulkAnswer(result.answer, call.items), told);
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -14,6 +14,7 @@
 #include "myrtleloft/dispatcher.h"
 #include "net/client_connection.h"
 #include "net/loop.h"
+#include "outbound/idle_connections.h"
 
 namespace myrtleloft {
 
@@ -48,7 +49,10 @@
 class Outbound {
  public:
   Outbound(Loop& loop, Counters& counters, OutboundLimits limits)
-      : loop_(loop), counters_(counters), limits_(std::move(limits)) {}
+      : loop_(loop),
+        counters_(counters),
+        limits_(std::move(limits)),
+        idle_(loop, limits_.connIdleMs, limits_.idleConnections) {}
 
   void listen(CallListener& listener) { listener_ = &listener; }
   // One call; several items go as one bulk. Where all slots are taken it begins when one is free, in turn.
@@ -63,16 +67,11 @@
   // Reports calls of which no byte is written, as they wait for a slot or for their connection, to endpoints
   // for which `bound` holds, as not sent.
   void recall(const std::function<bool(const std::string& uid)>& bound);
-  void freeIdle(const std::string& uid);
+  void freeIdle(const std::string& uid) { idle_.free(uid); }
   std::size_t callsOut() const { return calls_.size(); }  // those that wait for a slot as well
 
  private:
   using Connection = std::unique_ptr<ClientConnection>;
-  struct Idle {
-    Connection connection;
-    std::string address;
-    double sinceMs = 0;
-  };
   struct Call {
     std::string uid;
     Address address;
@@ -83,14 +82,14 @@
     Loop::Timer connectTimer = Loop::kNoTimer, capTimer = Loop::kNoTimer;
   };
 
+  std::string bytesOf(const Call& call) const;
+  // Hands the call's bytes to its connection, in place of those that it has and has not begun to write.
+  void write(std::uint64_t number);
   void begin(std::uint64_t number);
   void beginNext();
   void takeBack(const std::vector<std::uint64_t>& numbers);
   // Takes a call that is over off the table, with its timers.
   Call takeOff(std::uint64_t number);
-  Connection connectionTo(const std::string& uid, const Address& address);
-  void keep(Call& call);
-  void trimIdle();
   void awaitDescriptor(std::uint64_t number);
   void armCap(std::uint64_t number);
   void onCap(std::uint64_t number);
@@ -106,7 +105,7 @@
   CallListener* listener_ = nullptr;
   std::map<std::uint64_t, Call> calls_;
   std::set<std::uint64_t> waiting_;                // of the calls, those that wait for a slot, in their order
-  std::map<std::string, std::vector<Idle>> idle_;  // by uid, the longest idle first
+  IdleConnections idle_;
   std::uint64_t lastCall_ = 0;
 };
 
--- a/tests/outbound_test.cpp
+++ b/tests/outbound_test.cpp
@@ -1,54 +1,19 @@
 // Calls that have not left when the list changes.
 #include "outbound/outbound.h"
 
-#include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "lab/hand_clock.h"
+#include "tests/outbound_site.h"
 
 using namespace myrtleloft;
 
-namespace {
-
-// A listener whose queue is full: connections to it stay half-way up.
-struct Deaf {
-  Deaf() : fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in raw{};
-    raw.sin_family = AF_INET;
-    raw.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(fd.get(), reinterpret_cast<sockaddr*>(&raw), sizeof raw);
-    ::listen(fd.get(), 0);
-    address = parseAddress(localAddress(fd)).value();
-    for (int i = 0; i < 4; ++i) queue.push_back(connectTo(address));
-  }
-  Fd fd;
-  Address address;
-  std::vector<Fd> queue;
-};
-
-struct Outcomes : CallListener {
-  void onOutcomes(const std::string& uid, const std::vector<CallOutcome>& outcomes, const Report&) override {
-    for (const CallOutcome& o : outcomes) all.push_back({uid, o});
-  }
-  std::vector<std::pair<std::string, CallOutcome>> all;
-};
-
-EndpointEntry at(const char* uid, const Address& address, RouteState state = RouteState::kRunning) {
-  EndpointEntry e;
-  e.entry.target = uid;
-  e.entry.destination = 7;
-  e.entry.state = state;
-  e.address = address;
-  return e;
-}
-
-}  // namespace
+using lab::at, lab::Deaf, lab::Outcomes;
 
 TEST_CASE("a call beyond the slots waits its turn, its cap running, and can be taken back") {
   lab::HandClock clock;
