Take a keyed repeat back whose bytes have not left when its window ends

Seen on the real program (window_bytes, both cases failing without this): with no time-out for connections in the settings, a repeat whose SYN was dropped 0.6 s before its window's end left 0.4 s after it; a repeat of 60 kB to an endpoint that reads late had its last byte written after the window. The module's margin (a connect's time-out and 5% of the window) covers neither, nor a wait for a slot.

Exchange gives each repeat the time by which it must have left (Exchange::leaveByMs, 0.97 of the window from the first attempt that may have run), Outbound reports it as not sent then unless its last byte is written (Outbound::armLeave). A bulk goes back whole: none of it has run.

Left: bytes that the system has taken and the endpoint's has not acknowledged may still arrive after the window (a silent link, a full receive buffer): that asks for SIOCOUTQ and a reset at the window's end.

--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -112,8 +112,9 @@
   void carryOut(Plan& plan);
   void promise();
   void callOut(Plan& plan);
-  // Whether a call for it that begins now has its bytes at the endpoint while that still knows the key.
-  bool insideWindow(const Open& open) const;
+  // By when the last byte of a call for it must have left, on the loop's clock in ms, so that the endpoint
+  // still knows the key of an attempt that may have run; infinite: nothing binds it.
+  double leaveByMs(const Open& open) const;
   void callOff(const std::string& id);
   void recall(const std::string& uid);
   // What was decided for the endpoints for which `bound` holds, and has not left, does not leave any more.
--- a/src/exchange/exchange_waiting.cpp
+++ b/src/exchange/exchange_waiting.cpp
@@ -1,10 +1,17 @@
 // What waits between the module's decision and its carrying out: for the journal, for a sync, for a slot.
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "exchange/exchange.h"
 
 namespace myrtleloft {
+namespace {
+
+// Of a window, how much is used for a repeat's last byte to leave: it still has its way to go.
+constexpr double kWindowShare = 0.97;
+
+}  // namespace
 
 void Exchange::putOff(Unrecorded send) {
   unrecorded_.push_back(std::move(send));
@@ -64,7 +71,10 @@
     const auto at = open_.find(item.id);
     // Over while it waited for the disk, its window too, or the endpoint gone or draining: it never left.
     const bool open = endpoint && endpoint->entry.state == RouteState::kRunning;
-    if (at != open_.end() && at->second.owed.verdict == Verdict::kNone && open && insideWindow(at->second))
+    const bool held = at != open_.end() && at->second.owed.verdict == Verdict::kNone;
+    if (held) item.leaveByMs = leaveByMs(at->second);
+    // What its connection may take to come up counts: at the window's end it would only be taken back.
+    if (held && open && parts_.loop.nowMs() + settings_.connectTimeoutMs <= item.leaveByMs)
       items.push_back(std::move(item));
     else
       neverLeft(item.id, plan.uid);
@@ -72,14 +82,13 @@
   if (!items.empty()) parts_.outbound.call(*endpoint, std::move(items));
 }
 
-// The module asked for it inside the window; the disk may have taken any time since. What the connection may
-// take to come up counts as well.
-bool Exchange::insideWindow(const Open& open) const {
-  const auto cls = static_cast<std::size_t>(open.owed.cls);
+// The module asked for it inside the window; the disk, a slot, its connection or the endpoint may take any
+// time.
+double Exchange::leaveByMs(const Open& open) const {
+  const ClassSettings& cls = settings_.classes.at(static_cast<std::size_t>(open.owed.cls));
   const bool again = open.owed.doubts.size() > 1;  // the last one is this call's own
-  if (!again || settings_.classes.at(cls).repeat != Repeat::kByKey) return true;
-  const double span = settings_.classes.at(cls).memorySpanMs - settings_.connectTimeoutMs;
-  return parts_.loop.nowMs() <= open.firstDoubtMs + span;
+  if (!again || cls.repeat != Repeat::kByKey) return std::numeric_limits<double>::infinity();
+  return open.firstDoubtMs + cls.memorySpanMs * kWindowShare;
 }
 
 // The module gives a call up. One that still waits for the disk never left.
--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -45,6 +45,7 @@
   call.items = std::move(items);
   call.startedMs = loop_.nowMs();
   armCap(number);
+  armLeave(number);
   waiting_.insert(number);
   beginNext();
 }
@@ -171,6 +172,20 @@
   report(call, std::move(outcomes), {});
 }
 
+// It may wait for a slot, for its connection, or for the endpoint to read. A bulk call goes back whole: none
+// of it has run.
+void Outbound::armLeave(std::uint64_t number) {
+  Call& call = calls_.at(number);
+  const auto soonest =
+      std::min_element(call.items.begin(), call.items.end(),
+                       [](const auto& a, const auto& b) { return a.leaveByMs < b.leaveByMs; });
+  if (soonest->leaveByMs == std::numeric_limits<double>::infinity()) return;
+  call.leaveTimer = loop_.after(soonest->leaveByMs - loop_.nowMs(), [this, number] {
+    const ClientConnection* connection = calls_.at(number).connection.get();
+    if (!connection || !connection->lastByteWritten()) giveUp(number, Outcome::kNop);
+  });
+}
+
 void Outbound::abandon(const std::string& id) {
   for (const auto& [number, call] : calls_) {
     const auto carries = [&id](const CallItem& item) { return item.id == id; };
@@ -185,6 +200,7 @@
   waiting_.erase(number);
   loop_.cancel(call.connectTimer);
   loop_.cancel(call.capTimer);
+  loop_.cancel(call.leaveTimer);
   // Its connection goes first, and with a new list all others that have not left.
   if (!waiting_.empty()) loop_.after(0, [this] { beginNext(); });
   return call;
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -22,6 +23,8 @@
   std::string id, key, body;
   double capMs = 0;       // how long the relay waits for this one
   bool toItsEnd = false;  // ... which is all the time that it has
+  // By when its last byte must be written, on the loop's clock in ms; later it is reported as not sent.
+  double leaveByMs = std::numeric_limits<double>::infinity();
 };
 
 struct CallOutcome {
@@ -79,7 +82,7 @@
     bool bulk = false;
     double startedMs = 0;   // the caps count from here
     Connection connection;  // none while it waits for a slot
-    Loop::Timer connectTimer = Loop::kNoTimer, capTimer = Loop::kNoTimer;
+    Loop::Timer connectTimer = Loop::kNoTimer, capTimer = Loop::kNoTimer, leaveTimer = Loop::kNoTimer;
   };
 
   std::string bytesOf(const Call& call) const;
@@ -93,6 +96,7 @@
   void awaitDescriptor(std::uint64_t number);
   void armCap(std::uint64_t number);
   void onCap(std::uint64_t number);
+  void armLeave(std::uint64_t number);
   void onResult(std::uint64_t number, ClientConnection::Result result);
   // Ends a call that had no answer; where its last byte was not written it cannot have run.
   void giveUp(std::uint64_t number, Outcome outcome);
@@ -104,7 +108,7 @@
   OutboundLimits limits_;
   CallListener* listener_ = nullptr;
   std::map<std::uint64_t, Call> calls_;
-  std::set<std::uint64_t> waiting_;                // of the calls, those that wait for a slot, in their order
+  std::set<std::uint64_t> waiting_;  // of the calls, those that wait for a slot, in their order
   IdleConnections idle_;
   std::uint64_t lastCall_ = 0;
 };
