--- a/tests/restart_gates_test.cpp
+++ b/tests/restart_gates_test.cpp
@@ -209,3 +209,39 @@
   CHECK(site.relay->log().find(": 0 requests owed from before", from) != std::string::npos);
   CHECK(site.endpoint.calls.empty());
 }
+
+// Forced: SIGHUP moves discovery while one call is out and a notice is at the old address without an answer.
+TEST_CASE(
+    "a reload that moves discovery: the call out is seen to its end, the notice goes to the new address") {
+  GatedSite site(MYRTLELOFT_GATED);
+  HandEndpoint endpoint(site.hub);
+  Directory next(site.hub);
+  site.directory.tell({endpoint.entry()});
+  next.tell({endpoint.entry()}, 9);
+  REQUIRE(site.start());
+  RawClient client(site.relay->address());
+  for (const char* id : {"out", "reset"}) {
+    const std::size_t calls = endpoint.calls.size();
+    client.send(postTo(kClasses[2], id));
+    REQUIRE(site.until([&] { return endpoint.calls.size() == calls + 1 && client.has(" 202 "); }));
+    client.in.clear();
+  }
+  site.directory.confirms = false;
+  site.hub.close(endpoint.calls[1].from, true);
+  REQUIRE(site.until([&] { return site.directory.notices().count("reset") > 0; }));
+  std::ifstream in(site.folder + "/config.json");
+  std::string config{std::istreambuf_iterator<char>(in), {}};
+  replaceAll(config, site.directory.address(), next.address());
+  std::ofstream(site.folder + "/config.json") << config;
+  site.relay->signal(SIGHUP);
+  REQUIRE(site.until([&] {
+    next.turn();
+    return next.notices().count("reset") > 0;
+  }));
+  site.hub.send(endpoint.calls[0].from, kDelivered);
+  CHECK(site.until([&] {
+    next.turn();
+    return site.counts("delivered=1 expired=0 dead=1 bounced=0 notices=1 ");
+  }));
+  CHECK(endpoint.calls.size() == 2);
+}
