--- a/src/inbound/inbound.h
+++ b/src/inbound/inbound.h
@@ -4,26 +4,18 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "counters/counters.h"
 #include "exchange/request.h"
+#include "inbound/read_request.h"
 #include "net/http.h"
 #include "net/loop.h"
 #include "net/socket.h"
 
 namespace myrtleloft {
 
-struct InboundNames {
-  std::vector<std::string> classes, tenants;
-  std::string unitHeader{};  // that names a unit of the tenant; empty: none does
-};
-
-// A request as HTTP carries it; nothing where it is unusable.
-std::optional<IncomingRequest> readRequest(const HttpMessage& message, const InboundNames& names);
-
 class Inbound {
  public:
   // `mostBytes`: what all requests together may hold that are not read to their end, or not yet answered. One
--- /dev/null
+++ b/src/inbound/read_request.cpp
@@ -0,0 +1,86 @@
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+#include "inbound/read_request.h"
+
+namespace myrtleloft {
+namespace {
+
+constexpr std::size_t kLongestId = 128, kLongestKey = 256;
+
+template <typename T>
+std::optional<T> parsed(std::string_view text) {
+  T value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+// "dest=7", perhaps among other pairs.
+std::optional<std::int64_t> destination(std::string_view addressing) {
+  static constexpr std::string_view kName = "dest=";
+  while (!addressing.empty()) {
+    const std::size_t end = std::min(addressing.find_first_of(",; "), addressing.size());
+    const std::string_view part = addressing.substr(0, end);
+    if (part.substr(0, kName.size()) == kName) return parsed<std::int64_t>(part.substr(kName.size()));
+    addressing.remove_prefix(std::min(end + 1, addressing.size()));
+  }
+  return std::nullopt;
+}
+
+bool printable(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) { return c >= 0x20 && c < 0x7f; });
+}
+
+std::string text(const HttpMessage& message, std::string_view name) {
+  const std::string* value = message.header(name);
+  return value ? *value : std::string();
+}
+
+}  // namespace
+
+std::string_view path(std::string_view target) { return target.substr(0, target.find('?')); }
+
+// "/notice" or "/notice/more": its first part.
+std::string_view firstPart(std::string_view target) {
+  std::string_view rest = path(target);
+  if (rest.empty() || rest.front() != '/') return {};
+  rest.remove_prefix(1);
+  return rest.substr(0, rest.find('/'));
+}
+
+std::optional<int> positionOf(const std::vector<std::string>& names, std::string_view name) {
+  const auto at = std::find(names.begin(), names.end(), name);
+  if (at == names.end()) return std::nullopt;
+  return static_cast<int>(at - names.begin());
+}
+
+std::optional<IncomingRequest> readRequest(const HttpMessage& message, const InboundNames& names) {
+  IncomingRequest request;
+  const auto cls = positionOf(names.classes, firstPart(message.target));
+  const auto to = destination(text(message, "X-Addressing"));
+  const auto seconds = parsed<double>(text(message, "X-Timeout"));
+  request.id = text(message, "X-Request-ID");
+  request.key = text(message, "Idempotency-Key");
+  if (!cls || !to || !seconds || !std::isfinite(*seconds) || *seconds < 0) return std::nullopt;
+  if (request.id.empty() || request.id.size() > kLongestId || request.key.size() > kLongestKey)
+    return std::nullopt;
+  // Both travel on inside JSON: bytes that are no text would make a notice unreadable, and the end untold.
+  if (!printable(request.id) || !printable(request.key)) return std::nullopt;
+  if (const std::string* tenant = message.header("X-Tenant-Id"); tenant && !names.tenants.empty()) {
+    const auto index = positionOf(names.tenants, *tenant);
+    if (!index) return std::nullopt;
+    request.tenant = *index;
+  }
+  request.cls = *cls;
+  request.destination = *to;
+  request.leftMs = *seconds * 1000;
+  request.isRetry = text(message, "X-Retried") == "1";
+  if (!names.unitHeader.empty()) request.unit = text(message, names.unitHeader);
+  request.body = message.body;
+  return request;
+}
+
+}  // namespace myrtleloft
