Half-close before closing, and serve requests that were sent ahead

Now the sending side ends, what still comes is read and dropped for 0.5 s at most, and nothing of it is taken on. - retire closed connections that were opened and had not asked yet; now they are waited for, and answered. - onMessage refused with 400 whatever had a byte behind it, also a next request sent ahead (pipelining). Now a line that begins a request is one; the rest of a body is refused as before; where it cannot be told, more is waited for, 2 s at most. Ruled out: POLLHUP spinning on events 0 (a reset is POLLERR and ends it; both sides shut only after our shutdown).

--- a/lab/gate.h
+++ b/lab/gate.h
@@ -61,6 +61,7 @@
   Gate(const Gate&) = delete;
   Gate& operator=(const Gate&) = delete;
 
+  // A relay that is held goes on to this one.
   void hold(const Instant& instant) {
     words_->call = static_cast<std::uint32_t>(instant.call);
     words_->when = static_cast<std::uint32_t>(instant.when);
--- a/lab/gated_relay.cpp
+++ b/lab/gated_relay.cpp
@@ -54,7 +54,8 @@
   } else if (here) {
     words->state = GateWords::kHeld;
     while (words->state == GateWords::kHeld) ::usleep(100);
-    words->state = GateWords::kIdle;
+    std::uint32_t letGo = GateWords::kLetGo;  // or armed anew meanwhile
+    words->state.compare_exchange_strong(letGo, GateWords::kIdle);
   }
   errno = error;
 }
--- a/src/inbound/inbound.cpp
+++ b/src/inbound/inbound.cpp
@@ -1,9 +1,9 @@
+#include "inbound/inbound.h"
+
 #include <algorithm>
 #include <cerrno>
 #include <utility>
 
-#include "inbound/inbound.h"
-
 namespace myrtleloft {
 namespace {
 
@@ -30,7 +30,14 @@
 Inbound::~Inbound() {
   loop_.cancel(sweepTimer_);
   loop_.cancel(acceptTimer_);
-  while (!connections_.empty()) drop(connections_.begin()->first);
+  while (!connections_.empty()) {
+    const auto at = connections_.begin();
+    Connection& c = at->second;
+    // Whatever was answered a moment ago, as where memory ran out, gets its end as between requests.
+    if (!c.out.empty()) writeSome(c.fd, c.out, c.written);
+    if (c.stage() != Stage::kSilent && c.stage() != Stage::kBegun) endSending(at->first);
+    drop(at->first);
+  }
   if (listener_) loop_.forget(listener_.get());
 }
 
@@ -73,7 +80,7 @@
   if (lingering) return Stage::kLingering;
   if (!waiting.empty()) return Stage::kAsked;
   if (!out.empty()) return Stage::kAnswering;
-  if (reader.midMessage()) return Stage::kBegun;
+  if (unsure || reader.midMessage()) return Stage::kBegun;
   return answered ? Stage::kIdle : Stage::kSilent;
 }
 
@@ -93,7 +100,7 @@
                                                                                    : 0;
     const std::pair rank{static_cast<int>(stage), c.sinceMs};
     if (stage == Stage::kAsked || now - c.sinceMs < patience || (which && least <= rank)) continue;
-    if ((stage == Stage::kSilent || stage == Stage::kIdle) && hasInput(c.fd)) continue;
+    if ((stage == Stage::kSilent || stage == Stage::kIdle) && !c.rests()) continue;
     which = number;
     least = rank;
   }
@@ -102,19 +109,28 @@
   drop(*which);
 }
 
+// What came since a last answer is taken off first: closed over unread bytes, the connection would be reset,
+// and the answer with it. Of one that rests it is left: the reset tells its client that it was not read.
 void Inbound::drop(Number number) {
   const auto at = connections_.find(number);
-  loop_.forget(at->second.fd.get());
-  held_ -= at->second.held;
+  Connection& c = at->second;
+  if (c.lingering) discardInput(c.fd, kLingerBytes);
+  loop_.forget(c.fd.get());
+  held_ -= c.held;
   connections_.erase(at);
 }
 
+bool Inbound::answers() const {
+  return std::any_of(connections_.begin(), connections_.end(), [](const auto& at) {
+    const Stage stage = at.second.stage();
+    return stage == Stage::kLingering || stage == Stage::kAnswering || stage == Stage::kAsked;
+  });
+}
+
 void Inbound::retire() {
   retiring_ = true;
-  std::vector<Number> idle;
-  for (const auto& [number, c] : connections_)
-    if (c.closable()) idle.push_back(number);
-  for (const Number number : idle) drop(number);
+  for (auto& [number, c] : connections_)
+    if (c.stage() == Stage::kIdle && c.rests()) endSending(number);
 }
 
 void Inbound::sweep() {
@@ -141,8 +157,10 @@
     const Connection& c = at->second;
     if (c.stage() == Stage::kBegun)
       refuse(number, 408);
-    else if (c.closable() || c.lingering || !c.out.empty())
+    else if (c.lingering || !c.out.empty())
       drop(number);
+    else if (c.rests())
+      endSending(number);
   }
   sweepTimer_ = loop_.after(kSweepMs, [this] { sweep(); });
 }
--- a/src/inbound/inbound.h
+++ b/src/inbound/inbound.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,9 +28,13 @@
   bool open(const Address& address, std::string& error);
   std::string listening() const { return localAddress(listener_); }
   void setReady(bool ready) { ready_ = ready; }  // what GET /up says
-  // From now on connections are closed between requests.
+  // From now on connections are closed between requests: those that rest at once, each other one after the
+  // last request that was read from it. One that was opened and has not asked yet is waited for.
   void retire();
   std::size_t connections() const { return connections_.size(); }
+  // Whether an answer may still be on its way: a request is open, or a client has not seen the end of its
+  // connection (which lasts 0.5 s at most).
+  bool answers() const;
 
  private:
   // What a connection is at, in the order in which they give way where there is no more room.
@@ -50,12 +55,17 @@
     double sinceMs = 0;       // when its present patience began
     std::string waiting;      // id of the request that is not answered yet
     std::size_t held = 0;     // bytes of its request
+    // A whole request, and since when, while what has come behind it may be one more or the rest of a body.
+    std::optional<HttpMessage> unsure;
+    double unsureMs = 0;
     bool keepAlive = true, answered = false, lingering = false;
+    bool halfClosed = false;  // its client has ended its sending
     Stage stage() const;
-    // May be closed: no request is on it, not even one that has come and was not read yet.
-    bool closable() const { return (stage() == Stage::kIdle || stage() == Stage::kSilent) && !hasInput(fd); }
+    // No request is on it, not even one that has come and was not read yet.
+    bool rests() const { return (stage() == Stage::kIdle || stage() == Stage::kSilent) && !hasInput(fd); }
   };
   using Number = std::uint64_t;
+  static constexpr std::size_t kLingerBytes = 256 * 1024;  // read of a connection after its last answer
 
   void onAccept();
   void makeRoom();
@@ -63,9 +73,17 @@
   void readAndServe(Number number);
   void serve(Number number);
   void onMessage(Number number, HttpMessage message);
+  void offer(Number number, IncomingRequest request);
+  void onAnswer(Number number, const Answer& answer);
+  void onInputWhileAsked(Number number);
+  // Its client has ended its sending, or all of it.
+  void onHalfClose(Number number);
+  void onReset(Number number);
   void refuse(Number number, int status, const Headers& headers = {});
   void reply(Number number, int status, const Headers& headers = {}, std::string_view body = {});
   void flush(Number number);
+  // Ends the sending side. Nothing is read as a request after that.
+  void endSending(Number number);
   void drop(Number number);
   // Counts what the connection's request holds; refuses it where that is too much for all.
   void weigh(Number number);
--- a/src/inbound/inbound_serving.cpp
+++ b/src/inbound/inbound_serving.cpp
@@ -10,23 +10,23 @@
 namespace myrtleloft {
 namespace {
 
-constexpr std::size_t kLingerBytes = 256 * 1024;  // read of a connection after its last answer
-constexpr const char* kFullComeBackS = "1.000";   // with no memory for a request
+constexpr const char* kFullComeBackS = "1.000";  // with no memory for a request
 
 }  // namespace
 
 void Inbound::onEvents(Number number, short revents) {
-  const auto at = connections_.find(number);
-  if (at == connections_.end()) return;
+  if (!connections_.count(number)) return;
+  if (revents & POLLERR) return onReset(number);
   if (revents & POLLOUT) flush(number);
-  if (connections_.count(number) && (revents & (POLLIN | POLLHUP | POLLERR))) readAndServe(number);
+  if (connections_.count(number) && (revents & (POLLIN | POLLHUP))) readAndServe(number);
   if (connections_.count(number)) weigh(number);
 }
 
 void Inbound::weigh(Number number) {
   Connection& c = connections_.at(number);
   // While a request waits for its answer, whoever has it holds what was read of it.
-  const std::size_t now = c.waiting.empty() ? c.reader.held() : std::max(c.held, c.reader.held());
+  const std::size_t read = c.reader.held() + (c.unsure ? c.unsure->body.capacity() : 0);
+  const std::size_t now = c.waiting.empty() ? read : std::max(c.held, read);
   held_ += now - c.held;
   c.held = now;
   if (held_ <= mostBytes_ || c.stage() != Stage::kBegun) return;
@@ -40,32 +40,50 @@
   if (c.stage() == Stage::kIdle) c.sinceMs = loop_.nowMs();
   const Io io = readSome(c.fd, c.reader.buffer());
   if (io == Io::kWouldBlock) return;
-  if (io == Io::kProgress) {
-    if (c.lingering) {
-      c.dropped += c.reader.buffer().size();
-      c.reader.buffer().clear();
-      if (c.dropped > kLingerBytes) drop(number);
-    } else if (!c.waiting.empty()) {
-      ++counters_.hangUps;
-      sink_.onHangUp(c.waiting);
-      c.waiting.clear();
-      refuse(number, 400);  // see onMessage
-    } else {
-      serve(number);
-    }
-    return;
-  }
-  if (!c.waiting.empty() &&
-      io == Io::kClosed) {  // only its sending may have ended: the answer still goes out
-    c.keepAlive = false;
-    loop_.setEvents(c.fd.get(), 0);
-    return;
+  if (io == Io::kFailed) return onReset(number);
+  if (io == Io::kClosed) return onHalfClose(number);
+  if (c.lingering) {
+    c.dropped += c.reader.buffer().size();
+    c.reader.buffer().clear();
+    if (c.dropped > kLingerBytes) drop(number);
+  } else if (!c.waiting.empty()) {
+    onInputWhileAsked(number);
+  } else {
+    serve(number);
   }
+}
+
+// Its request waits for its answer. One more behind it is not read any further until then.
+void Inbound::onInputWhileAsked(Number number) {
+  Connection& c = connections_.at(number);
+  const Behind more = behind(c.reader.buffer());
+  if (more == Behind::kRequest) return loop_.setEvents(c.fd.get(), 0);
+  if (more != Behind::kRest) return;
+  ++counters_.hangUps;
+  sink_.onHangUp(c.waiting);
+  c.waiting.clear();
+  refuse(number, 400);  // see onMessage
+}
+
+void Inbound::onHalfClose(Number number) {
+  Connection& c = connections_.at(number);
+  if (c.lingering) return drop(number);
+  c.halfClosed = true;
+  // Only its sending may have ended: what it has asked is still answered.
+  if (!c.waiting.empty()) return loop_.setEvents(c.fd.get(), 0);
+  if (!c.out.empty()) return loop_.setEvents(c.fd.get(), POLLOUT);
+  if (c.stage() == Stage::kBegun) return refuse(number, 400);  // half a request, and no more will come
+  drop(number);
+}
+
+void Inbound::onReset(Number number) {
+  const Connection& c = connections_.at(number);
   if (!c.waiting.empty()) {
     ++counters_.hangUps;
     sink_.onHangUp(c.waiting);
+  } else if (c.stage() == Stage::kBegun) {
+    ++counters_.malformed;
   }
-  if (io == Io::kClosed && !c.out.empty()) return loop_.setEvents(c.fd.get(), POLLOUT);
   drop(number);
 }
 
@@ -75,78 +93,110 @@
     const auto at = connections_.find(number);
     if (at == connections_.end()) return;
     Connection& c = at->second;
-    if (c.stage() == Stage::kAnswering && c.reader.buffer().size() > kBodyLimit)
-      return loop_.setEvents(c.fd.get(), POLLOUT);
     if (!c.waiting.empty() || !c.out.empty() || c.lingering) return;
+    if (c.unsure) {
+      if (behind(c.reader.buffer()) == Behind::kUnsure) return loop_.setEvents(c.fd.get(), POLLIN);
+      return onMessage(number, *std::exchange(c.unsure, std::nullopt));
+    }
     const auto state = c.reader.advance();
     if (state == HttpReader::State::kMore) {
+      loop_.setEvents(c.fd.get(), POLLIN);
       if (!c.reader.expectsContinue()) return;
       c.reader.continued();
       c.out = "HTTP/1.1 100 Continue\r\n\r\n";
       return flush(number);
     }
     if (state == HttpReader::State::kBad) return refuse(number, c.reader.errorStatus());
+    c.unsureMs = loop_.nowMs();
     onMessage(number, c.reader.take());
+    if (!connections_.count(number) || !c.unsure) return;
   }
 }
 
 void Inbound::onMessage(Number number, HttpMessage message) {
   Connection& c = connections_.at(number);
-  c.keepAlive = message.keepAlive && !retiring_;
+  c.keepAlive = message.keepAlive;
   const std::string_view part = firstPart(message.target);
   if (path(message.target) == "/up") {
-    if (message.method != "GET") return reply(number, 405, {{"Allow", "GET"}});
-    return reply(number, ready_ ? 200 : 503);
+    if (message.method == "GET") return reply(number, ready_ ? 200 : 503);
+    ++counters_.malformed;
+    return reply(number, 405, {{"Allow", "GET"}});
   }
   const bool known = positionOf(names_.classes, part).has_value();
-  if (message.method != "POST") return known ? reply(number, 405, {{"Allow", "POST"}}) : reply(number, 404);
-  if (part.empty()) return reply(number, 404);
+  if (message.method != "POST" || part.empty()) {
+    ++counters_.malformed;
+    if (known) return reply(number, 405, {{"Allow", "POST"}});
+    return reply(number, 404);
+  }
   auto request = readRequest(message, names_);
   if (!request) {
     ++counters_.malformed;
     return reply(number, 400);
   }
-  // Clients send one request at a time. Bytes behind one say that its length was wrong, so that its body is
-  // not what was meant, or that nobody waits for the answers: it is not taken on. What comes a little later,
-  // but before the answer, says the same.
-  if (!c.reader.buffer().empty()) return refuse(number, 400);
+  // A client may send the next request ahead. Any other bytes behind one say that its length was wrong, so
+  // that its body is not what was meant: it is not taken on. What comes a little later, but before the
+  // answer, says the same; where it cannot be told yet, more is waited for.
+  switch (behind(c.reader.buffer())) {
+    case Behind::kRest:
+      return refuse(number, 400);
+    case Behind::kUnsure:
+      c.unsure = std::move(message);
+      return;
+    case Behind::kNothing:
+    case Behind::kRequest:
+      break;
+  }
+  request->leftMs = std::max(0.0, request->leftMs - (loop_.nowMs() - c.unsureMs));
+  offer(number, std::move(*request));
+}
+
+void Inbound::offer(Number number, IncomingRequest request) {
+  Connection& c = connections_.at(number);
   ++counters_.requests;
-  c.waiting = request->id;
-  sink_.onRequest(std::move(*request), [this, number](const Answer& answer) {
-    const auto at = connections_.find(number);
-    if (at == connections_.end()) return;
-    at->second.waiting.clear();
-    switch (answer.kind) {
-      case Answer::Kind::kTaken:
-        return reply(number, 202);
-      case Answer::Kind::kFailed:
-        return reply(number, 500);
-      case Answer::Kind::kUnusable:
-        ++counters_.malformed;
-        return reply(number, 400);
-      case Answer::Kind::kFailFast:
-      case Answer::Kind::kOverQuota:
-        break;
-    }
-    const int status = answer.kind == Answer::Kind::kOverQuota ? 429 : 503;
-    if (answer.retryAfterMs <= 0) return reply(number, status);
-    char seconds[32];
-    std::snprintf(seconds, sizeof seconds, "%.3f", answer.retryAfterMs / 1000);
-    reply(number, status, {{"Retry-After", seconds}});
-  });
+  c.waiting = request.id;
+  // One request is held of a client, and what was read with it, no more.
+  loop_.setEvents(c.fd.get(), c.halfClosed || !c.reader.buffer().empty() ? 0 : POLLIN);
+  sink_.onRequest(std::move(request), [this, number](const Answer& answer) { onAnswer(number, answer); });
+}
+
+void Inbound::onAnswer(Number number, const Answer& answer) {
+  const auto at = connections_.find(number);
+  if (at == connections_.end()) return;
+  at->second.waiting.clear();
+  switch (answer.kind) {
+    case Answer::Kind::kTaken:
+      return reply(number, 202);
+    case Answer::Kind::kFailed:
+      return reply(number, 500);
+    case Answer::Kind::kUnusable:
+      ++counters_.malformed;
+      return reply(number, 400);
+    case Answer::Kind::kFailFast:
+    case Answer::Kind::kOverQuota:
+      break;
+  }
+  const int status = answer.kind == Answer::Kind::kOverQuota ? 429 : 503;
+  if (answer.retryAfterMs <= 0) return reply(number, status);
+  char seconds[32];
+  std::snprintf(seconds, sizeof seconds, "%.3f", answer.retryAfterMs / 1000);
+  reply(number, status, {{"Retry-After", seconds}});
 }
 
 // What cannot be used, and nothing more of its connection: where the next message would begin is not to be
 // trusted.
 void Inbound::refuse(Number number, int status, const Headers& headers) {
   if (status < 500) ++counters_.malformed;
-  connections_.at(number).keepAlive = false;
+  Connection& c = connections_.at(number);
+  c.keepAlive = false;
+  c.unsure.reset();
   reply(number, status, headers);
 }
 
 void Inbound::reply(Number number, int status, const Headers& headers, std::string_view body) {
   Connection& c = connections_.at(number);
-  if (retiring_) c.keepAlive = false;
+  // The last answer is that to the last request that was read whole: its client cannot know that it was.
+  const bool last = retiring_ || c.halfClosed;
+  if (last && c.keepAlive) c.keepAlive = c.reader.advance() == HttpReader::State::kDone;
   c.out = writeAnswer(status, headers, body, c.keepAlive);
   flush(number);
 }
@@ -161,18 +211,27 @@
   held_ -= std::exchange(c.held, 0);  // weighed anew with what comes next
   c.answered = true;
   c.sinceMs = loop_.nowMs();
+  if (!c.keepAlive) return endSending(number);
+  if (!c.reader.midMessage()) return loop_.setEvents(c.fd.get(), POLLIN);
+  // Sent ahead: served from the loop, one in a turn, and nothing more is read before.
+  loop_.setEvents(c.fd.get(), 0);
+  loop_.after(0, [this, number] {
+    serve(number);
+    if (connections_.count(number)) weigh(number);
+  });
+}
+
+// Closing while the client still sends, or in the instant in which it sends, would reset the connection and
+// an answer just written with it: the sending side ends, and what still comes is read and dropped for a
+// moment.
+void Inbound::endSending(Number number) {
+  Connection& c = connections_.at(number);
+  c.lingering = true;
+  c.unsure.reset();
+  c.reader = HttpReader(HttpReader::Side::kRequest);
+  c.sinceMs = loop_.nowMs();
+  ::shutdown(c.fd.get(), SHUT_WR);
   loop_.setEvents(c.fd.get(), POLLIN);
-  if (!c.keepAlive) {
-    // Closing while the client still sends would reset the connection, and the answer with it: the sending
-    // side ends, and what still comes is read and dropped for a moment.
-    c.lingering = true;
-    c.reader = HttpReader(HttpReader::Side::kRequest);
-    ::shutdown(c.fd.get(), SHUT_WR);
-    return;
-  }
-  if (!c.reader.buffer().empty()) {  // sent ahead: served from the loop, so that answers do not nest
-    loop_.after(0, [this, number] { serve(number); });
-  }
 }
 
 }  // namespace myrtleloft
--- a/src/inbound/read_request.cpp
+++ b/src/inbound/read_request.cpp
@@ -1,10 +1,10 @@
+#include "inbound/read_request.h"
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <utility>
 
-#include "inbound/read_request.h"
-
 namespace myrtleloft {
 namespace {
 
@@ -43,6 +43,28 @@
 
 std::string_view path(std::string_view target) { return target.substr(0, target.find('?')); }
 
+// "POST /notice HTTP/1.1" and CR LF. Stricter than the reader, which takes any token for a method: what
+// stands here may be the rest of somebody's body.
+Behind behind(std::string_view bytes) {
+  constexpr std::size_t kLongestMethod = 7;  // OPTIONS, CONNECT
+  if (bytes.empty()) return Behind::kNothing;
+  const std::size_t space = bytes.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZ");
+  if (std::min(space, bytes.size()) > kLongestMethod) return Behind::kRest;
+  if (space == std::string_view::npos) return Behind::kUnsure;
+  if (space == 0 || bytes[space] != ' ') return Behind::kRest;
+  const std::string_view target = bytes.substr(space + 1);
+  if (target.empty()) return Behind::kUnsure;
+  const auto end = std::find_if(target.begin(), target.end(), [](char c) { return c <= 0x20 || c == 0x7f; });
+  if (target.front() != '/') return Behind::kRest;
+  if (end == target.end()) return target.size() < kHeadLimit ? Behind::kUnsure : Behind::kRest;
+  const std::string_view version = target.substr(static_cast<std::size_t>(end - target.begin()));
+  for (const std::string_view whole : {" HTTP/1.1\r\n", " HTTP/1.0\r\n"}) {
+    if (version.starts_with(whole)) return Behind::kRequest;
+    if (whole.starts_with(version)) return Behind::kUnsure;
+  }
+  return Behind::kRest;
+}
+
 // "/notice" or "/notice/more": its first part.
 std::string_view firstPart(std::string_view target) {
   std::string_view rest = path(target);
--- a/src/inbound/read_request.h
+++ b/src/inbound/read_request.h
@@ -19,6 +19,15 @@
 // A request as HTTP carries it; nothing where it is unusable.
 std::optional<IncomingRequest> readRequest(const HttpMessage& message, const InboundNames& names);
 
+// What stands behind a whole request among the bytes of its connection.
+enum class Behind {
+  kNothing,
+  kRequest,  // a line that begins one more request
+  kUnsure,   // so far it may become such a line
+  kRest,     // anything else: the request's length was wrong
+};
+Behind behind(std::string_view bytes);
+
 // Of a message's target: what is before the query; the first part of that, without its slash, empty where it
 // does not begin with one.
 std::string_view path(std::string_view target);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -3,6 +3,11 @@
 #include <utility>
 
 namespace myrtleloft {
+namespace {
+
+constexpr int kReadsInTurn = 16;  // of 16 KiB: an answer without end must not keep the loop from the others
+
+}  // namespace
 
 ClientConnection::ClientConnection(Loop& loop, const Address& address, const AnswerLimits& limits)
     : loop_(loop),
@@ -15,6 +20,7 @@
 void ClientConnection::send(std::string bytes, Done done) {
   out_ = std::move(bytes);
   written_ = 0;
+  writeFailed_ = false;
   done_ = std::move(done);
   loop_.setEvents(fd_.get(), POLLIN | POLLOUT);
 }
@@ -51,13 +57,17 @@
 
 void ClientConnection::write() {
   const Io io = writeSome(fd_, out_, written_);
-  if (io == Io::kFailed) return finish(End::kNotSent);
+  // An endpoint may have answered what it had of the call, and gone, in the instant of this write: a wait
+  // that it told must be known. What stands there before a call's first byte is no answer to it.
+  writeFailed_ = io == Io::kFailed;
+  if (writeFailed_) return begun() ? read() : finish(End::kNotSent);
   if (io == Io::kProgress) loop_.setEvents(fd_.get(), POLLIN);
 }
 
 void ClientConnection::read() {
-  for (;;) {
+  for (int i = 0; i < kReadsInTurn; ++i) {
     const Io io = readSome(fd_, reader_.buffer());
+    if (io == Io::kWouldBlock && writeFailed_) return finish(End::kNotSent);
     if (io == Io::kWouldBlock) {
       if (!lastByteWritten()) write();
       return;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -62,7 +62,7 @@
   Loop::Timer restTimer_ = Loop::kNoTimer;
   std::string out_;
   std::size_t written_ = 0;
-  bool connected_ = false;
+  bool connected_ = false, writeFailed_ = false;
   Done done_;
 };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -64,6 +64,14 @@
 }
 
 HttpReader::State HttpReader::advance() {
+  const State state = read();
+  buffer_.erase(0, used_);
+  scanned_ -= std::min(scanned_, used_);
+  used_ = 0;
+  return state;
+}
+
+HttpReader::State HttpReader::read() {
   if (step_ == Step::kBad) return State::kBad;
   if (step_ == Step::kHead && !readHead()) return step_ == Step::kBad ? State::kBad : State::kMore;
   return readBody();
@@ -89,18 +97,18 @@
 // One line ended by CR LF. A bare LF is refused: peers that disagree on where a line ends can be made to
 // disagree on where a message ends.
 bool HttpReader::takeLine(std::string& line) {
-  const std::size_t end = buffer_.find('\n', scanned_);
-  const std::size_t size = end == std::string::npos ? buffer_.size() : end + 1;
-  if (headBytes_ + size > kHeadLimit) return fail(431), false;
+  const std::size_t end = buffer_.find('\n', std::max(scanned_, used_));
+  const std::size_t size = (end == std::string::npos ? buffer_.size() : end + 1) - used_;
+  const bool first = step_ == Step::kHead && !firstLineRead_;
+  if (headBytes_ + size > kHeadLimit) return fail(first ? 414 : 431), false;
   if (end == std::string::npos) {
     scanned_ = buffer_.size();
     return false;
   }
-  if (end == 0 || buffer_[end - 1] != '\r') return fail(400), false;
-  line.assign(buffer_, 0, end - 1);
-  buffer_.erase(0, size);
+  if (end == used_ || buffer_[end - 1] != '\r') return fail(400), false;
+  line.assign(buffer_, used_, end - 1 - used_);
+  used_ += size;
   headBytes_ += size;
-  scanned_ = 0;
   return true;
 }
 
@@ -195,9 +203,10 @@
     switch (step_) {
       case Step::kLength:
       case Step::kChunk: {
-        const std::size_t part = static_cast<std::size_t>(std::min<std::uint64_t>(left_, buffer_.size()));
-        message_.body.append(buffer_, 0, part);
-        buffer_.erase(0, part);
+        const std::size_t part =
+            static_cast<std::size_t>(std::min<std::uint64_t>(left_, buffer_.size() - used_));
+        message_.body.append(buffer_, used_, part);
+        used_ += part;
         left_ -= part;
         if (left_ > 0) return State::kMore;
         step_ = step_ == Step::kLength ? Step::kDone : Step::kChunkEnd;
@@ -223,9 +232,9 @@
         if (line.empty()) step_ = Step::kDone;
         break;
       case Step::kUntilClose:
-        if (message_.body.size() + buffer_.size() > bodyLimit_) return fail(413);
-        message_.body += buffer_;
-        buffer_.clear();
+        if (message_.body.size() + buffer_.size() - used_ > bodyLimit_) return fail(413);
+        message_.body.append(buffer_, used_);
+        used_ = buffer_.size();
         return State::kMore;
       case Step::kDone:
         return State::kDone;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -37,7 +37,7 @@
   State finish();
   HttpMessage take();
 
-  int errorStatus() const { return errorStatus_; }  // after kBad: 400, 413 or 431
+  int errorStatus() const { return errorStatus_; }  // after kBad: 400, 413, 414 or 431
   // Memory that it holds, in bytes.
   std::size_t held() const { return buffer_.capacity() + headBytes_ + message_.body.capacity(); }
   bool midMessage() const { return !buffer_.empty() || firstLineRead_ || step_ != Step::kHead; }
@@ -49,6 +49,7 @@
  private:
   enum class Step { kHead, kLength, kChunkSize, kChunk, kChunkEnd, kTrailer, kUntilClose, kDone, kBad };
 
+  State read();
   State fail(int status);
   bool readHead();  // false: more needed, or failed
   bool firstLine(std::string_view line);
@@ -60,7 +61,10 @@
   Side side_;
   std::size_t bodyLimit_;
   std::string buffer_;
-  std::size_t scanned_ = 0, headBytes_ = 0;
+  // Of the buffer: how much is used up, and how far no line's end was found. What is used up goes at the end
+  // of advance(), all at once: taken off line by line, 16 KiB of small chunks cost 8,000 moves of the rest.
+  std::size_t used_ = 0, scanned_ = 0;
+  std::size_t headBytes_ = 0;
   std::uint64_t left_ = 0;
   Step step_ = Step::kHead;
   HttpMessage message_;
--- a/src/net/http_writing.cpp
+++ b/src/net/http_writing.cpp
@@ -19,6 +19,8 @@
       return "Request Timeout";
     case 413:
       return "Content Too Large";
+    case 414:
+      return "URI Too Long";
     case 429:
       return "Too Many Requests";
     case 431:
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -102,6 +102,15 @@
   }
 }
 
+void discardInput(const Fd& fd, std::size_t most) {
+  std::array<char, 16384> chunk;
+  for (std::size_t done = 0; done <= most;) {
+    const ssize_t got = ::recv(fd.get(), chunk.data(), chunk.size(), 0);
+    if (got == 0 || (got < 0 && errno != EINTR)) return;
+    if (got > 0) done += static_cast<std::size_t>(got);
+  }
+}
+
 Io writeSome(const Fd& fd, std::string_view bytes, std::size_t& offset) {
   while (offset < bytes.size()) {
     // No SIGPIPE: a peer that has gone must not end the program.
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -59,6 +59,8 @@
 bool descriptorFree();
 int pendingError(const Fd& fd);
 Io readSome(const Fd& fd, std::string& into);
+// Reads and forgets what is there, `most` bytes and one read of 16 KiB at the most. Allocates nothing.
+void discardInput(const Fd& fd, std::size_t most);
 // Writes from `bytes` at `offset`, and moves `offset`.
 Io writeSome(const Fd& fd, std::string_view bytes, std::size_t& offset);
 // Whether anything waits to be read: bytes, or the peer's close.
--- a/src/relay/impl.cpp
+++ b/src/relay/impl.cpp
@@ -164,7 +164,9 @@
 
 void Relay::Impl::look() {
   const double passed = loop_.nowMs() - drainingMs_;
-  const bool quiet = passed >= kQuiesceMs && outbound_.callsOut() == 0 && notices_.empty();
+  // An answer that was written in this very turn is still on its way to a client that may be sending.
+  const bool quiet =
+      passed >= kQuiesceMs && outbound_.callsOut() == 0 && notices_.empty() && !inbound_.answers();
   const bool done = exchange_.settled() && inbound_.connections() == 0;
   if (done || quiet || passed >= kStopMs) return enter(Phase::kStopped);
   loop_.after(kLookMs, [this] { look(); });
--- /dev/null
+++ b/tests/client_connection_test.cpp
@@ -0,0 +1,104 @@
+// A connection that the relay opened, against a peer in the test that does its worst in one turn of the loop.
+#include "net/client_connection.h"
+
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "net/clock.h"
+
+using namespace myrtleloft;
+
+namespace {
+
+struct Peer {
+  Peer() {
+    std::string error;
+    listener = listenOn(parseAddress("127.0.0.1:0").value(), error);
+    address = parseAddress(localAddress(listener)).value();
+  }
+  void accept() { fd = Fd(::accept4(listener.get(), nullptr, nullptr, SOCK_CLOEXEC)); }
+  void readAll() const {
+    std::string chunk(1 << 16, ' ');
+    while (::recv(fd.get(), chunk.data(), chunk.size(), MSG_DONTWAIT) > 0) {
+    }
+  }
+  bool send(const std::string& bytes) const {
+    return ::send(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+  }
+  void reset() {
+    const linger now{1, 0};
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    fd.reset();
+  }
+  Fd listener, fd;
+  Address address;
+};
+
+void turn(Loop& loop) {
+  loop.after(0, [] {});  // no waiting: what is there is all that comes
+  loop.runOnce();
+}
+
+}  // namespace
+
+// Forced: the answer and the reset come after poll(2) has said that the connection is writable, and before
+// the write: another handler of the same turn sends them.
+TEST_CASE("an answer is read though the call's next write finds the connection reset") {
+  Clock clock;
+  Loop loop(clock);
+  int ends[2];
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends) == 0);
+  const Fd first(ends[0]), trigger(ends[1]);  // the lowest numbers are handled first
+  for (const bool begun : {true, false}) {
+    Peer peer;
+    ClientConnection connection(loop, peer.address);
+    peer.accept();
+    while (!connection.connected()) turn(loop);
+    std::optional<ClientConnection::Result> result;
+    connection.send(std::string(begun ? 64 << 20 : 100, 'x'),
+                    [&](ClientConnection::Result r) { result = r; });
+    while (begun && !connection.begun()) turn(loop);
+    peer.readAll();  // there is room for more
+    loop.watch(first.get(), POLLIN, [&](short) {
+      loop.forget(first.get());
+      peer.send("HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n");
+      peer.reset();
+    });
+    REQUIRE(::send(trigger.get(), "x", 1, 0) == 1);
+    turn(loop);
+    REQUIRE(result);
+    // Before its first byte nothing can have answered a call.
+    CHECK(result->end == (begun ? ClientConnection::End::kAnswered : ClientConnection::End::kNotSent));
+    CHECK(result->answer.status == (begun ? 503 : 0));
+    char byte = 0;
+    REQUIRE(::recv(first.get(), &byte, 1, 0) == 1);
+  }
+}
+
+// Forced: a thread fills the connection as fast as it is read. (Each chunk brings one byte of body and 10 KiB
+// of framing, so that the limit on bodies allows 640 MiB.)
+TEST_CASE("an answer without end does not keep the loop from the others") {
+  Clock clock;
+  Loop loop(clock);
+  Peer peer;
+  ClientConnection connection(loop, peer.address);
+  peer.accept();
+  while (!connection.connected()) turn(loop);
+  std::optional<ClientConnection::Result> result;
+  connection.send("GET / HTTP/1.1\r\n\r\n", [&](ClientConnection::Result r) { result = r; });
+  std::thread writer([&] {
+    const std::string chunk = "1;" + std::string(10240, 'e') + "\r\na\r\n";
+    if (!peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")) return;
+    while (peer.send(chunk)) {
+    }
+  });
+  int turns = 0;
+  for (; !result; ++turns) loop.runOnce();
+  CHECK(turns > 20);  // each of 256 KiB at the most
+  CHECK(result->end == ClientConnection::End::kSpoilt);
+  writer.join();
+}
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 
 #include "exchange/recovered.h"
+#include "inbound/read_request.h"
 #include "json/json.h"
 #include "net/http.h"
 #include "outbound/answers.h"
@@ -46,6 +47,28 @@
   }
 }
 
+TEST_CASE("what stands behind a request is told from the rest of a body") {
+  CHECK(behind("") == Behind::kNothing);
+  const std::string line = "POST /status-update HTTP/1.1\r\n";
+  for (std::size_t size = 1; size < line.size(); ++size)
+    CHECK(behind(line.substr(0, size)) == Behind::kUnsure);
+  CHECK(behind(line + "X-Requ") == Behind::kRequest);
+  CHECK(behind("GET /up HTTP/1.0\r\n") == Behind::kRequest);
+  for (const char* rest : {"lo", "\r\n", "lo world", "POST\r\n", " POST /", "POST status", "POST /a\x01",
+                           "POST /a b", "POST /a HTTP/1.1\n", "POST /a HTTP/2", "ABCDEFGH", "POST  /"})
+    CHECK(behind(rest) == Behind::kRest);
+  CHECK(behind("POST /" + std::string(kHeadLimit, 'a')) == Behind::kRest);
+}
+
+TEST_CASE("a head that is too long is named by the line that made it so") {
+  for (const bool first : {true, false}) {
+    HttpReader reader(HttpReader::Side::kRequest);
+    reader.buffer() = (first ? "GET /" : "GET / HTTP/1.1\r\nX: ") + std::string(kHeadLimit, 'a');
+    CHECK(reader.advance() == HttpReader::State::kBad);
+    CHECK_EQ(reader.errorStatus(), first ? 414 : 431);
+  }
+}
+
 TEST_CASE("an answer without a length runs until its connection ends") {
   HttpReader reader(HttpReader::Side::kAnswer);
   reader.buffer() = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nab";
