--- a/tests/crowded_clients_test.cpp
+++ b/tests/crowded_clients_test.cpp
@@ -147,11 +147,13 @@
   CHECK(code == 0);
 }
 
-// Forced: a request is read at a time at which draining may end, and its client sends on in the instant in
-// which the relay has shut its side behind the answer.
+// Forced: a request is read at a time at which draining may end, so that its answer is the last thing that
+// the process does, and its client sends on in the instant in which the relay has shut its side behind it.
 TEST_CASE("an answer written as draining ends is not reset by the end of the process") {
   GatedSite site(MYRTLELOFT_GATED);
   REQUIRE(site.start());
+  // The batch of the first list is over: none is due that would take the request on before the end begins.
+  REQUIRE(site.until([&] { return site.counts("batches=2 "); }));
   RawClient client(site.relay->address());
   site.relay->signal(SIGTERM);
   REQUIRE(site.until([&] { return site.logHas(": draining"); }));
@@ -169,7 +171,7 @@
   REQUIRE(site.until([&] { return site.relay->ended(code); }));
   CHECK(code == 0);
   REQUIRE(site.until([&] { return client.take(); }));
-  CHECK(client.has("HTTP/1.1 "));
-  CHECK(client.has("\r\n\r\n"));
+  CHECK(client.has("HTTP/1.1 503 "));
+  CHECK(client.has("Retry-After: "));
   CHECK(client.ended());
 }
