Do not let one answer of an earlier rev bring back what drains since

Seen in the code: a whole list of an earlier rev from the same directory was taken at once (kTakeBack), also where it only lags behind, on a watch opened before the last change: what drains is active again until the next answer, and may be called after the grace. A change of an earlier rev was refused already.

Change: Membership::told doubts the first answer of an earlier rev while the list is fresh and told by this process, and asks for the whole list; the second is the truth, as before. One refused as a gap counts as the first.

--- a/src/discovery/membership.cpp
+++ b/src/discovery/membership.cpp
@@ -72,13 +72,17 @@
 std::optional<ListEvent> Membership::told(const DestinationList& list, std::size_t directory) {
   const Answered answer{list.rev, list.all, spoken_ && directory != directory_};
   const Belief belief = believe(answer, set_.empty() ? std::nullopt : std::optional(set_.rev()), trust());
+  // One answer that lags behind would bring back what drains since; who was set back says so twice.
+  const bool lags = belief == Belief::kTakeBack && spoken_ && trust() == Trust::kFresh && !lagged_;
+  lagged_ = lagged_ || lags || belief == Belief::kGap;
   tellBelief(belief, list.rev, directory);
-  wantsWhole_ = belief == Belief::kGap || belief == Belief::kOther;
+  wantsWhole_ = lags || belief == Belief::kGap || belief == Belief::kOther;
   doubted_ = wantsWhole_ || belief == Belief::kContradicted;
   if (doubted_) {
     ++parts_.counters.listsDoubted;
     return std::nullopt;
   }
+  lagged_ = false;
   const bool keep = list.all && guard_.on() && keepsMissing(list);
   directory_ = directory;
   spoken_ = true;
--- a/src/discovery/membership.h
+++ b/src/discovery/membership.h
@@ -96,6 +96,7 @@
   bool spoken_ = false;        // discovery has answered this process
   std::size_t directory_ = 0;  // that was believed last
   bool wantsWhole_ = false, doubted_ = false;
+  bool lagged_ = false;  // an answer of an earlier rev was not believed, and nothing else was since
   Trust toldTrust_ = Trust::kFresh;
 };
 
