--- /dev/null
+++ b/tests/told_paths_test.cpp
@@ -0,0 +1,148 @@
+// The paths by which the watch loses a call, one by one: the address moves, the connection never comes up,
+// one of several directories alone is there, no descriptor is free, the operator sets the pause. Real sockets
+// on loopback, a clock moved by hand.
+#include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "net/socket.h"
+#include "tests/list_asker.h"
+
+using namespace myrtleloft;
+
+namespace {
+
+constexpr double kCallMs = 1000;  // what a call that meets no fault may need
+
+// Listens, and takes nothing on: its one place is taken, so that the next SYN gets no answer.
+struct NoRoom {
+  NoRoom() : listener(::socket(AF_INET, SOCK_STREAM, 0)), first(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    REQUIRE(::bind(listener, reinterpret_cast<sockaddr*>(&at), size) == 0);
+    REQUIRE(::listen(listener, 0) == 0);
+    REQUIRE(::getsockname(listener, reinterpret_cast<sockaddr*>(&at), &size) == 0);
+    REQUIRE(::connect(first, reinterpret_cast<sockaddr*>(&at), size) == 0);
+    address = *parseAddress("127.0.0.1:" + std::to_string(ntohs(at.sin_port)));
+  }
+  ~NoRoom() {
+    ::close(first);
+    ::close(listener);
+  }
+  int listener, first;
+  Address address;
+};
+
+}  // namespace
+
+TEST_CASE("a fleet whose address moves asks over the seconds that it has, and hears the old one until then") {
+  constexpr int kRelays = 300;
+  std::vector<double> calls;
+  for (std::uint64_t seed = 1; seed <= kRelays; ++seed) {
+    Asker relay({kRelays, 500}, seed, true);
+    relay.untilAsked(1);
+    relay.watch->fetch();
+    relay.pass(4000 + 500 - kCallMs / 2);
+    REQUIRE(relay.asked >= 2);
+    CHECK(relay.calls[1] == "GET /discovery/hosts HTTP/1.1");
+    calls.push_back(relay.askedMs[1]);
+  }
+  std::sort(calls.begin(), calls.end());
+  std::ptrdiff_t most = 0;
+  for (auto at = calls.begin(); at != calls.end(); ++at)
+    most = std::max(most, std::lower_bound(at, calls.end(), *at + 1000) - at);
+  CHECK(most <= kRelays / 2);
+
+  Asker relay({kRelays, 500}, 3, true);
+  relay.untilAsked(1);
+  relay.watch->fetch();
+  relay.turn(20);
+  REQUIRE(relay.asked == 1);
+  relay.list = drains(2);
+  relay.hub.send(*relay.waiting.begin(), relay.answer());
+  relay.turn(20);
+  CHECK(relay.knows());
+  relay.pass(5000);
+  CHECK(relay.calls[1] == "GET /discovery/hosts HTTP/1.1");
+}
+
+TEST_CASE("a watch whose connection never comes up is no call that waits") {
+  const NoRoom noRoom;
+  Asker relay({1, 500}, 1, true);
+  relay.untilAsked(1);
+  const Address there = relay.address;
+  relay.address = noRoom.address;
+  relay.hub.close(*relay.connections.begin(), true);
+  relay.pass(100);  // its next call is on its way to where nobody takes it on
+  relay.address = there;
+  relay.hub.acceptAgain(relay.directory);
+  REQUIRE(relay.asked == 1);
+  const double toldMs = relay.clock.nowMs + kSilentToldMs;
+  relay.tells();
+  CHECK(relay.learns(toldMs) <= toldMs + 500 - kCallMs);
+}
+
+TEST_CASE("where one of several directories alone is there, it has its turn in time") {
+  for (std::size_t dead = 1; dead <= 3; ++dead)
+    for (const int relays : {1, 30, 300})
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        CAPTURE(dead);
+        CAPTURE(relays);
+        CAPTURE(seed);
+        lab::Hub others;
+        DiscoveryWatch::Options options;
+        options.backOff = backOffOf(relays, 100, 500, 1 + dead);
+        options.seed = seed;
+        for (std::size_t i = 0; i < dead; ++i)
+          options.others.push_back(
+              *parseAddress(others.listen({[](lab::Hub::Id, const lab::Message&) {}, {}, {}})));
+        const DestinationList known = oneEndpoint();
+        WatchSite site(options, &known);  // not trusted: it asks at once
+        site.mute = true;
+        site.pass(3000 + 700 * static_cast<double>(seed));
+        site.mute = false;
+        site.list = drains(2);
+        const double fromMs = site.clock.nowMs;
+        const auto knows = [&] {
+          return site.membership.set().findUid("u1")->entry.state == RouteState::kStopping;
+        };
+        while (!knows() && site.clock.nowMs < fromMs + 20000) site.pass(50);
+        CHECK(site.clock.nowMs <= fromMs + kSilentToldMs + 500 - kCallMs);
+      }
+}
+
+TEST_CASE("with no descriptor free the call is made as soon as one is") {
+  Asker relay({300, 500}, 1, true);
+  relay.untilAsked(1);
+  rlimit before{};
+  REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+  relay.hub.close(*relay.connections.begin(), true);
+  const rlimit none{0, before.rlim_max};
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &none) == 0);
+  relay.pass(8000);
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &before) == 0);
+  REQUIRE(relay.asked == 1);
+  relay.tells();
+  const double fromMs = relay.clock.nowMs;
+  CHECK(relay.learns(fromMs) <= fromMs + 500);
+}
+
+TEST_CASE("an operator's pause stays as set") {
+  BackOff backOff = backOffOf(300, 100, 500);
+  backOff.mostMs = 20000;
+  backOff.firstMs = 0;
+  backOff.within = false;
+  Directories turn(1, backOff, [] { return 0.999; });
+  double longest = 0;
+  for (int i = 0; i < 12; ++i) longest = std::max(longest, turn.failed(1000));
+  CHECK(longest > 19000);
+  CHECK(longest <= 20000);
+}
