Name line and column of each fault in the configuration, and tell settings that wait

Seen: `myrtleloft: settings.limits.maxOpen: not a whole number: 'many'` and nothing of where (config.cpp, refuse); `azs`, `tenants`, `limits` or `known` of a wrong type were passed over as if not there; a word other than the three of `repeat` or `group` was taken for `once` or `all` (wire.cpp, readSettings); a limit of 1e300 was cast to int; and a SIGHUP whose settings were others than the running ones said nothing.

The place of the key is looked up in the text once there is a fault (json/place.h); reading costs nothing more. On SIGHUP discovery moves whenever the file is valid; the first key of name, listen, limits or settings that is not as at the start is logged with line and column (config.waits): the running settings stay as a whole until a restart. `known`, `seed` and `discovery` tell of the moment and are no difference.

--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -99,14 +99,51 @@
   std::string& error_;
 };
 
+// The text, and how far the parser has come in it.
+class Counted {
+ public:
+  using iterator_category = std::input_iterator_tag;
+  using value_type = char;
+  using difference_type = std::ptrdiff_t;
+  using pointer = const char*;
+  using reference = const char&;
+
+  Counted(const char*& read, const char* at) : read_(&read), at_(at) {}
+  reference operator*() const { return *at_; }
+  Counted& operator++() {
+    *read_ = ++at_;
+    return *this;
+  }
+  Counted operator++(int) {
+    const Counted before = *this;
+    ++*this;
+    return before;
+  }
+  bool operator==(const Counted& other) const { return at_ == other.at_; }
+  bool operator!=(const Counted& other) const { return at_ != other.at_; }
+
+ private:
+  const char** read_;
+  const char* at_;
+};
+
 }  // namespace
 
-const Value* Value::find(std::string_view name, Type wanted) const {
+const Value* Value::find(std::string_view name) const {
   for (const auto& [key, value] : members)
-    if (key == name) return value.type == wanted ? &value : nullptr;
+    if (key == name) return &value;
   return nullptr;
 }
 
+const Value* Value::find(std::string_view name, Type wanted) const {
+  const Value* value = find(name);
+  return value && value->type == wanted ? value : nullptr;
+}
+
+std::optional<double> Value::asNumber() const {
+  return type == Type::kNumber ? converted<double>(this) : std::nullopt;
+}
+
 std::optional<std::string> Value::string(std::string_view name) const {
   const Value* value = find(name, Type::kString);
   return value ? std::optional(value->text) : std::nullopt;
@@ -130,6 +167,17 @@
   return root;
 }
 
+std::optional<Value> parse(std::string_view text, std::string& error, std::size_t& at) {
+  Value root;
+  Builder builder(root, error);
+  const char* read = text.data();
+  if (nlohmann::json::sax_parse(Counted(read, read), Counted(read, text.data() + text.size()), &builder))
+    return root;
+  at = static_cast<std::size_t>(read - text.data());
+  at -= std::min<std::size_t>(at, 1);
+  return std::nullopt;
+}
+
 std::string quote(std::string_view text) {
   return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/src/json/json.h
+++ b/src/json/json.h
@@ -18,16 +18,22 @@
   std::vector<Value> items;
   std::vector<std::pair<std::string, Value>> members;
 
-  // The member of that name, of that type; nullptr: none.
+  // The member of that name; nullptr: none.
+  const Value* find(std::string_view name) const;
+  // And of that type.
   const Value* find(std::string_view name, Type wanted) const;
   std::optional<std::string> string(std::string_view name) const;
   std::optional<double> number(std::string_view name) const;
   std::optional<std::int64_t> integer(std::string_view name) const;
   std::optional<bool> boolean(std::string_view name) const;
+  // What it is itself, where it is a number that a double can hold.
+  std::optional<double> asNumber() const;
 };
 
 // On failure nothing, and in `error` what is wrong and where.
 std::optional<Value> parse(std::string_view text, std::string& error);
+// And in `at` the byte at which the reading stopped: of a name that stands twice, the end of its object.
+std::optional<Value> parse(std::string_view text, std::string& error, std::size_t& at);
 // The text as a JSON string, quotes included; what is not UTF-8 becomes replacement characters.
 std::string quote(std::string_view text);
 
--- a/src/relay/impl.cpp
+++ b/src/relay/impl.cpp
@@ -212,6 +212,11 @@
   log_.write(LogLevel::kInfo, "config.reloaded",
              config_.name + ": configuration read again, discovery at " + config_.discovery.text,
              {{"discovery", config_.discovery.text}});
+  if (!live_.waits().empty())
+    log_.write(LogLevel::kWarning, "config.waits",
+               config_.name + ": " + live_.waits() +
+                   " is not as it was: needs a restart, the running settings stay as a whole",
+               {{"key", live_.waits()}});
   if (fleet_ && config_.operatorFile.fleet.peers != peersBefore)
     fleet_->setPeers(config_.operatorFile.fleet.peers);
   if (config_.discovery.text == before) return;
--- a/src/relay/options.cpp
+++ b/src/relay/options.cpp
@@ -48,6 +48,7 @@
   options.tuning.freeShare = config.operatorFile.journal.freePercent / 100.0;
   options.owner = "pid " + std::to_string(::getpid()) + ", relay " + config.name;
   options.salt = drawnSalt();
+  options.meanings = config.meanings;
   return options;
 }
 
--- /dev/null
+++ b/tests/config_faults_test.cpp
@@ -0,0 +1,134 @@
+// Faults in the JSON configuration: each is refused with key, line and column. And what serves one customer
+// only has no place in what the platform starts.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "config/config.h"
+#include "json/json.h"
+#include "json/place.h"
+
+using namespace myrtleloft;
+
+namespace {
+
+bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+const std::string kGood = R"({
+  "name": "n1",
+  "listen": "127.0.0.1:0", "discovery": "127.0.0.1:8500", "seed": "5a",
+  "limits": {"sockets": 256, "memory_mb": 64, "disk_mb": 1},
+  "known": {"rev": 4, "all": true, "targets": []},
+  "settings": {
+    "azs": ["norte", "sur"],
+    "machineTypes": ["large"],
+    "familyInfo": {"callSlots": 7},
+    "limits": {"maxOpen": 112},
+    "tenants": [{"name": "costa"}],
+    "classes": [
+      {"name": "status", "hardLimitMs": 16000.0, "repeat": "repeatable"},
+      {"name": "charge", "hardLimitMs": 28000.0, "repeat": "once", "group": "all"}
+    ]
+  }
+})";
+
+// The fault of kGood with one part replaced; "" where it is good all the same.
+std::string faultOf(const std::string& what, const std::string& with) {
+  std::string text = kGood;
+  const std::size_t at = text.find(what);
+  REQUIRE(at != std::string::npos);
+  text.replace(at, what.size(), with);
+  try {
+    readConfig({{"BALANCER_STATE", "/s"}}, text);
+    return "";
+  } catch (const ConfigError& fault) {
+    return fault.what();
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a syntax fault in the configuration names line and column") {
+  CHECK(has(faultOf("\"limits\": {\"maxOpen\"", "\"limits\" {\"maxOpen\""),
+            "BALANCER_CONFIG: parse error at line 10, column 14: syntax error"));
+  CHECK(has(faultOf("\"azs\"", "\"machineTypes\""),
+            "BALANCER_CONFIG: the name 'machineTypes' stands twice (line 16, column 3)"));
+  CHECK_EQ(faultOf(kGood, "[]"), "BALANCER_CONFIG: not an object (line 1, column 1)");
+  CHECK(has(faultOf(kGood, ""), "BALANCER_CONFIG: parse error at line 1, column 1"));
+}
+
+TEST_CASE("a wrong type or word, however deep, names key, line and column") {
+  CHECK_EQ(faultOf("112", "\"many\""),
+           "settings.limits.maxOpen: not a whole number: 'many' (line 10, column 27)");
+  CHECK_EQ(faultOf("28000.0", "\"long\""),
+           "settings.classes.1.hardLimitMs: not a number: 'long' (line 14, column 41)");
+  CHECK_EQ(faultOf("\"once\"", "\"never\""),
+           "settings.classes[1].repeat: expected repeatable, by_key or once (line 14, column 60)");
+  CHECK_EQ(faultOf("\"all\"}", "\"rack\"}"),
+           "settings.classes[1].group: expected all, zone or cell (line 14, column 77)");
+  CHECK_EQ(faultOf("\"charge\"", "\"status\""),
+           "settings.classes[1].name: stands twice (line 14, column 16)");
+  CHECK_EQ(faultOf("[\"norte\", \"sur\"]", "\"norte\""), "settings.azs: not a list (line 7, column 12)");
+  CHECK_EQ(faultOf("\"sur\"", "3"), "settings.azs: not a list of texts (line 7, column 12)");
+  CHECK_EQ(faultOf("[{\"name\": \"costa\"}]", "{}"), "settings.tenants: not a list (line 11, column 16)");
+  CHECK_EQ(faultOf("256", "\"256\""), "limits.sockets: not a number (line 4, column 25)");
+  CHECK_EQ(faultOf("256", "3"), "limits.sockets: below 64.000000 (line 4, column 25)");
+  CHECK(has(faultOf("256", "1e300"), "limits.sockets: above "));
+  CHECK_EQ(faultOf("{\"sockets\": 256, \"memory_mb\": 64, \"disk_mb\": 1}", "[]"),
+           "limits: not an object (line 4, column 13)");
+  CHECK_EQ(faultOf("127.0.0.1:8500", "nowhere"),
+           "discovery: not an address and port: 'nowhere' (line 3, column 41)");
+  CHECK_EQ(faultOf("\"5a\"", "\"z\""), "seed: not hex digits: 'z' (line 3, column 67)");
+  CHECK_EQ(faultOf("\"rev\": 4", "\"rev\": \"x\""), "known.rev: missing or malformed (line 5, column 20)");
+  CHECK_EQ(faultOf("{\"rev\": 4, \"all\": true, \"targets\": []}", "7"),
+           "known: not an object (line 5, column 12)");
+}
+
+TEST_CASE("a needed key that is missing names the place of what lacks it") {
+  CHECK_EQ(faultOf("{\"maxOpen\": 112}", "{}"),
+           "settings.limits.maxOpen: must be above 0 (line 10, column 15)");
+  CHECK_EQ(faultOf("\"hardLimitMs\": 28000.0, ", ""),
+           "settings.classes[1].hardLimitMs: must be above 0 (line 14, column 7)");
+  CHECK_EQ(faultOf("{\"name\": \"costa\"}", "{}"), "settings.tenants[0].name: missing (line 11, column 17)");
+  CHECK_EQ(faultOf("  \"name\": \"n1\",\n", ""), "name: missing (line 1, column 1)");
+  CHECK_EQ(faultOf("\"settings\"", "\"other\""), "settings: missing, or not an object (line 1, column 1)");
+}
+
+TEST_CASE("keys that are not known are passed over, and what is there may be null") {
+  CHECK_EQ(faultOf("\"name\": \"n1\"", "\"later\": [1, {\"a\": null}], \"name\": \"n1\""), "");
+  CHECK_EQ(faultOf("\"maxOpen\": 112", "\"maxOpen\": 112, \"mayDream\": [\"x\"]"), "");
+  CHECK_EQ(faultOf("\"group\": \"all\"", "\"group\": null"), "");
+  CHECK_EQ(faultOf("{\"rev\": 4, \"all\": true, \"targets\": []}", "null"), "");
+}
+
+TEST_CASE("names too many for the disk are refused; as many as fit are not") {
+  std::string many = "[";
+  for (int i = 0; i < 3000; ++i) many += "{\"name\": \"tenant-" + std::to_string(i) + "\"},";
+  many.back() = ']';
+  CHECK(has(faultOf("[{\"name\": \"costa\"}]", many),
+            "bytes in each of the journal's files, more than a 32th"));
+  many = "[";
+  for (int i = 0; i < 500; ++i) many += "{\"name\": \"tenant-" + std::to_string(i) + "\"},";
+  many.back() = ']';
+  CHECK_EQ(faultOf("[{\"name\": \"costa\"}]", many), "");
+}
+
+TEST_CASE("a place in a JSON text: names, indices, escapes, and what is missing") {
+  const std::string text =
+      "{\"a\\\"}\": \"]\\\\\",\n \"b\": [1, {\"c\": [[], \"x,}\"], \"d\" : true}],\n\"e\":{}}";
+  std::string error;
+  REQUIRE(json::parse(text, error));
+  const auto at = [&](const char* path) {
+    const json::Place place = json::placeOf(text, path);
+    return std::to_string(place.line) + ":" + std::to_string(place.column);
+  };
+  CHECK_EQ(at(""), "1:1");
+  CHECK_EQ(at("b"), "2:7");
+  CHECK_EQ(at("b[0]"), "2:8");
+  CHECK_EQ(at("b[1].d"), "2:36");
+  CHECK_EQ(at("b.1.c[1]"), "2:22");
+  CHECK_EQ(at("b[7].d"), "2:7");
+  CHECK_EQ(at("b[1].z"), "2:11");
+  CHECK_EQ(at("e.z"), "3:5");
+  CHECK_EQ(at("z"), "1:1");
+}
--- /dev/null
+++ b/tests/settings_street.h
@@ -0,0 +1,131 @@
+// A real relay between a client, a directory and two endpoints in two zones, whose settings change from one
+// start to the next, or by SIGHUP. Each instant is forced: a held answer keeps an attempt out, the endpoint's
+// own record shows that it is, and only then comes the signal.
+//
+//   Street street;
+//   street.tell({&street.norte});
+//   street.start(street.config(kSiteSettings));
+//   street.handIn("m", "billing-charge");
+//   street.until("it is out", [&] { return street.calls() == 1; });
+//   street.relay->kill();
+//   street.start(street.config(turned()));
+#pragma once
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lab/hub.h"
+#include "lab/site.h"
+#include "lab/stand_ins.h"
+
+namespace myrtleloft::lab {
+
+inline constexpr int kPatienceMs = 20000, kSlots = 7;  // callSlots of kSiteSettings
+inline constexpr const char* kStatus = R"({"name":"status-update","targetMs":2000.0,"hardLimitMs":16000.0,)"
+                                       R"("worth":1.0,"lateWorth":0.5,"repeat":"repeatable","group":"all",)"
+                                       R"("memorySpanMs":5000.0})";
+
+// kSiteSettings with the parts replaced, each of which must be there.
+inline std::string settings(const std::vector<std::pair<std::string, std::string>>& parts) {
+  std::string text = kSiteSettings;
+  for (const auto& [what, with] : parts) {
+    REQUIRE(text.find(what) != std::string::npos);
+    replaceAll(text, what, with);
+  }
+  return text;
+}
+
+// The same classes, the first one last: each has another number.
+inline std::string turned() {
+  return settings({{std::string(kStatus) + ",", ""}, {"}]}", std::string("},") + kStatus + "]}"}});
+}
+
+struct Street {
+  Street() {
+    std::string name = (std::filesystem::temp_directory_path() / "settings-XXXXXX").string();
+    REQUIRE(::mkdtemp(name.data()));
+    folder = name;
+    std::filesystem::create_directory(folder / "state");
+    norte.holds = sur.holds = true;
+  }
+  ~Street() {
+    relay.reset();
+    std::filesystem::remove_all(folder);
+  }
+  std::string config(const std::string& settings, const std::string& extra = "") const {
+    return R"({"name":"n1","listen":"127.0.0.1:0","discovery":")" + directory.address() +
+           R"(","seed":"5","limits":{"sockets":256,"disk_mb":1},)" + extra + "\n\"settings\":" + settings +
+           "}";
+  }
+  void start(const std::string& text) {
+    relay.reset();
+    relay = std::make_unique<Program>(hub, MYRTLELOFT_PROGRAM, folder.string(), text);
+    relay->start();
+    until("the relay listens", [this] { return relay->ready(); });
+    until("the list is heard", [this] { return directory.heard(); });
+  }
+  void tell(const std::vector<const Endpoint*>& endpoints) {
+    std::vector<Entry> list;
+    for (const Endpoint* e : endpoints) {
+      list.push_back(e->entry());
+      list.back().zone = e == &sur ? "sur" : "norte";
+    }
+    directory.tell(list);
+  }
+  void until(const char* what, const std::function<bool()>& done) {
+    const bool came = hub.run(
+        [&] {
+          directory.turn();
+          return done();
+        },
+        kPatienceMs);
+    INFO(std::string(what) << ", calls " << calls() << ", notices " << directory.notices().size() << "\n"
+                           << (relay ? relay->log() : ""));
+    REQUIRE(came);
+  }
+  bool said(const std::string& text) const { return relay->log().find(text) != std::string::npos; }
+  // Taken on, or the test fails.
+  void handIn(const std::string& id, const std::string& cls, const std::string& tenant = "univ-costa") {
+    std::string answer;
+    const Hub::Id client =
+        hub.connect(relay->address(), {[&](Hub::Id, const Message& m) { answer = m.start; }, {}, {}});
+    hub.send(client, "POST /" + cls + " HTTP/1.1\r\nX-Request-ID: " + id +
+                         "\r\nX-Timeout: 14\r\nX-Tenant-Id: " + tenant +
+                         "\r\nX-Addressing: dest=7\r\nIdempotency-Key: " + id +
+                         "\r\nContent-Length: 5\r\n\r\nhello");
+    until("it is answered", [&] { return !answer.empty(); });
+    hub.close(client);
+    REQUIRE(answer.find(" 202 ") != std::string::npos);
+  }
+  std::size_t calls() const { return norte.calls.size() + sur.calls.size(); }
+  std::size_t callsOf(const std::string& id) const {
+    std::size_t sum = 0;
+    for (const Endpoint* e : {&norte, &sur})
+      for (const Endpoint::Call& call : e->calls) sum += call.id == id;
+    return sum;
+  }
+  bool over(const std::string& id, std::size_t calls) const {
+    return callsOf(id) >= calls || directory.notices().count(id) > 0;
+  }
+  void reload(const std::string& text) {
+    std::ofstream(folder / "config.json") << text;
+    relay->signal(SIGHUP);
+  }
+
+  std::filesystem::path folder;
+  Hub hub;
+  Endpoint norte{hub, "a", 7}, sur{hub, "b", 7};
+  Directory directory{hub};
+  std::unique_ptr<Program> relay;
+};
+
+}  // namespace myrtleloft::lab
