--- a/src/config/settings_section.cpp
+++ b/src/config/settings_section.cpp
@@ -77,7 +77,8 @@
     const Value& cls = list->items[i];
     if (cls.type != Value::Type::kObject) refuse(path, "not an object");
     checkWord(cls, path, "repeat", kRepeats);
-    checkWord(cls, path, "group", kGroups);
+    // Of others the group says nothing.
+    if (cls.string("repeat") == "by_key") checkWord(cls, path, "group", kGroups);
     const auto same = [&](const Value& other) { return other.string("name") == cls.string("name"); };
     const auto here = list->items.begin() + static_cast<std::ptrdiff_t>(i);
     if (std::find_if(list->items.begin(), here, same) != here) refuse(path + ".name", "stands twice");
