Have the test of settings in turn end with two classes

Back at the first settings, numbers mean the same again and the test passed without the names too. It was now seen to fail without them: number 2 is none of two classes.

--- a/tests/settings_change_test.cpp
+++ b/tests/settings_change_test.cpp
@@ -47,12 +47,15 @@
   CHECK(street.calls() == kSlots);
   street.norte.release();
   street.tell({&street.norte});
-  street.start(street.config(kSiteSettings));
+  street.start(street.config(settings({{std::string(kStatus) + ",", ""}})));  // two classes are left
   for (const char* id : {"o", "c"}) {
     street.until("it runs", [&] { return street.over(id, 1); });
     CHECK(street.callsOf(id) == 1);
     CHECK(street.directory.notices().count(id) == 0);
   }
+  street.until("those of the class that is gone have their end",
+               [&] { return street.directory.notices().size() == kSlots; });
+  CHECK(street.calls() == kSlots + 2);
 }
 
 TEST_CASE("a folder left by another deployment: nothing of it is sent, each has its end, and new ones run") {
