Let the bound of a long trouble go by answers, not at the first one

Where the trouble lasted kShortOutage cold spans or more, which is the outage that tell's argument covers, the scope now stays bounded with a ramp whose time is over: its share doubles with each answer, and the pace starts at the own share. tell forgets an earlier return's start (coldFromMs), or the ramp of an outage before would lift the next one's bound; alone that changes no count. The line that chill loses was set by both its callers anyway; a constant's copy in tell goes.

--- a/src/policy/health.cpp
+++ b/src/policy/health.cpp
@@ -33,15 +33,15 @@
 // to a call sent after the failed ones lifts it, at once unless the odds said an outage (then by the ramp).
 void tell(Book& b, Scope& s, double sentMs) {
   if (s.toldMs < 0) {
-    const double coldMs = b.s.coldMs;
     s.troubleMs = b.nowMs;
-    s.healthyPerS = std::max(perS(b, s.delivered, coldMs), s.healthyPerS * kFade);
+    s.coldFromMs = -1;
+    s.healthyPerS = std::max(perS(b, s.delivered, b.s.coldMs), s.healthyPerS * kFade);
     newTurn(b, s);
     s.tokens = b.draw();
     s.turn += s.tokens;
-    const double r = std::max(0.0, perS(b, s.dest->arrived, coldMs) / s.parts() - 1000 / coldMs);
-    s.boundMs = b.nowMs + (r > 0 ? std::max(0.0, kShortOutage * coldMs - kGraceCalls / r * 1000) : 0);
-    s.earned = b.draw() < std::max(kRetryShare * std::exp(r * coldMs / 1000), kFew / b.s.balancers);
+    const double r = std::max(0.0, perS(b, s.dest->arrived, b.s.coldMs) / s.parts() - 1000 / b.s.coldMs);
+    s.boundMs = b.nowMs + (r > 0 ? std::max(0.0, kShortOutage * b.s.coldMs - kGraceCalls / r * 1000) : 0);
+    s.earned = b.draw() < std::max(kRetryShare * std::exp(r * b.s.coldMs / 1000), kFew / b.s.balancers);
   } else if (sentMs >= s.troubleMs) {
     s.earned = false;
   }
@@ -50,9 +50,10 @@
 }
 
 void shownWell(const Book& b, Scope& s) {
-  if (!s.cold) s.toldMs = -1;
+  // In trouble for long, but never held to be out: its share is twofold with each answer, whatever the time.
+  if (!s.cold && b.nowMs - s.troubleMs < kShortOutage * b.s.coldMs) s.toldMs = -1;
   if (s.toldMs < 0) return;
-  if (s.coldFromMs < 0) s.coldFromMs = b.nowMs;
+  if (s.coldFromMs < 0) s.coldFromMs = s.cold ? b.nowMs : b.nowMs - b.s.coldMs;
   s.earned = !busy(b, s);  // a scope seldom called has few messages held: each answer earns the next call
 }
 
@@ -60,7 +61,6 @@
   if (s.cold) return;
   s.cold = true;
   s.chilledMs = b.nowMs;
-  s.coldFromMs = -1;
   s.delivered = {0, b.nowMs, b.nowMs};  // what is delivered while cold says nothing of health
   s.pacePerS = kNever;  // while cold the budget paces: a pace cut by failed scouts would never come back
 }
