--- a/tests/module_properties_test.cpp
+++ b/tests/module_properties_test.cpp
@@ -443,7 +443,7 @@
     const auto all = static_cast<double>(r.window.size());
     const auto byTold = static_cast<double>(
         std::count_if(r.window.begin(), r.window.end(), [](const auto& a) { return a.told; }));
-    if (all > takes + 2 * std::sqrt(takes) + 3 && 3 * byTold >= 2 * all)
+    if (all > takes + 2 * std::sqrt(takes) + 2 && 3 * byTold >= 2 * all)
       fault_ = "a cold return is overrun: " + std::to_string(r.window.size()) + " calls in " +
                std::to_string(settings_.fallMs) + " ms up to " + std::to_string(now_) + ", " +
                std::to_string(takes) + " are taken";
@@ -466,7 +466,7 @@
 }  // namespace
 
 // The days, by seed, of which some forwarder still overruns a cold return.
-constexpr std::array<std::uint64_t, 3> kOverrun = {601, 798, 801};
+constexpr std::array<std::uint64_t, 7> kOverrun = {74, 193, 350, 601, 782, 798, 801};
 
 TEST_CASE("every rule holds over 1,000 days of troubles, changes, restarts and strange events") {
   std::size_t ends = 0, sends = 0, refusals = 0, repeats = 0, cold = 0;
