Give a call that has left up whole with the first of its requests whose time is up

Ruled out: notices (all confirmed at once), 202s (all written), answers that stopped short, requests left open.

New test: "a call that has left is given up whole once one of its requests is over".

--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -17,14 +17,9 @@
   return text;
 }
 
-// How long a bulk call is waited for; see onCap.
+// How long a call is waited for; see onCap.
 double waitOf(const std::vector<CallItem>& items) {
-  double longest = 0, shortest = std::numeric_limits<double>::infinity();
-  for (const CallItem& item : items) {
-    longest = std::max(longest, item.capMs);
-    if (!item.toItsEnd) shortest = std::min(shortest, item.capMs);
-  }
-  return std::min(shortest, longest);
+  return std::ranges::min(items, {}, &CallItem::capMs).capMs;
 }
 
 // What an attempt without an answer comes to: proven not to have run where its last byte was not written, and
@@ -140,10 +135,10 @@
     if (calls_.count(number)) giveUp(number, Outcome::kNop);
 }
 
-// A bulk call shares one fate: the first request that is to be given up earlier than its end takes all with
-// it. One whose time is up is reported by itself, and the call goes on for the others. (Waiting for the
-// longest cap lost a message that had 0.2 s left beside nine with more; giving up at once would have hurt the
-// nine.)
+// A bulk call has one fate. What has not left must not leave any more once its time is up, for its request
+// may be refused to its client: it is taken out of a call of which no byte is written, and the others go on.
+// A call that has begun is given up whole with the first of its requests whose time is up: answered after one
+// of them was ended, it was seen to count as no delivery for the others either, left without an end.
 void Outbound::armCap(std::uint64_t number) {
   Call& call = calls_.at(number);
   const auto soonest = std::min_element(call.items.begin(), call.items.end(),
@@ -157,17 +152,13 @@
   const double passed = loop_.nowMs() - call.startedMs;
   const auto split = std::stable_partition(call.items.begin(), call.items.end(),
                                            [passed](const CallItem& item) { return item.capMs > passed; });
-  const bool together = std::any_of(split, call.items.end(), [](const CallItem& i) { return !i.toItsEnd; });
-  // What is half out cannot be taken back one by one, and what has not left must not leave any more: its
-  // request is refused to its client. (Six were, and went out when their connection came up after all.)
-  const ClientConnection* connection = call.connection.get();
-  const bool halfOut = connection && connection->begun() && !connection->lastByteWritten();
-  if (together || halfOut || split == call.items.begin()) return giveUp(number, Outcome::kLate);
+  const bool begun = call.connection && call.connection->begun();
+  if (begun || split == call.items.begin()) return giveUp(number, Outcome::kLate);
   const Outcome late = unanswered(call.connection.get(), Outcome::kLate);
   std::vector<CallOutcome> outcomes;
   for (auto item = split; item != call.items.end(); ++item) outcomes.push_back({item->id, late, false, 0});
   call.items.erase(split, call.items.end());
-  if (connection && connection->open() && !connection->begun()) write(number);  // without them
+  if (call.connection && call.connection->open()) write(number);  // without them
   armCap(number);
   report(call, std::move(outcomes), {});
 }
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -21,8 +21,7 @@
 
 struct CallItem {
   std::string id, key, body;
-  double capMs = 0;       // how long the relay waits for this one
-  bool toItsEnd = false;  // ... which is all the time that it has
+  double capMs = 0;  // how long the relay waits for this one
   // By when its last byte must be written, on the loop's clock in ms; later it is reported as not sent.
   double leaveByMs = std::numeric_limits<double>::infinity();
 };
--- a/tests/half_sent_calls_test.cpp
+++ b/tests/half_sent_calls_test.cpp
@@ -21,7 +21,7 @@
   Outcomes outcomes;
   outbound.listen(outcomes);
   Deaf deaf;
-  outbound.call(at("a", deaf.address), {{"soon", "", "x", 100, true}, {"later", "", "y", 60000, true}});
+  outbound.call(at("a", deaf.address), {{"soon", "", "x", 100}, {"later", "", "y", 60000}});
   const auto pass = [&](double ms) {
     clock.nowMs += ms;
     loop.after(0, [] {});
@@ -62,7 +62,7 @@
   const Fd listener = listenOn(*parseAddress("127.0.0.1:0"), error);
   const std::string long_(32 * 1024 * 1024, 'x');  // more than the system holds for a peer that does not read
   outbound.call(at("a", *parseAddress(localAddress(listener))),
-                {{"soon", "", long_, 100, true}, {"later", "", "y", 60000, true}});
+                {{"soon", "", long_, 100}, {"later", "", "y", 60000}});
   const auto pass = [&](double ms) {
     clock.nowMs += ms;
     loop.after(0, [] {});
@@ -80,3 +80,38 @@
   for (Io io = Io::kProgress; io == Io::kProgress;) io = readSome(fd, bytes);
   CHECK(bytes.size() < long_.size());
 }
+
+// Forces the instant at which one of a call's requests is over while the endpoint works on all of them: from
+// then on an answer would speak for none.
+TEST_CASE("a call that has left is given up whole once one of its requests is over") {
+  lab::HandClock clock;
+  Loop loop(clock);
+  Counters counters;
+  Outbound outbound(loop, counters, {60000, 10000, 8, {}});
+  Outcomes outcomes;
+  outbound.listen(outcomes);
+  std::string error;
+  const Fd listener = listenOn(*parseAddress("127.0.0.1:0"), error);
+  outbound.call(at("a", *parseAddress(localAddress(listener))),
+                {{"later", "", "x", 60000}, {"soon", "", "y", 100}});
+  const auto pass = [&](double ms) {
+    clock.nowMs += ms;
+    loop.after(0, [] {});
+    loop.runOnce();
+  };
+  int code = 0;
+  const Fd fd = acceptFrom(listener, code);
+  REQUIRE(fd);
+  std::string bytes;
+  while (bytes.find("soon") == bytes.npos) {
+    pass(0);
+    readSome(fd, bytes);
+  }
+  CHECK(bytes.find("X-Timeout: 0.100") != bytes.npos);  // so the endpoint is told
+  CHECK(outcomes.all.empty());
+  pass(110);
+  REQUIRE(outcomes.all.size() == 2);
+  for (const auto& [uid, outcome] : outcomes.all) CHECK(outcome.outcome == Outcome::kLate);
+  CHECK(outbound.callsOut() == 0);
+  CHECK(readSome(fd, bytes) == Io::kClosed);
+}
--- a/tests/outbound_test.cpp
+++ b/tests/outbound_test.cpp
@@ -34,7 +34,7 @@
   };
   for (const char* id : {"first", "second", "late", "third", "fourth"})
     outbound.call(at(id[0] == 't' ? "b" : "a", address),
-                  {{id, "", "body", id[0] == 'l' ? 100.0 : 60000.0, true}});
+                  {{id, "", "body", id[0] == 'l' ? 100.0 : 60000.0}});
   pass(50);
   CHECK(counters.connectionsOut == 1);
   int code = 0;
@@ -76,9 +76,9 @@
   std::string error;
   const Fd listener = listenOn(*parseAddress("127.0.0.1:0"), error);
   const Address up = *parseAddress(localAddress(listener));
-  outbound.call(at("told", deaf.address), {{"connecting", "", "body", 60000, true}});
-  outbound.call(at("other", deaf.address), {{"elsewhere", "", "body", 60000, true}});
-  outbound.call(at("told", up), {{"left", "", "body", 60000, true}});
+  outbound.call(at("told", deaf.address), {{"connecting", "", "body", 60000}});
+  outbound.call(at("other", deaf.address), {{"elsewhere", "", "body", 60000}});
+  outbound.call(at("told", up), {{"left", "", "body", 60000}});
   int code = 0;
   Fd accepted;
   std::string bytes;
@@ -109,7 +109,7 @@
   for (const std::string& uid : uids) list.endpoints.push_back(at(uid.c_str(), deaf.address));
   DestinationSet set;
   set.apply(list, ListKind::kSnapshot, 1);
-  for (const std::string& uid : uids) outbound.call(*set.find(uid), {{"m-" + uid, "", "body", 60000, true}});
+  for (const std::string& uid : uids) outbound.call(*set.find(uid), {{"m-" + uid, "", "body", 60000}});
   outbound.reconsider(set);  // nothing has changed
   CHECK(outcomes.all.empty());
   set.apply({2,
@@ -153,7 +153,7 @@
   none.rlim_cur = 0;
   REQUIRE(::setrlimit(RLIMIT_NOFILE, &none) == 0);
   outbound.call(at("a", parseAddress("127.0.0.1:9").value()),
-                {{"soon", "", "x", 100, true}, {"later", "", "x", 1000, true}});
+                {{"soon", "", "x", 100}, {"later", "", "x", 1000}});
   pass(60);
   const bool waited = outcomes.all.empty() && outbound.callsOut() == 1;
   pass(60);
