Let requests of all remaining times share a call again

Calls still end whole with the first of their requests whose time is up. bulk_out_of_time.txt plays it: what may not be repeated is dead with it, what may be is sent again.

--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -76,7 +76,6 @@
   };
   struct Plan {  // sends of one batch that travel as one call
     std::string uid;
-    bool brief = false;  // each has less time than a connection may take to come up
     std::size_t bytes = 0;
     std::vector<CallItem> items;
   };
--- a/src/exchange/exchange_batch.cpp
+++ b/src/exchange/exchange_batch.cpp
@@ -102,17 +102,14 @@
   const OwedRequest& owed = at->second.owed;
   const double leftMs = std::max(1.0, at->second.notAfterMs - parts_.loop.nowMs());
   const double capMs = action.capMs > 0 ? std::min(action.capMs, leftMs) : leftMs;
-  // A call ends with the first of its requests whose time is up: one with hardly any left takes none along.
-  const bool brief = capMs < settings_.connectTimeoutMs;
   CallItem item{owed.id, owed.key, owed.body, capMs};
   const std::size_t bytes =
       (item.id.size() + item.key.size()) * kMostEscaped + (item.body.size() + 2) / 3 * 4 + kItemFrame;
   const auto room = std::find_if(plans.begin(), plans.end(), [&](const Plan& plan) {
-    return plan.uid == action.target && plan.brief == brief &&
-           plan.items.size() < batchOf(endpoint->entry.kind) &&
+    return plan.uid == action.target && plan.items.size() < batchOf(endpoint->entry.kind) &&
            plan.bytes + bytes < kBodyLimit;  // no body may hold more, a bulk's either
   });
-  Plan& plan = room != plans.end() ? *room : plans.emplace_back(Plan{action.target, brief, 0, {}});
+  Plan& plan = room != plans.end() ? *room : plans.emplace_back(Plan{action.target, 0, {}});
   plan.bytes += bytes;
   plan.items.push_back(std::move(item));
 }
