End a call five milliseconds before its request's last moment

A call was waited for up to the request's last moment by this clock, which is later than the other's by what the request took to be read (0.1 to 1 ms in the traces), and timers are up to a millisecond late: an answer in between counts as delivered here alone, and its end stays untold. That this is what was seen is likely, not shown.

Test: "a call ends before the last moment of its request", seen to fail without the change.

--- a/src/exchange/exchange_batch.cpp
+++ b/src/exchange/exchange_batch.cpp
@@ -9,6 +9,10 @@
 
 // What an item of a bulk call takes beside its id, key and body, and what JSON makes of a printable byte.
 constexpr std::size_t kItemFrame = 40, kMostEscaped = 2;
+// A call is not waited for up to its request's last moment. By the other's clock that is earlier: by what the
+// request took to be read, and the loop's timers are up to a millisecond late. Answered in between, it would
+// count as delivered here alone, and its end would stay untold.
+constexpr double kLastMomentMs = 5;
 
 template <typename... Handlers>
 struct Visitor : Handlers... {
@@ -100,7 +104,7 @@
   // for the call would stay taken for good.
   if (at == open_.end() || !endpoint) return notSent(action.id, action.target);
   const OwedRequest& owed = at->second.owed;
-  const double leftMs = std::max(1.0, at->second.notAfterMs - parts_.loop.nowMs());
+  const double leftMs = std::max(1.0, at->second.notAfterMs - kLastMomentMs - parts_.loop.nowMs());
   const double capMs = action.capMs > 0 ? std::min(action.capMs, leftMs) : leftMs;
   CallItem item{owed.id, owed.key, owed.body, capMs};
   const std::size_t bytes =
--- a/tests/exchange_window_test.cpp
+++ b/tests/exchange_window_test.cpp
@@ -100,3 +100,26 @@
   second.begin();
   CHECK(second.membership.wallSetBackMs() == 700);
 }
+
+// Forces the instant at which an answer comes with the end of its request's time: the call is over by then, and
+// the request ended, so that no answer can count as its delivery here and as late where it was written.
+TEST_CASE("a call ends before the last moment of its request, which an answer would then not reach in time") {
+  Site site;
+  IncomingRequest request;  // that may run only once: its call is waited for as long as it has time
+  request.id = "m";
+  request.cls = 2;
+  request.destination = 7;
+  request.leftMs = 100;
+  site.exchange->onRequest(std::move(request), [](const Answer&) {});
+  site.pass(10);
+  int error = 0;
+  const Fd fd = acceptFrom(site.endpoint, error);
+  REQUIRE(fd);
+  site.pass(80);
+  CHECK(site.outbound.callsOut() == 1);
+  site.pass(5);  // 95 of the 100 ms
+  CHECK(site.outbound.callsOut() == 0);
+  site.pass(10);
+  CHECK(site.counters.delivered == 0);
+  CHECK(site.counters.dead + site.counters.bounced == 1);
+}
