--- a/tests/exchange_window_test.cpp
+++ b/tests/exchange_window_test.cpp
@@ -101,8 +101,8 @@
   CHECK(second.membership.wallSetBackMs() == 700);
 }
 
-// Forces the instant at which an answer comes with the end of its request's time: the call is over by then, and
-// the request ended, so that no answer can count as its delivery here and as late where it was written.
+// Forces the instant at which an answer comes with the end of its request's time: the call is over by then,
+// and the request ended, so that no answer can count as its delivery here and as late where it was written.
 TEST_CASE("a call ends before the last moment of its request, which an answer would then not reach in time") {
   Site site;
   IncomingRequest request;  // that may run only once: its call is waited for as long as it has time
