--- a/src/discovery/membership.h
+++ b/src/discovery/membership.h
@@ -100,6 +100,7 @@
   double wallSetBackMs_ = 0;
   std::size_t directory_ = 0;  // that was believed last
   bool wantsWhole_ = false, doubted_ = false;
+  bool lagged_ = false;  // an answer of an earlier rev was not believed, and nothing else was since
   Trust toldTrust_ = Trust::kFresh;
 };
 
