--- a/src/journal/recovery.cpp
+++ b/src/journal/recovery.cpp
@@ -22,8 +22,9 @@
 
 class Reading {
  public:
-  Reading(Files& files, const std::string& folder, Recovered& found, const RecordVisitor& visit)
-      : files_(files), folder_(folder), found_(found), visit_(visit) {}
+  Reading(Files& files, const std::string& folder, Recovered& found, const Meanings* now,
+          const RecordVisitor& visit)
+      : files_(files), folder_(folder), found_(found), visit_(visit), replay_(now) {}
 
   RecoveryFault run() {
     std::vector<FileSeen> seen;
@@ -73,6 +74,8 @@
       seen.sequence = sequence;
       seen.headerGood = state.kind == HeaderState::Kind::kGood;
       seen.createdWallMs = state.header.createdWallMs;
+      seen.named = seen.headerGood && state.header.version > kUnnamedVersion;
+      anyNamed_ = anyNamed_ || seen.named;
       Links links;
       if (seen.headerGood) {
         if (state.header.salt != 0) found_.salt = state.header.salt;
@@ -148,6 +151,13 @@
     const std::string name = segmentName(sequence);
     if (!seen.headerGood) lose(name, 0, std::min(bytes_.size(), kSegmentHeaderBytes), "damaged");
     seen.validBytes = std::min(bytes_.size(), kSegmentHeaderBytes);
+    // With its header damaged it may have told names as well: others of the folder show whether that is
+    // usual.
+    seen.named = seen.named || (!seen.headerGood && anyNamed_);
+    if (seen.named)
+      replay_.means({});
+    else
+      replay_.meansNow();
     SegmentScanner scanner(bytes_, found_.salt, sequence, endOf(i));
     Record record;
     for (Piece piece = scanner.next(); piece.kind != Piece::Kind::kEnd; piece = scanner.next()) {
@@ -171,9 +181,16 @@
         lose(name, piece.offset, piece.bytes, "damaged");
         continue;
       }
-      ++seen.records;
-      ++found_.records;
       if (visit_) visit_(sequence, piece.offset, piece.bytes, record);
+      if (const auto* names = std::get_if<MeaningsRecord>(&record)) {
+        if (piece.offset == seen.headBytes) seen.headBytes += piece.bytes;
+        if (std::find(found_.meanings.begin(), found_.meanings.end(), names->meanings) ==
+            found_.meanings.end())
+          found_.meanings.push_back(names->meanings);
+      } else {
+        ++seen.records;
+        ++found_.records;
+      }
       replay_.apply(sequence, record);
     }
     if (const std::size_t told = endOf(i); told != SegmentScanner::kUnknownEnd) seen.validBytes = told;
@@ -188,103 +205,18 @@
   Recovered& found_;
   const RecordVisitor& visit_;
   Replay replay_;
+  bool anyNamed_ = false;
   std::vector<std::uint64_t> sequences_;
   std::vector<Links> links_;  // beside sequences_
   std::uint64_t loaded_ = 0;
   std::string bytes_;
 };
 
-bool lost(const Doubt& doubt) { return doubt.attempt == Doubt::kLostAttempt; }
-
-void putInDoubt(OwedRequest& owed) {
-  if (std::any_of(owed.doubts.begin(), owed.doubts.end(), lost)) return;
-  // In front: it may be the earliest, and the window of a keyed request runs from the first.
-  owed.doubts.insert(owed.doubts.begin(), {"", Doubt::kLostZone, owed.takenWallMs, Doubt::kLostAttempt});
-  // Its number is used up: were it given again, the next reading would take it for proof that none is
-  // missing.
-  ++owed.attempts;
-}
-
 }  // namespace
 
-void Replay::apply(std::uint64_t segment, Record& record) {
-  segment_ = segment;
-  std::visit([this](auto& r) { on(r); }, record);
-}
-
-RecoveredRequest* Replay::known(const std::string& id) {
-  if (RecoveredRequest* request = owed_.find(id)) return request;
-  // Carried over behind this record, ended behind it, or its *taken* is lost: only the end tells which.
-  nameless_.try_emplace(id, Verdict::kNone);
-  return nullptr;
-}
-
-void Replay::on(TakenRecord& r) {
-  if (!nameless_.empty()) nameless_.erase(r.owed.id);
-  RecoveredRequest& request = owed_.put(std::move(r.owed));
-  request.segment = segment_;
-  request.holesKnown = holes_;
-}
-
-void Replay::on(AttemptRecord& r) {
-  RecoveredRequest* request = known(r.id);
-  if (!request) return;
-  OwedRequest& owed = request->owed;
-  const int number = r.doubt.attempt;
-  // With damage since its last record, a number left out is an attempt that stood there; a number that
-  // follows proves that there was none.
-  if (request->holesKnown != holes_ && number > owed.attempts) putInDoubt(owed);
-  request->holesKnown = holes_;
-  owed.attempts = std::max(owed.attempts, number + 1);
-  owed.doubts.push_back(std::move(r.doubt));
-}
-
-void Replay::on(HarmlessRecord& r) {
-  if (RecoveredRequest* request = known(r.id))
-    std::erase_if(request->owed.doubts, [&](const Doubt& d) { return !lost(d) && d.attempt == r.attempt; });
-}
-
-void Replay::on(VerdictRecord& r) {
-  RecoveredRequest* request = known(r.id);
-  if (!request) {
-    nameless_[r.id] = r.verdict;
-    return;
-  }
-  request->owed.verdict = r.verdict;
-  request->owed.waitMs = r.waitMs;
-  request->owed.body.clear();
-}
-
-void Replay::on(EndedRecord& r) {
-  owed_.erase(r.id);
-  nameless_.erase(r.id);
-}
-
-void Replay::on(ReleasedRecord&) {}  // read beforehand, by whoever asks which segments count
-
-void Replay::hole() { ++holes_; }
-
-void Replay::finish(Recovered& found) {
-  if (holes_ > 0) {
-    for (RecoveredRequest& request : owed_) {
-      if (request.holesKnown == holes_ || request.owed.verdict != Verdict::kNone) continue;
-      putInDoubt(request.owed);
-      ++found.doubted;
-    }
-    for (const auto& [id, verdict] : nameless_) {
-      OwedRequest named;
-      named.id = id;
-      named.verdict = verdict == Verdict::kNone ? Verdict::kDead : verdict;
-      owed_.put(std::move(named));
-      ++found.bodiesLost;
-    }
-  }
-  nameless_.clear();
-  found.owed = std::exchange(owed_, {});
-}
-
-RecoveryFault recover(Files& files, const std::string& folder, Recovered& found, const RecordVisitor& visit) {
-  return Reading(files, folder, found, visit).run();
+RecoveryFault recover(Files& files, const std::string& folder, Recovered& found, const Meanings* now,
+                      const RecordVisitor& visit) {
+  return Reading(files, folder, found, now, visit).run();
 }
 
 }  // namespace myrtleloft
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -3,6 +3,11 @@
 #include <utility>
 
 namespace myrtleloft {
+namespace {
+
+constexpr int kReadsInTurn = 16;  // of 16 KiB: an answer without end must not keep the loop from the others
+
+}  // namespace
 
 ClientConnection::ClientConnection(Loop& loop, const Address& address, const AnswerLimits& limits)
     : loop_(loop),
@@ -15,6 +20,7 @@
 void ClientConnection::send(std::string bytes, Done done) {
   out_ = std::move(bytes);
   written_ = 0;
+  writeFailed_ = false;
   done_ = std::move(done);
   loop_.setEvents(fd_.get(), POLLIN | POLLOUT);
 }
@@ -43,6 +49,9 @@
   }
   // Reading comes first: an endpoint may answer and close before it has read the whole call.
   if (revents & (POLLIN | POLLHUP | POLLERR)) {
+    // What comes between two calls answers neither; a fresh connection's may be a refusal of what it will
+    // bring.
+    if (carried_ && !begun()) return finish(End::kNotSent);
     read();
   } else if (revents & POLLOUT) {
     write();
@@ -51,13 +60,17 @@
 
 void ClientConnection::write() {
   const Io io = writeSome(fd_, out_, written_);
-  if (io == Io::kFailed) return finish(End::kNotSent);
+  // An endpoint may have answered what it had of the call, and gone, in the instant of this write: a wait
+  // that it told must be known. What stands there before a call's first byte is no answer to it.
+  writeFailed_ = io == Io::kFailed;
+  if (writeFailed_) return begun() ? read() : finish(End::kNotSent);
   if (io == Io::kProgress) loop_.setEvents(fd_.get(), POLLIN);
 }
 
 void ClientConnection::read() {
-  for (;;) {
+  for (int i = 0; i < kReadsInTurn; ++i) {
     const Io io = readSome(fd_, reader_.buffer());
+    if (io == Io::kWouldBlock && writeFailed_) return finish(End::kNotSent);
     if (io == Io::kWouldBlock) {
       if (!lastByteWritten()) write();
       return;
@@ -70,7 +83,8 @@
     }
     if (state == HttpReader::State::kDone) return finish(End::kAnswered, reader_.take());
     if (reader_.partial().status == 0 && !lastByteWritten()) return finish(End::kNotSent);
-    return finish(answerBegun() ? End::kSpoilt : End::kBroken, reader_.take());
+    const End end = answerBegun() ? End::kSpoilt : End::kBroken;  // asked first: taken, it is forgotten
+    return finish(end, reader_.take());
   }
 }
 
@@ -94,6 +108,7 @@
   if (end != End::kAnswered || !answer.keepAlive || !lastByteWritten() || !reader_.buffer().empty()) close();
   out_ = std::string();
   written_ = 0;
+  carried_ = true;
   if (done) done({end, std::move(answer), stalled});  // may destroy this connection
 }
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -49,40 +49,6 @@
   return false;
 }
 
-std::string_view reason(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 202:
-      return "Accepted";
-    case 400:
-      return "Bad Request";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 408:
-      return "Request Timeout";
-    case 413:
-      return "Content Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 500:
-      return "Internal Server Error";
-    case 503:
-      return "Service Unavailable";
-    default:
-      return "Unknown";
-  }
-}
-
-void putHead(std::string& out, const Headers& headers, std::size_t bodySize) {
-  for (const auto& [name, value] : headers) out.append(name).append(": ").append(value).append("\r\n");
-  out.append("Content-Length: ").append(std::to_string(bodySize)).append("\r\n\r\n");
-}
-
 }  // namespace
 
 const std::string* HttpMessage::header(std::string_view name) const {
@@ -98,6 +64,14 @@
 }
 
 HttpReader::State HttpReader::advance() {
+  const State state = read();
+  buffer_.erase(0, used_);
+  scanned_ -= std::min(scanned_, used_);
+  used_ = 0;
+  return state;
+}
+
+HttpReader::State HttpReader::read() {
   if (step_ == Step::kBad) return State::kBad;
   if (step_ == Step::kHead && !readHead()) return step_ == Step::kBad ? State::kBad : State::kMore;
   return readBody();
@@ -123,18 +97,18 @@
 // One line ended by CR LF. A bare LF is refused: peers that disagree on where a line ends can be made to
 // disagree on where a message ends.
 bool HttpReader::takeLine(std::string& line) {
-  const std::size_t end = buffer_.find('\n', scanned_);
-  const std::size_t size = end == std::string::npos ? buffer_.size() : end + 1;
-  if (headBytes_ + size > kHeadLimit) return fail(431), false;
+  const std::size_t end = buffer_.find('\n', std::max(scanned_, used_));
+  const std::size_t size = (end == std::string::npos ? buffer_.size() : end + 1) - used_;
+  const bool first = step_ == Step::kHead && !firstLineRead_;
+  if (headBytes_ + size > kHeadLimit) return fail(first ? 414 : 431), false;
   if (end == std::string::npos) {
     scanned_ = buffer_.size();
     return false;
   }
-  if (end == 0 || buffer_[end - 1] != '\r') return fail(400), false;
-  line.assign(buffer_, 0, end - 1);
-  buffer_.erase(0, size);
+  if (end == used_ || buffer_[end - 1] != '\r') return fail(400), false;
+  line.assign(buffer_, used_, end - 1 - used_);
+  used_ += size;
   headBytes_ += size;
-  scanned_ = 0;
   return true;
 }
 
@@ -229,9 +203,10 @@
     switch (step_) {
       case Step::kLength:
       case Step::kChunk: {
-        const std::size_t part = static_cast<std::size_t>(std::min<std::uint64_t>(left_, buffer_.size()));
-        message_.body.append(buffer_, 0, part);
-        buffer_.erase(0, part);
+        const std::size_t part =
+            static_cast<std::size_t>(std::min<std::uint64_t>(left_, buffer_.size() - used_));
+        message_.body.append(buffer_, used_, part);
+        used_ += part;
         left_ -= part;
         if (left_ > 0) return State::kMore;
         step_ = step_ == Step::kLength ? Step::kDone : Step::kChunkEnd;
@@ -257,9 +232,9 @@
         if (line.empty()) step_ = Step::kDone;
         break;
       case Step::kUntilClose:
-        if (message_.body.size() + buffer_.size() > bodyLimit_) return fail(413);
-        message_.body += buffer_;
-        buffer_.clear();
+        if (message_.body.size() + buffer_.size() - used_ > bodyLimit_) return fail(413);
+        message_.body.append(buffer_, used_);
+        used_ = buffer_.size();
         return State::kMore;
       case Step::kDone:
         return State::kDone;
@@ -270,20 +245,4 @@
   }
 }
 
-std::string writeRequest(std::string_view method, std::string_view target, std::string_view host,
-                         const Headers& headers, std::string_view body) {
-  std::string out;
-  out.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
-  putHead(out, headers, body.size());
-  return out.append(body);
-}
-
-std::string writeAnswer(int status, const Headers& headers, std::string_view body, bool keepAlive) {
-  std::string out = "HTTP/1.1 " + std::to_string(status);
-  out.append(" ").append(reason(status)).append("\r\n");
-  if (!keepAlive) out.append("Connection: close\r\n");
-  putHead(out, headers, body.size());
-  return out.append(body);
-}
-
 }  // namespace myrtleloft
--- a/src/relay/options.cpp
+++ b/src/relay/options.cpp
@@ -16,7 +16,8 @@
 constexpr int kReserve = 48;
 
 // Of the memory: for clients' requests that are not taken on yet, and for one answer of discovery, which
-// takes some six times its size while it is read. docs/architecture.md adds up the rest.
+// takes some six times its size while it is read, with one more half read beside it. docs/architecture.md
+// adds up the rest.
 constexpr std::size_t kClientsPerMemory = 4, kQuotasPerMemory = 8, kListPerMemory = 48,
                       kMostListBytes = 4 * 1024 * 1024;
 
@@ -48,6 +49,7 @@
   options.tuning.freeShare = config.operatorFile.journal.freePercent / 100.0;
   options.owner = "pid " + std::to_string(::getpid()) + ", relay " + config.name;
   options.salt = drawnSalt();
+  options.meanings = config.meanings;
   return options;
 }
 
@@ -92,11 +94,12 @@
   DiscoveryWatch::Options options;
   options.names = config.names;
   for (const std::string& text : m.directories) options.others.push_back(parseAddress(text).value());
-  options.backOff =
-      backOffOf(config.settings.balancers, static_cast<double>(m.backOffMs), config.drainGraceMs);
+  options.backOff = backOffOf(config.settings.balancers, static_cast<double>(m.backOffMs),
+                              config.drainGraceMs, 1 + options.others.size());
   if (m.mostBackOffMs) {
     options.backOff.mostMs = static_cast<double>(*m.mostBackOffMs);
     options.backOff.firstMs = 0;
+    options.backOff.within = false;  // as the operator has it, whatever counts as told meanwhile
   }
   options.seed = config.settings.seed;
   options.mostListBytes = std::min(config.memoryBytes / kListPerMemory, kMostListBytes);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 
 #include "exchange/recovered.h"
+#include "inbound/read_request.h"
 #include "json/json.h"
 #include "net/http.h"
 #include "outbound/answers.h"
@@ -46,6 +47,28 @@
   }
 }
 
+TEST_CASE("what stands behind a request is told from the rest of a body") {
+  CHECK(behind("") == Behind::kNothing);
+  const std::string line = "POST /status-update HTTP/1.1\r\n";
+  for (std::size_t size = 1; size < line.size(); ++size)
+    CHECK(behind(line.substr(0, size)) == Behind::kUnsure);
+  CHECK(behind(line + "X-Requ") == Behind::kRequest);
+  CHECK(behind("GET /up HTTP/1.0\r\n") == Behind::kRequest);
+  for (const char* rest : {"lo", "\r\n", "lo world", "POST\r\n", " POST /", "POST status", "POST /a\x01",
+                           "POST /a b", "POST /a HTTP/1.1\n", "POST /a HTTP/2", "ABCDEFGH", "POST  /"})
+    CHECK(behind(rest) == Behind::kRest);
+  CHECK(behind("POST /" + std::string(kHeadLimit, 'a')) == Behind::kRest);
+}
+
+TEST_CASE("a head that is too long is named by the line that made it so") {
+  for (const bool first : {true, false}) {
+    HttpReader reader(HttpReader::Side::kRequest);
+    reader.buffer() = (first ? "GET /" : "GET / HTTP/1.1\r\nX: ") + std::string(kHeadLimit, 'a');
+    CHECK(reader.advance() == HttpReader::State::kBad);
+    CHECK_EQ(reader.errorStatus(), first ? 414 : 431);
+  }
+}
+
 TEST_CASE("an answer without a length runs until its connection ends") {
   HttpReader reader(HttpReader::Side::kAnswer);
   reader.buffer() = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nab";
@@ -119,20 +142,36 @@
   OwedRequest owed;
   owed.notAfterWallMs = 1e12 + 5000;
   owed.doubts = {{"E1", 1, 1e12 - 300, 0}, {"E1", 1, 1e12, 1}};
-  const double nowMs = 70, limitMs = 16000, dayMs = 86400000;
-  const MessageEvent right = eventOf(owed, nowMs, 1e12 + 1000, limitMs);
+  const double nowMs = 70, limitMs = 16000, dayMs = 86400000, newestMs = 1e12;
+  const MessageEvent right = eventOf(owed, nowMs, {1e12 + 1000, newestMs, 0}, limitMs);
   CHECK_EQ(right.notAfterMs, nowMs + 4000);
   CHECK_EQ(right.doubts[0].sentMs, nowMs - 1300);
-  const MessageEvent back = eventOf(owed, nowMs, 1e12 - dayMs, limitMs);
+  const MessageEvent back = eventOf(owed, nowMs, {1e12 - dayMs, newestMs, 0}, limitMs);
   CHECK_EQ(back.notAfterMs, nowMs + limitMs);
   CHECK(back.doubts[0].sentMs < nowMs - dayMs);
-  const MessageEvent step = eventOf(owed, nowMs, 1e12 - 400, limitMs);  // a clock's own correction
-  CHECK_EQ(step.doubts[1].sentMs, nowMs);
-  CHECK_EQ(step.notAfterMs, nowMs + 5400);
-  CHECK(eventOf(owed, nowMs, 1e12 + dayMs, limitMs).notAfterMs < nowMs);
-  // An attempt that is still to come shows that the clock was set back: then the one before it is no younger.
-  owed.doubts = {{"E1", 1, 1e12 - 10000, 0}, {"E1", 1, 1e12, 1}};
-  CHECK(eventOf(owed, nowMs, 1e12 - 5000, limitMs).doubts[0].sentMs < nowMs - dayMs);
+  // However small the step: by so much a window might look open that is not.
+  const MessageEvent step = eventOf(owed, nowMs, {1e12 - 1, newestMs, 0}, limitMs);
+  CHECK(step.doubts[0].sentMs < nowMs - dayMs);
+  CHECK(step.doubts[1].sentMs < nowMs - dayMs);
+  CHECK_EQ(step.notAfterMs, nowMs + 5001);
+  CHECK(eventOf(owed, nowMs, {1e12 + dayMs, newestMs, 0}, limitMs).notAfterMs < nowMs);
+  // What was recorded of another request shows it as well: these attempts are older than they seem.
+  const MessageEvent other = eventOf(owed, nowMs, {1e12 + 1000, 1e12 + 1500, 0}, limitMs);
+  CHECK(other.doubts[1].sentMs < nowMs - dayMs);
+  // Known to have been set back, though nothing seems to be to come.
+  const MessageEvent known = eventOf(owed, nowMs, {1e12 + 1000, newestMs, 700}, limitMs);
+  CHECK_EQ(known.doubts[1].sentMs, nowMs - 1700);
+  CHECK_EQ(known.notAfterMs, nowMs + 4000);
+  OwedTable table;
+  CHECK_EQ(newestWallMs(table), 0);
+  owed.takenWallMs = 1e12 - 400;
+  table.put(owed);
+  CHECK_EQ(newestWallMs(table), 1e12);
+  owed.id = "taken only";
+  owed.takenWallMs = 1e12 + 1500;
+  owed.doubts.clear();
+  table.put(owed);
+  CHECK_EQ(newestWallMs(table), 1e12 + 1500);
   owed.doubts = {{"", Doubt::kLostZone, 0, Doubt::kLostAttempt}};  // of which nothing is known
-  CHECK(eventOf(owed, nowMs, 1e12, limitMs).doubts[0].sentMs < nowMs - dayMs);
+  CHECK(eventOf(owed, nowMs, {1e12, 1e12, 0}, limitMs).doubts[0].sentMs < nowMs - dayMs);
 }
