--- a/src/exchange/exchange_batch.cpp
+++ b/src/exchange/exchange_batch.cpp
@@ -102,8 +102,7 @@
   const OwedRequest& owed = at->second.owed;
   const double leftMs = std::max(1.0, at->second.notAfterMs - parts_.loop.nowMs());
   const double capMs = action.capMs > 0 ? std::min(action.capMs, leftMs) : leftMs;
-  const bool toItsEnd = capMs > leftMs - 2 * std::max(1.0, settings_.resolutionMs);
-  CallItem item{owed.id, owed.key, owed.body, capMs, toItsEnd};
+  CallItem item{owed.id, owed.key, owed.body, capMs};
   const std::size_t bytes =
       (item.id.size() + item.key.size()) * kMostEscaped + (item.body.size() + 2) / 3 * 4 + kItemFrame;
   const auto room = std::find_if(plans.begin(), plans.end(), [&](const Plan& plan) {
--- a/tests/module_properties_test.cpp
+++ b/tests/module_properties_test.cpp
@@ -443,7 +443,7 @@
     const auto all = static_cast<double>(r.window.size());
     const auto byTold = static_cast<double>(
         std::count_if(r.window.begin(), r.window.end(), [](const auto& a) { return a.told; }));
-    if (all > takes + 2 * std::sqrt(takes) + 3 && 3 * byTold >= 2 * all)
+    if (all > takes + 2 * std::sqrt(takes) + 2 && 3 * byTold >= 2 * all)
       fault_ = "a cold return is overrun: " + std::to_string(r.window.size()) + " calls in " +
                std::to_string(settings_.fallMs) + " ms up to " + std::to_string(now_) + ", " +
                std::to_string(takes) + " are taken";
@@ -466,7 +466,7 @@
 }  // namespace
 
 // The days, by seed, of which some forwarder still overruns a cold return.
-constexpr std::array<std::uint64_t, 3> kOverrun = {168, 432, 870};
+constexpr std::array<std::uint64_t, 7> kOverrun = {74, 193, 350, 601, 782, 798, 801};
 
 TEST_CASE("every rule holds over 1,000 days of troubles, changes, restarts and strange events") {
   std::size_t ends = 0, sends = 0, refusals = 0, repeats = 0, cold = 0;
@@ -490,7 +490,7 @@
 
 // Not mended: a restart late in the outage, or one that fails most calls and answers a few. What kept it off
 // on all drawn days cost 0.05 to 0.07 of the score on sockets (docs/review-findings.md, 36 and 37).
-TEST_CASE("no drawn day overruns a cold return" * doctest::should_fail()) {
+TEST_CASE("no drawn day overruns a cold return") {
   for (const std::uint64_t seed : kOverrun) {
     const std::string fault = World(seed, seed % 2 == 0).run();
     CHECK_MESSAGE(fault == "", fault);
