Add a soak of real relays under faults of machines and surroundings

The lab's fleets had one fault of a relay at a time, no failing system calls, no clocks and no bad clients.

Change: a preloaded library (lab/fault_shim_*) makes system calls and changes below the lasting folder fail and moves the wall clock; proxies stand before endpoints; clients reuse connections, and rude ones stop half-way, go, pipeline or say nothing; plans overlap.

--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -29,9 +29,12 @@
   kTwoOut,            // a call while another of that message was out
   kDrained,           // a call at an endpoint that the relay was told drains or is gone
   kWaitBroken,        // a call before a told wait was over
-  kColdOverrun,  // a cold endpoint got more than its budget, two thirds from relays that knew of its outage
-  kAfterEnd,     // a call of a message whose end was known to the relay, or told to the platform
-  kAfterRefusal  // a call of a message that was answered with a fail-fast
+  kColdOverrun,   // a cold endpoint got more than its budget, two thirds from relays that knew of its outage
+  kAfterEnd,      // a call of a message whose end was known to the relay, or told to the platform
+  kAfterRefusal,  // a call of a message that was answered with a fail-fast
+  kExited,        // a process ended by itself, without having been told to
+  kNotReady,      // a process was not ready in time
+  kHalfKept       // a client that stopped in the middle of a request got no error in time
 };
 const char* nameOf(Rule rule);
 
@@ -52,6 +55,11 @@
   double shortOutageMs = 0;   // returns from shorter ones are not judged
   double coldSlackCalls = 3;  // "a little slack for chance"
   double orderMs = 50;        // two stand-ins may record in another order what is no further apart
+  // Calls go through a proxy, by which the end of one may be seen so much later than the beginning of the
+  // next.
+  double proxyOrderMs = 0;
+  double readyMs = 10000;  // from a process's start, or from the end of the trouble it met, to its readiness
+  double halfMs = 3000;    // that a client which stops in the middle of a request is owed its error
   double slackMs = 0;
 };
 
--- /dev/null
+++ b/lab/fault_shim.h
@@ -0,0 +1,65 @@
+// What a test tells the system-call shim of one relay (lab/fault_shim_*.cpp): a page of shared memory in a
+// file, written by the lab and read by each process that runs with the shim.
+//
+//   FaultShim shim(folder + "/shim", seed);          // makes the page
+//   shim.stepWallClock(-5000);                       // stays for all later processes
+//   shim.failDisk(DiskFault::kNoSpace);
+//   program.setEnvironment(shim.environment(MYRTLELOFT_FAULT_SHIM));
+//
+// All members are lock-free atomics, so both sides may use them at any time.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace myrtleloft::lab {
+
+inline constexpr const char* kShimPageVariable = "MYRTLELOFT_FAULT_SHIM_PAGE";
+
+enum class DiskFault : std::uint32_t {
+  kNone,
+  kIoError,     // each operation that changes something fails with EIO
+  kNoSpace,     // files can neither grow nor be made: ENOSPC; cutting and removing work
+  kHalfWrites,  // like kNoSpace, after half of what is written has reached the file
+};
+
+// The shared page. Rates are in thousandths of the calls.
+struct FaultPage {
+  std::atomic<std::uint64_t> seed{1};
+  std::atomic<std::int64_t> wallStepMs{0};        // added to CLOCK_REALTIME; the other clocks stay
+  std::atomic<std::uint32_t> networkPerMille{0};  // of socket, accept4, connect, poll, recv, send
+  std::atomic<std::uint32_t> delayPerMille{0};    // of send and write: they begin up to 150 ms late
+  std::atomic<DiskFault> disk{DiskFault::kNone};
+  std::atomic<std::uint64_t> failedCalls{0}, failedDisk{0}, delays{0};  // what the shim did
+};
+static_assert(std::atomic<std::uint64_t>::is_always_lock_free);
+
+// The lab's side of the page.
+class FaultShim {
+ public:
+  // Throws std::runtime_error where the page cannot be made.
+  FaultShim(std::string pagePath, std::uint64_t seed);
+  ~FaultShim();
+  FaultShim(const FaultShim&) = delete;
+  FaultShim& operator=(const FaultShim&) = delete;
+
+  // Moves the wall clock of the relay's machine by so many ms, for good.
+  void stepWallClock(double ms) { page_->wallStepMs += static_cast<std::int64_t>(ms); }
+  void failDisk(DiskFault fault) { page_->disk = fault; }
+  void failNetwork(std::uint32_t perMille) { page_->networkPerMille = perMille; }
+  void delayWrites(std::uint32_t perMille) { page_->delayPerMille = perMille; }
+  const FaultPage& page() const { return *page_; }
+
+  // What a process needs in its environment to run with the shim at that path.
+  std::vector<std::pair<std::string, std::string>> environment(const std::string& shimLibrary) const;
+
+ private:
+  std::string path_;
+  FaultPage* page_ = nullptr;
+};
+
+}  // namespace myrtleloft::lab
--- a/lab/fleet_clients.h
+++ b/lab/fleet_clients.h
@@ -41,6 +41,8 @@
   bool idle() const { return waiting_.empty() && again_.empty(); }
 
   double patienceMs = 400;
+  // Of ten requests, how many go on a connection that rests since an earlier answer, where there is one.
+  int reusedOfTen = 0;
 
  private:
   static constexpr int kMostTries = 4;
@@ -48,21 +50,28 @@
     Letter letter;
     std::string id, relay;
     double sinceMs = 0;
+    bool reused = false;  // its connection had carried others
   };
   struct Again {
     double atMs = 0;
     Letter letter;
     std::string relay;
   };
+  // On a resting connection to that relay, or a new one.
+  Hub::Id connectionTo(const std::string& relay, bool fresh, bool& reused);
+  void write(Letter letter, const std::string& id, const std::string& relay, bool fresh);
   void onAnswer(Hub::Id from, const Message& m);
+  void onClosed(Hub::Id from);
   void over(Hub::Id from, Saw saw, const std::string& retried, double afterMs);
 
   FleetWitness& witness_;
   std::vector<std::string> relays_;
   AddressOf addressOf_;
   std::map<Hub::Id, Waiting> waiting_;
+  std::map<std::string, std::vector<Hub::Id>> resting_;  // by relay
   std::vector<Again> again_;
   int next_ = 0;
+  bool closes_ = false;  // the answer that is being taken ends its connection
 };
 
 }  // namespace myrtleloft::lab
--- a/lab/fleet_endpoint.h
+++ b/lab/fleet_endpoint.h
@@ -38,6 +38,7 @@
     Hub::Id connection = 0;
     FleetRecord call;
     double dueMs = 0;
+    bool halted = false;  // its answer has begun and does not go on
   };
   // Calls of that message whose connection has ended, though the word of it has not come: it must not look as
   // if two were out.
@@ -59,7 +60,9 @@
     kSilent,     // takes calls and answers none
     kErrs,       // 500
     kTurnsAway,  // 503
-    kTellsWait   // 429, to wait until `waitUntilMs` of the witness' clock
+    kTellsWait,  // 429, to wait until `waitUntilMs` of the witness' clock
+    kSpoils,     // serves; its answers end half-way, one in two within the first line
+    kHalts       // serves; its answers begin and never end
   };
   struct Facts {
     std::string uid;
@@ -83,7 +86,10 @@
   static constexpr double kColdMs = 11000, kColdShare = 0.14, kStepMs = 500;
   void onMessage(const std::string& relay, Hub::Id from, const Message& m);
   void onClosed(Hub::Id from);
-  void answer(const FleetWitness::Out& out);
+  bool answer(const FleetWitness::Out& out);
+  // Each: whether the call is over with that.
+  bool settle(FleetWitness::Out& out);
+  bool spoil(const FleetWitness::Out& out);
   void capacity(double share);
 
   FleetWitness& witness_;
--- a/lab/fleet_history.h
+++ b/lab/fleet_history.h
@@ -43,12 +43,22 @@
   kStopped,
   kContinued,
   kFolderLost,  // what it kept is gone
-  kStall        // the stand-ins themselves stood still for the last `ms`
+  kExited,      // it ended by itself: status = its exit code, -1 after a signal
+  kTrouble,     // something of its machine fails from now on that it may not get through: a start may wait
+  kCalm,        // ... and works again
+  // Clients, once more.
+  // A connection on which requests had been answered was closed without an answer to this one: right only
+  // where
+  // the relay had not read it. A client that has sent one alone sends it again under its id.
+  kUnread,
+  kBegun,  // a client wrote half a request, id, and waits
+  kRid,    // that client got an error, or its connection was closed
+  kStall   // the stand-ins themselves stood still for the last `ms`
 };
-inline constexpr const char* kSawNames[] = {"handed", "taken",    "refused",   "cut off",     "left",
-                                            "call",   "answer",   "ended",     "probe",       "outage",
-                                            "back",   "capacity", "notice",    "told",        "down",
-                                            "ready",  "stopped",  "continued", "folder lost", "stall"};
+inline constexpr const char* kSawNames[] = {
+    "handed",    "taken",       "refused",  "cut off", "left", "call",   "answer",  "ended", "probe",
+    "outage",    "back",        "capacity", "notice",  "told", "down",   "started", "ready", "stopped",
+    "continued", "folder lost", "exited",   "trouble", "calm", "unread", "begun",   "rid",   "stall"};
 
 struct FleetRecord {
   double atMs = 0;
--- /dev/null
+++ b/lab/fleet_machines.cpp
@@ -0,0 +1,116 @@
+// The machines of a fleet's relays and what surrounds them: how they are placed, and what befalls them.
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "lab/auditor_processes.h"
+#include "lab/auditor_timeline.h"
+#include "lab/fleet_of_processes.h"
+#include "lab/site.h"
+
+namespace myrtleloft::lab {
+namespace {
+
+Directory::Mode directoryMode(double amount) {
+  constexpr std::array kModes = {Directory::Mode::kDown, Directory::Mode::kSilent, Directory::Mode::kSlow,
+                                 Directory::Mode::kSpoilt};
+  return kModes.at(static_cast<std::size_t>(amount) - 1);
+}
+
+}  // namespace
+
+void FleetOfProcesses::place(Relay& relay) {
+  const std::string name = relay.name;
+  for (std::unique_ptr<Directory>* const directory : {&relay.directory, &relay.otherDirectory}) {
+    *directory = std::make_unique<Directory>(hub_);
+    (*directory)->noticed = [this, name](const std::string& id, const std::string& result) {
+      witness_.see({.saw = Saw::kNotice, .relay = name, .id = id, .status = result == "dead" ? 0 : 1});
+    };
+  }
+  relay.rude = std::make_unique<RudeClients>(witness_, name);
+  if (!options_.shim.empty())
+    relay.shim = std::make_unique<FaultShim>(relay.folder + ".shim", options_.relays + names_.size());
+  if (!options_.proxies) return;
+  for (const auto& endpoint : endpoints_)
+    links_[name + ">" + endpoint->uid()] =
+        std::make_unique<LinkStandIn>(hub_, endpoint->entry(name, false).address);
+}
+
+std::string FleetOfProcesses::config(const Relay& relay) const {
+  std::string settings = kSiteSettings;
+  replaceAll(settings, R"("balancers":1,"me":0)",
+             R"("balancers":)" + std::to_string(options_.relays) + R"(,"me":)" +
+                 std::to_string(std::atoi(relay.name.c_str() + 1) - 1));
+  replaceAll(settings, R"("memorySpanMs":15000.0)", R"("memorySpanMs":)" + std::to_string(options_.windowMs));
+  return R"({"name":")" + relay.name + R"(","listen":"127.0.0.1:0","discovery":")" +
+         relay.directory->address() + R"(","seed":")" + std::to_string(plan_.seed + 1) +
+         relay.name.substr(1) + R"(","limits":{"sockets":256,"disk_mb":)" + std::to_string(relay.diskMb) +
+         R"(},"settings":)" + settings + "}";
+}
+
+void FleetOfProcesses::lookAfter(Relay& relay) {
+  int code = 0;
+  if ((relay.phase != Phase::kStarting && relay.phase != Phase::kUp) || !relay.program->ended(code)) return;
+  witness_.see({.saw = Saw::kExited, .relay = relay.name, .status = code});
+  end(relay);
+  relay.startAtMs = witness_.nowMs() + kStartAfterMs;
+}
+
+void FleetOfProcesses::trouble(const Relay& relay, int what, bool begins) {
+  witness_.see({.saw = begins ? Saw::kTrouble : Saw::kCalm, .relay = relay.name, .status = what});
+}
+
+void FleetOfProcesses::onMachine(Relay& relay, const Fault& fault, bool begins) {
+  const auto amount = static_cast<std::uint32_t>(begins ? fault.amount : 0);
+  switch (fault.kind) {
+    case FaultKind::kClockBack:
+      return begins ? relay.shim->stepWallClock(-fault.amount) : void();
+    case FaultKind::kClockForward:
+      return begins ? relay.shim->stepWallClock(fault.amount) : void();
+    case FaultKind::kDiskFails:
+      relay.shim->failDisk(static_cast<DiskFault>(amount));
+      return trouble(relay, kDiskTrouble, begins);
+    case FaultKind::kCallsFail:
+      relay.shim->failNetwork(amount);
+      return trouble(relay, kNetworkTrouble, begins);
+    case FaultKind::kHeldUp:
+      return relay.shim->delayWrites(amount);
+    case FaultKind::kReload:
+      return begins ? moveDirectory(relay) : void();
+    case FaultKind::kDiscovery:
+      relay.directory->become(begins ? directoryMode(fault.amount) : Directory::Mode::kUp);
+      if (!begins) relay.otherDirectory->become(Directory::Mode::kUp);
+      // What changed meanwhile counts as told so long after it could be reached again.
+      relay.toldAtMs = begins ? 1e18 : witness_.nowMs() + kToldMs;
+      return;
+    case FaultKind::kRude:
+      return relay.rude->setRate(amount);
+    default:
+      return;
+  }
+}
+
+void FleetOfProcesses::moveDirectory(Relay& relay) {
+  std::swap(relay.directory, relay.otherDirectory);
+  std::ofstream(relay.folder + "/config.json") << config(relay);
+  if (relay.phase == Phase::kUp || relay.phase == Phase::kStarting || relay.phase == Phase::kDraining)
+    relay.program->signal(SIGHUP);
+}
+
+std::string FleetOfProcesses::shimCounts() const {
+  std::uint64_t calls = 0, disk = 0, delays = 0;
+  for (const auto& relay : relays_) {
+    if (!relay->shim) continue;
+    calls += relay->shim->page().failedCalls;
+    disk += relay->shim->page().failedDisk;
+    delays += relay->shim->page().delays;
+  }
+  std::ostringstream text;
+  text << "shims: calls failed " << calls << ", changes of the disk failed " << disk << ", writes delayed "
+       << delays << '\n';
+  return text.str();
+}
+
+}  // namespace myrtleloft::lab
--- a/lab/fleet_of_processes.h
+++ b/lab/fleet_of_processes.h
@@ -20,9 +20,11 @@
 
 #include "lab/auditor.h"
 #include "lab/fault_plan.h"
+#include "lab/fault_shim.h"
 #include "lab/fleet_clients.h"
 #include "lab/fleet_endpoint.h"
 #include "lab/link_stand_in.h"
+#include "lab/rude_clients.h"
 
 namespace myrtleloft::lab {
 
@@ -46,6 +48,13 @@
   // AuditRules::shortOutageMs. The decision module says (policy.cpp, at `tell`) that it does not cover
   // outages under 0.4 of coldMs at endpoints that are called often.
   double shortOutageMs = 0.4 * 11000;
+  // For faults of machines and surroundings. `shim`: the library of lab/fault_shim_*.cpp, loaded into each
+  // relay; empty: none, and no faults that need it.
+  std::string shim = {};
+  bool proxies = false;  // calls reach endpoints through stand-ins for links, "n1>e1", that faults may act on
+  double leastMessageMs = 0;  // above 0: a message's time is drawn from there to `messageMs`
+  int reusedOfTen = 0;        // FleetClients::reusedOfTen
+  double windowMs = 15000;    // of the keyed class
 };
 
 class FleetOfProcesses {
@@ -65,17 +74,24 @@
   // The play for who has to find out what happened: seed, plan, findings, what was seen how often.
   std::string report() const;
   std::string logs() const;
+  std::string logOf(const std::string& relay) const;
+  // What the shims made fail, in all: calls, changes of the disk, delays.
+  std::string shimCounts() const;
 
   const FleetHistory& history() const { return witness_.history; }
   std::size_t count(Saw saw) const;
 
  private:
+  static constexpr double kToldMs = 6000, kStartAfterMs = 600;  // PROTOCOL's
   enum class Phase : std::uint8_t { kAway, kStarting, kUp, kStopped, kDraining };
   struct Relay {
     std::string name, folder, operatorFile, links;
     double diskMb = 0;
     Phase phase = Phase::kAway;
-    std::unique_ptr<Directory> directory;
+    std::unique_ptr<Directory> directory,
+        otherDirectory;  // the one that is configured, and where it may move
+    std::unique_ptr<FaultShim> shim;
+    std::unique_ptr<RudeClients> rude;
     std::unique_ptr<Program> program;
     double drainsMs = 0, startAtMs = 0, toldAtMs = 0;
     std::set<std::string> untold;  // endpoints that its directory tells to drain
@@ -86,7 +102,13 @@
   void end(Relay& relay);
   void begin(const Fault& fault, bool begins);
   void onRelay(Relay& relay, const Fault& fault, bool begins);
+  void onMachine(Relay& relay, const Fault& fault, bool begins);
+  void trouble(const Relay& relay, int what, bool begins);
+  void moveDirectory(Relay& relay);
   void onEndpoint(FleetEndpoint& endpoint, const Fault& fault, bool begins);
+  // Its process may have ended by itself.
+  void lookAfter(Relay& relay);
+  void place(Relay& relay);
   void onLink(LinkStandIn& link, const Fault& fault, bool begins);
   void tell(const std::string& endpoint);
   void turn();
--- /dev/null
+++ b/lab/soak.cpp
@@ -0,0 +1,104 @@
+#include "lab/soak.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace myrtleloft::lab {
+namespace {
+
+constexpr double kSlackMs = 700, kWindowMs = 2500;
+constexpr double kLeastMessageMs = 700, kMostMessageMs = 6000;
+constexpr int kReusedOfTen = 6;
+// A wait counts from the moment in which it was told. Behind a proxy, or a proxy's reset, it may not have
+// come.
+const std::string kWaitingEndpoint = "e3";
+
+const std::vector<FaultKind> kKinds = {
+    FaultKind::kKill,      FaultKind::kKill,         FaultKind::kKill,      FaultKind::kTerm,
+    FaultKind::kTerm,      FaultKind::kStop,         FaultKind::kClockBack, FaultKind::kClockBack,
+    FaultKind::kClockBack, FaultKind::kClockForward, FaultKind::kDiskFails, FaultKind::kDiskFails,
+    FaultKind::kDiskFails, FaultKind::kCallsFail,    FaultKind::kCallsFail, FaultKind::kHeldUp,
+    FaultKind::kReload,    FaultKind::kDiscovery,    FaultKind::kRude,      FaultKind::kRefuse,
+    FaultKind::kDrop,      FaultKind::kSilent,       FaultKind::kSlow,      FaultKind::kError,
+    FaultKind::kTurnAway,  FaultKind::kWait,         FaultKind::kDrain,     FaultKind::kSpoilt,
+    FaultKind::kHalts,     FaultKind::kReset,        FaultKind::kReset,     FaultKind::kLoseBytes};
+
+// How long after the beginning of a trouble of its machine a relay is killed, in every second one: rare
+// events have to meet, and left to chance alone they seldom do.
+constexpr double kKillAfterMs = 400, kKilledForMs = 300;
+
+bool isMachine(const Fault& fault) {
+  return fault.kind == FaultKind::kClockBack || fault.kind == FaultKind::kClockForward ||
+         fault.kind == FaultKind::kDiskFails || fault.kind == FaultKind::kCallsFail;
+}
+
+std::vector<Fault> killsUnderTrouble(const FaultPlan& plan) {
+  std::vector<Fault> kills;
+  bool next = true;
+  for (const Fault& fault : plan.faults) {
+    if (!isMachine(fault) || !std::exchange(next, !next)) continue;
+    const double atMs = fault.atMs + std::min(kKillAfterMs, fault.forMs / 2);
+    kills.push_back({atMs, FaultKind::kKill, fault.target, kKilledForMs, 0});
+  }
+  return kills;
+}
+
+bool isLink(const Fault& fault) { return fault.target.find('>') != std::string::npos; }
+bool reaches(const Fault& fault, const std::string& endpoint) {
+  return fault.target == endpoint || fault.target.ends_with(">" + endpoint);
+}
+
+// The relays that the lines of the findings name.
+std::string logsOf(const FleetOfProcesses& fleet, const std::vector<AuditFinding>& findings) {
+  std::string text;
+  std::vector<std::string> done;
+  for (const AuditFinding& finding : findings)
+    for (const std::size_t line : finding.lines) {
+      const std::string& relay = fleet.history().records[line].relay;
+      if (relay.empty() || std::find(done.begin(), done.end(), relay) != done.end()) continue;
+      done.push_back(relay);
+      text += fleet.logOf(relay);
+    }
+  return text;
+}
+
+}  // namespace
+
+FaultPlan soakPlan(const FleetOfProcesses& fleet, std::uint64_t seed, int faults) {
+  FaultPlan plan = drawPlan(seed, fleet.shape(kKinds, faults));
+  for (Fault& fault : plan.faults)
+    if (fault.kind == FaultKind::kWait) fault.target = kWaitingEndpoint;
+  std::erase_if(plan.faults, [](const Fault& fault) {
+    const bool mayLoseWaits =
+        isLink(fault) || (fault.kind != FaultKind::kWait && fault.kind != FaultKind::kDrain);
+    return reaches(fault, kWaitingEndpoint) && mayLoseWaits;
+  });
+  for (const Fault& kill : killsUnderTrouble(plan)) plan.faults.push_back(kill);
+  std::stable_sort(plan.faults.begin(), plan.faults.end(),
+                   [](const Fault& a, const Fault& b) { return a.atMs < b.atMs; });
+  return plan;
+}
+
+SoakResult soak(const SoakOptions& options, std::uint64_t seed, const FaultPlan* plan) {
+  FleetOfProcesses fleet({.program = options.program,
+                          .relays = options.relays,
+                          .trafficMs = options.trafficMs,
+                          .perSecond = options.perSecond,
+                          .messageMs = kMostMessageMs,
+                          .slackMs = kSlackMs,
+                          .perEndpoint = options.perSecond,
+                          .shim = options.shim,
+                          .proxies = true,
+                          .leastMessageMs = kLeastMessageMs,
+                          .reusedOfTen = kReusedOfTen,
+                          .windowMs = kWindowMs});
+  SoakResult result;
+  result.played = fleet.play(plan ? *plan : soakPlan(fleet, seed, options.faults));
+  result.findings = fleet.judge();
+  result.report = fleet.report() + fleet.shimCounts();
+  result.logs =
+      result.findings.empty() ? (result.played ? "" : fleet.logs()) : logsOf(fleet, result.findings);
+  return result;
+}
+
+}  // namespace myrtleloft::lab
--- /dev/null
+++ b/lab/soak.h
@@ -0,0 +1,41 @@
+// A randomized soak: a fleet of real relays under a drawn plan of overlapping faults of processes, machines,
+// surroundings and endpoints, with the auditor as its oracle.
+//
+//   const SoakResult result = soak({.program = "build/myrtleloft", .shim = "build/libfault_shim.so"}, 7);
+//   if (!result.held()) std::cerr << result.report;      // seed, plan, findings with their timelines
+//
+// The plan follows from the seed alone, so that a seed is enough to play it again. Times are real; what a
+// busy machine adds is in AuditRules::slackMs.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "lab/auditor.h"
+#include "lab/fault_plan.h"
+#include "lab/fleet_of_processes.h"
+
+namespace myrtleloft::lab {
+
+struct SoakOptions {
+  std::string program, shim;
+  int relays = 10;
+  int faults = 60;
+  double trafficMs = 12000, perSecond = 150;
+};
+
+struct SoakResult {
+  bool played = false;  // all relays were up at the end
+  std::vector<AuditFinding> findings;
+  std::string report;  // plan, findings, figures
+  std::string logs;    // of the relays whose names the findings hold; of all where there is none
+  bool held() const { return played && findings.empty(); }
+};
+
+// The plan of a seed for such a fleet.
+FaultPlan soakPlan(const FleetOfProcesses& fleet, std::uint64_t seed, int faults);
+// Plays the plan of the seed, or `plan` where one is given.
+SoakResult soak(const SoakOptions& options, std::uint64_t seed, const FaultPlan* plan = nullptr);
+
+}  // namespace myrtleloft::lab
--- a/lab/stand_ins.cpp
+++ b/lab/stand_ins.cpp
@@ -134,8 +134,8 @@
     const Entry& e = entries_[i];
     text += std::string(i ? "," : "") + R"({"uid":")" + e.uid + R"(","endpoint":")" + e.address +
             R"(","az":")" + e.zone + R"(","model":")" + e.kind + R"(","pod_group":)" +
-            std::to_string(e.destination) + R"(,"state":")" + e.state +
-            R"(","capacity_hint":)" + std::to_string(e.capacity) + R"(,"boot_ms":0})";
+            std::to_string(e.destination) + R"(,"state":")" + e.state + R"(","capacity_hint":)" +
+            std::to_string(e.capacity) + R"(,"boot_ms":0})";
   }
   return text + "]}";
 }
@@ -162,6 +162,7 @@
     ::setenv("BALANCER_CONFIG", (folder_ + "/config.json").c_str(), 1);
     ::setenv("BALANCER_STATE", (folder_ + "/state").c_str(), 1);
     if (!operatorFile_.empty()) ::setenv("BALANCER_OPERATOR", operatorFile_.c_str(), 1);
+    for (const auto& [name, value] : environment) ::setenv(name.c_str(), value.c_str(), 1);
     ::execl(program_.c_str(), program_.c_str(), nullptr);
     ::_exit(127);
   }
--- a/lab/stand_ins.h
+++ b/lab/stand_ins.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lab/hub.h"
@@ -138,6 +139,8 @@
   pid_t pid() const { return child_; }
   const std::string& log() const { return log_; }
 
+  std::vector<std::pair<std::string, std::string>> environment;  // of the next process, beside its own
+
  private:
   Hub& hub_;
   std::string program_, folder_, operatorFile_, address_, log_;
