Show that a momentary error of send or recv cuts a client off

A trial with a trace on a scratch copy showed both calls delivered: the 202 of the first could not be sent (ENOBUFS), its resting connection was closed, and the client sent the request once more under its id. Lines at fault: readSome and writeSome in src/net/socket.cpp take ENOBUFS and ENOMEM for a broken connection.

--- a/lab/fault_shim.h
+++ b/lab/fault_shim.h
@@ -27,6 +27,9 @@
   kHalfWrites,  // like kNoSpace, after half of what is written has reached the file
 };
 
+// Calls that can be made to fail a given number of times, in place of by chance.
+enum class ShimCall : std::uint32_t { kNone, kSocket, kSignalfd, kSendAccepted, kRecvAccepted };
+
 // The shared page. Rates are in thousandths of the calls.
 struct FaultPage {
   std::atomic<std::uint64_t> seed{1};
@@ -34,6 +37,8 @@
   std::atomic<std::uint32_t> networkPerMille{0};  // of socket, accept4, connect, poll, recv, send
   std::atomic<std::uint32_t> delayPerMille{0};    // of send and write: they begin up to 150 ms late
   std::atomic<DiskFault> disk{DiskFault::kNone};
+  std::atomic<ShimCall> scripted{ShimCall::kNone};
+  std::atomic<int> scriptedError{0}, scriptedLeft{0};
   std::atomic<std::uint64_t> failedCalls{0}, failedDisk{0}, delays{0};  // what the shim did
 };
 static_assert(std::atomic<std::uint64_t>::is_always_lock_free);
@@ -51,6 +56,13 @@
   void stepWallClock(double ms) { page_->wallStepMs += static_cast<std::int64_t>(ms); }
   void failDisk(DiskFault fault) { page_->disk = fault; }
   void failNetwork(std::uint32_t perMille) { page_->networkPerMille = perMille; }
+  // The next so many of these calls fail with that errno.
+  void failNext(ShimCall call, int error, int count) {
+    page_->scriptedError = error;
+    page_->scriptedLeft = count;
+    page_->scripted = call;
+  }
+  int scriptedLeft() const { return page_->scriptedLeft; }
   void delayWrites(std::uint32_t perMille) { page_->delayPerMille = perMille; }
   const FaultPage& page() const { return *page_; }
 
--- a/lab/fault_shim_network.cpp
+++ b/lab/fault_shim_network.cpp
@@ -25,6 +25,14 @@
   return true;
 }
 
+// Whether the test wants this very call to fail; sets errno.
+bool scripted(ShimCall call) {
+  if (!page() || page()->scripted != call || page()->scriptedLeft <= 0) return false;
+  --page()->scriptedLeft;
+  errno = page()->scriptedError;
+  return true;
+}
+
 // Ends a connection as the error says that it has ended.
 ssize_t breakConnection(int fd) {
   ::shutdown(fd, SHUT_RDWR);
@@ -39,12 +47,14 @@
 
 int signalfd(int fd, const sigset_t* signals, int flags) noexcept {
   static const auto next = real<int(int, const sigset_t*, int)>("signalfd");
+  if (scripted(ShimCall::kSignalfd)) return -1;
   if (networkFails()) return failWith(std::array{ENFILE, ENOMEM});
   return next(fd, signals, flags);
 }
 
 int socket(int domain, int type, int protocol) noexcept {
   static const auto next = real<int(int, int, int)>("socket");
+  if (scripted(ShimCall::kSocket)) return -1;
   if (networkFails()) return failWith(std::array{ENFILE, ENOBUFS, ENOMEM});
   const int fd = next(domain, type, protocol);
   setKind(fd, FdKind::kOther);
@@ -74,6 +84,7 @@
 
 ssize_t recv(int fd, void* into, size_t size, int flags) {
   static const auto next = real<ssize_t(int, void*, size_t, int)>("recv");
+  if (kindOf(fd) == FdKind::kAccepted && scripted(ShimCall::kRecvAccepted)) return -1;
   if ((flags & MSG_PEEK) || !networkFails()) return next(fd, into, size, flags);
   if (breaks(fd)) return breakConnection(fd);
   if (nextRandom() % 2 == 0) return failWith(std::array{EINTR, ENOMEM});
@@ -83,6 +94,7 @@
 ssize_t send(int fd, const void* bytes, size_t size, int flags) {
   static const auto next = real<ssize_t(int, const void*, size_t, int)>("send");
   maybeDelay();
+  if (kindOf(fd) == FdKind::kAccepted && scripted(ShimCall::kSendAccepted)) return -1;
   if (!networkFails()) return next(fd, bytes, size, flags);
   if (breaks(fd)) return breakConnection(fd);
   if (nextRandom() % 2 == 0) return failWith(std::array{EINTR, ENOBUFS, ENOMEM});
