Take a momentary error of send, recv or connect for what it is

Change: readSome and writeSome take them as nothing to be done now, and the loop comes back, as the descriptor stays ready; what is to be dropped is read on past them. A connect that fails for want of a port or buffers on this machine says nothing of the endpoint: it is treated like no descriptor (not sent), not as no connection.

--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -13,11 +13,25 @@
 namespace myrtleloft {
 namespace {
 
+constexpr int kMostFailures = 16;  // in a row, of reading what is to be dropped
+
 void sendAtOnce(const Fd& fd) {
   const int on = 1;
   ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+// Whether a call on a connection that failed works later, the connection being as it was (man recv, man
+// send).
+bool passes(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == ENOBUFS || error == ENOMEM;
+}
+
+// Whether a connection could not even be begun for want of something on this machine: the peer has no part in
+// it.
+bool isLocal(int error) {
+  return error == EADDRNOTAVAIL || error == ENOBUFS || error == ENOMEM || error == EAGAIN;
+}
+
 const sockaddr* generic(const Address& address) { return reinterpret_cast<const sockaddr*>(&address.raw); }
 
 }  // namespace
@@ -38,12 +52,13 @@
   return address;
 }
 
-Fd listenOn(const Address& address, std::string& error) {
+Fd listenOn(const Address& address, std::string& error, int* number) {
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int on = 1;
   if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (!fd || ::bind(fd.get(), generic(address), sizeof address.raw) != 0 ||
       ::listen(fd.get(), SOMAXCONN) != 0) {
+    if (number) *number = errno;
     error = "cannot listen on " + address.text + ": " + std::strerror(errno);
     return Fd();
   }
@@ -76,8 +91,8 @@
   if (!fd) return fd;
   sendAtOnce(fd);
   // Any other error than "in progress" stays pending on the socket or shows as a failed first write.
-  ::connect(fd.get(), generic(address), sizeof address.raw);
-  return fd;
+  const bool begun = ::connect(fd.get(), generic(address), sizeof address.raw) == 0;
+  return begun || !isLocal(errno) ? std::move(fd) : Fd();
 }
 
 bool descriptorFree() { return static_cast<bool>(Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))); }
@@ -98,15 +113,17 @@
     }
     if (got == 0) return Io::kClosed;
     if (errno == EINTR) continue;
-    return errno == EAGAIN || errno == EWOULDBLOCK ? Io::kWouldBlock : Io::kFailed;
+    return passes(errno) ? Io::kWouldBlock : Io::kFailed;
   }
 }
 
 void discardInput(const Fd& fd, std::size_t most) {
   std::array<char, 16384> chunk;
+  int failures = 0;
   for (std::size_t done = 0; done <= most;) {
     const ssize_t got = ::recv(fd.get(), chunk.data(), chunk.size(), 0);
-    if (got == 0 || (got < 0 && errno != EINTR)) return;
+    const bool again = got < 0 && (errno == EINTR || errno == ENOBUFS || errno == ENOMEM);
+    if (got == 0 || (got < 0 && (!again || ++failures > kMostFailures))) return;
     if (got > 0) done += static_cast<std::size_t>(got);
   }
 }
@@ -120,7 +137,7 @@
       continue;
     }
     if (errno == EINTR) continue;
-    return errno == EAGAIN || errno == EWOULDBLOCK ? Io::kWouldBlock : Io::kFailed;
+    return passes(errno) ? Io::kWouldBlock : Io::kFailed;
   }
   return Io::kProgress;
 }
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -47,17 +47,21 @@
 // What one non-blocking read or write came to.
 enum class Io { kProgress, kWouldBlock, kClosed, kFailed };
 
-Fd listenOn(const Address& address, std::string& error);
+// An empty Fd: `error` says why, and `number`, where it is given, is the errno.
+Fd listenOn(const Address& address, std::string& error, int* number = nullptr);
 // Where a listener really listens: port 0 asks for any.
 std::string localAddress(const Fd& fd);
 // Whether a connection waits to be accepted.
 bool hasArrival(const Fd& listener);
 Fd acceptFrom(const Fd& listener, int& error);
-// An empty Fd: no descriptor could be had. A refused connection shows when the descriptor becomes writable.
+// An empty Fd: no descriptor or no port could be had, which says nothing of the peer. A refused connection
+// shows when the descriptor becomes writable.
 Fd connectTo(const Address& address);
 // Whether one more descriptor can be had.
 bool descriptorFree();
 int pendingError(const Fd& fd);
+// Both: an error that leaves the connection as it was (ENOBUFS, ENOMEM) is kWouldBlock, for the descriptor
+// stays ready and the loop comes back to it; kFailed is the connection's end.
 Io readSome(const Fd& fd, std::string& into);
 // Reads and forgets what is there, `most` bytes and one read of 16 KiB at the most. Allocates nothing.
 void discardInput(const Fd& fd, std::size_t most);
