--- /dev/null
+++ b/tests/failing_start_test.cpp
@@ -0,0 +1,96 @@
+// Starts while something fails for a moment: the process stays, is not ready, and is ready soon after the
+// fault has gone, with all that it owes. What waiting does not help ends it with a clear line and code 1.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <cerrno>
+
+#include "tests/shimmed_site.h"
+
+using namespace myrtleloft::lab;
+
+TEST_CASE("a start waits while no socket, signal descriptor or listener can be had") {
+  for (const ShimCall call : {ShimCall::kSocket, ShimCall::kSignalfd})
+    for (const int error : {ENOBUFS, ENOMEM, ENFILE, EMFILE}) {
+      ShimmedSite site;
+      site.shim.failNext(call, error, 3);
+      INFO("call ", static_cast<int>(call), " errno ", error, "\n", site.relay->log());
+      CHECK(site.start());
+      CHECK(site.logged("cannot start yet") == 1);
+      site.hand("m1", "billing-charge", 10);
+      CHECK(site.taken("m1"));
+    }
+}
+
+TEST_CASE("a start waits while its folder's disk fails, and forgets nothing that it owes") {
+  for (const DiskFault fault : {DiskFault::kIoError, DiskFault::kNoSpace, DiskFault::kHalfWrites}) {
+    ShimmedSite site;
+    REQUIRE(site.start());
+    site.endpoint.holds = true;
+    for (const char* id : {"once", "again"})
+      site.hand(id, id[0] == 'o' ? "billing-charge" : "status-update", 12);
+    REQUIRE((site.taken("once") && site.taken("again")));
+    REQUIRE(site.until([&] { return site.endpoint.calls.size() >= 1; }));
+    site.shim.failDisk(fault);
+    site.endpoint.release();
+    site.restart();
+    INFO("fault ", static_cast<int>(fault), "\n", site.relay->log());
+    int code = 0;
+    site.pass(1500);
+    REQUIRE_FALSE(site.relay->ended(code));
+    site.hand("refused", "billing-charge", 10);
+    if (site.relay->ready()) CHECK_FALSE(site.taken("refused"));
+    site.shim.failDisk(DiskFault::kNone);
+    const double calmMs = steadyMs();
+    REQUIRE(site.serves());
+    CHECK(steadyMs() < calmMs + 1000);
+    site.hand("m1", "billing-charge", 10);
+    CHECK(site.taken("m1"));
+    // What may have run ends with a notice, the other is delivered.
+    CHECK(site.until([&] {
+      return (site.notices.count("once") || site.callsOf("once") > 0) &&
+             (site.notices.count("again") || site.callsOf("again") > 0);
+    }));
+    CHECK(site.callsOf("once") <= 1);
+  }
+}
+
+TEST_CASE("the first start of all waits for the disk, too") {
+  for (const DiskFault fault : {DiskFault::kIoError, DiskFault::kNoSpace, DiskFault::kHalfWrites}) {
+    ShimmedSite site;
+    site.shim.failDisk(fault);
+    site.relay->start();
+    site.pass(1000);
+    int code = 0;
+    INFO("fault ", static_cast<int>(fault), "\n", site.relay->log());
+    REQUIRE_FALSE(site.relay->ended(code));
+    site.shim.failDisk(DiskFault::kNone);
+    CHECK(site.serves());
+  }
+}
+
+TEST_CASE("a start that waits ends when it is told to") {
+  ShimmedSite site;
+  site.shim.failDisk(DiskFault::kIoError);
+  site.relay->start();
+  REQUIRE(site.until([&] { return site.logged("cannot start yet") > 0; }));
+  site.relay->signal(SIGTERM);
+  CHECK(site.endsWith(0, 2000));
+}
+
+TEST_CASE("what waiting does not help ends the start at once") {
+  SUBCASE("the address is held by another") {
+    ShimmedSite site;
+    site.makeRelay(site.directory.address());
+    site.relay->start();
+    CHECK(site.endsWith(1, 3000));
+    CHECK(site.logged("cannot listen on " + site.directory.address()) == 1);
+  }
+  SUBCASE("the folder is not there") {
+    ShimmedSite site;
+    std::filesystem::remove_all(site.folder + "/state");
+    site.relay->start();
+    CHECK(site.endsWith(1, 3000));
+    CHECK(site.logged("No such file or directory") == 1);
+  }
+}
