Start once what fails for a moment works again

Change: relay/start_fault.h tells what may pass (EIO, ENOSPC, EDQUOT, EMFILE, ENFILE, ENOBUFS, ENOMEM, EAGAIN, EINTR, EADDRNOTAVAIL) from what does not (a folder that is not there, an address or a folder that is held). What may pass is tried again ten times a second for a minute, said once as relay.waiting; SIGTERM ends the wait with code 0.

--- a/include/myrtleloft/relay.h
+++ b/include/myrtleloft/relay.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <stdexcept>
 #include <string>
@@ -36,9 +37,11 @@
   Relay(const Environment& environment, std::ostream& log, const RelayParts& parts = {});
   ~Relay();
 
-  // Serves until it is stopped; SIGTERM and SIGINT drain, SIGHUP reads the configuration
-  // again, SIGUSR1 prints the counters. The exit code. An allocation that fails while it serves ends nothing:
-  // it starts anew from its journal, at the same address.
+  // Starts, and serves until it is stopped. A start that meets what may pass (no descriptor, no port, a disk
+  // that fails or is full) is tried again ten times a second for up to a minute; what stays as it is, as an
+  // address that another process holds, ends it at once, with code 1. SIGTERM and SIGINT drain, SIGHUP reads
+  // the configuration again, SIGUSR1 prints the counters. The exit code. An allocation that fails while it
+  // serves ends nothing: it starts anew from its journal, at the same address.
   int run();
   // Takes nothing more on for long, sees calls out to their end, then stops.
   void drain();
@@ -47,6 +50,9 @@
 
  private:
   class Impl;
+  // The exit code, where it does not come to serving.
+  std::optional<int> start();
+
   std::ostream& log_;
   RelayParts parts_;
   std::unique_ptr<LiveConfig> live_;
--- a/src/inbound/inbound.cpp
+++ b/src/inbound/inbound.cpp
@@ -41,8 +41,8 @@
   if (listener_) loop_.forget(listener_.get());
 }
 
-bool Inbound::open(const Address& address, std::string& error) {
-  listener_ = listenOn(address, error);
+bool Inbound::open(const Address& address, std::string& error, int* number) {
+  listener_ = listenOn(address, error, number);
   if (!listener_) return false;
   loop_.watch(listener_.get(), POLLIN, [this](short) { onAccept(); });
   sweepTimer_ = loop_.after(kSweepMs, [this] { sweep(); });
--- a/src/inbound/inbound.h
+++ b/src/inbound/inbound.h
@@ -25,7 +25,8 @@
           std::size_t mostBytes);
   ~Inbound();
 
-  bool open(const Address& address, std::string& error);
+  // false: `error` says why, and `number`, where it is given, is the errno.
+  bool open(const Address& address, std::string& error, int* number = nullptr);
   std::string listening() const { return localAddress(listener_); }
   void setReady(bool ready) { ready_ = ready; }  // what GET /up says
   // From now on connections are closed between requests: those that rest at once, each other one after the
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -36,7 +36,7 @@
   if (options_.meanings.empty()) return head;
   for (int copy = 0; copy < kMeaningsCopies; ++copy) {
     const std::size_t at = openFrame(head);
-    encode(MeaningsRecord{options_.meanings}, head);
+    encode(record, head);
     closeFrame(head, at, header.salt, header.sequence);
   }
   return head;
@@ -76,7 +76,8 @@
   if (error == EEXIST && parts_.files.remove(path(name)) == 0) error = parts_.files.create(path(name), out);
   if (!error) error = out->append(bytes).fault;
   if (error) {
-    fault("begin", name, error);
+    // Before the first one, whoever started it says that it waits, once.
+    if (begun_) fault("begin", name, error);
     if (out) parts_.files.remove(path(name));
     return error;
   }
@@ -91,6 +92,7 @@
   newNames_ = true;
   return 0;
 }
+  begun_ = true;
 
 void Journal::settle(OwedRequest& owed) {
   entries_[owed.ticket].owed = &owed;
@@ -202,6 +204,7 @@
   if (active_ && !broken_ && !full) return true;
   // A disk that has no room for another segment may have some in this one.
   return begin() == 0 || (active_ && !broken_);
+  if (!begun_) return writable();
 }
 
 bool Journal::write(std::string_view frames) {
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -79,9 +79,17 @@
 
   // Locks the folder, reads it, takes over a file of version 1, keeps damaged bytes aside, and begins a
   // segment. false: the folder cannot be used, and `error` says why; nothing in it was changed that a later
-  // start needs.
+  // start needs. Where only the segment could not be begun, it is open all the same, and not `writable`: what
+  // was found is owed, and each operation that records something fails until a segment could be begun.
   bool open(Recovered& found, std::string& error);
   // A request from `open` has found its place. Compaction rests until all have.
+  // The errno behind the last `open` that failed; 0: none, as with a version that is not known.
+  int openError() const { return openError_; }
+  // Whether there is a segment to write to. Tries to begin one where there never was; O(1) and a file's
+  // creation.
+  bool writable();
+  // Why there is none; an errno.
+  int beginError() const { return beginError_; }
   void settle(OwedRequest& owed);
 
   // Each returns false where it could not be recorded; the log then still ends with a whole record.
@@ -118,8 +126,8 @@
   bool collect();
 
   // Sequence numbers, for tools.
-  std::uint64_t oldestSegment() const { return segments_.front().sequence; }
-  std::uint64_t newestSegment() const { return segments_.back().sequence; }
+  std::uint64_t oldestSegment() const { return segments_.empty() ? 0 : segments_.front().sequence; }
+  std::uint64_t newestSegment() const { return segments_.empty() ? 0 : segments_.back().sequence; }
 
   const JournalFigures& figures() const { return figures_; }
   JournalRoom room() const;
@@ -184,6 +192,8 @@
   Segment* distrusted();
   void wrote(std::size_t bytes);
 
+  // The oldest segment's file and all that is known of it; an errno. It has to be known as released.
+  int dropOldest();
   Parts parts_;
   JournalOptions options_;
   JournalPlanner planner_;
@@ -195,7 +205,9 @@
   std::uint32_t freeEntry_ = kNone;
   std::size_t used_ = 0, live_ = 0, reserved_ = 0, sinceSlice_ = 0, unsettled_ = 0;
   std::size_t carry_ = 0;  // at least the largest `live` of any segment; exact after `measureCarry`
-  bool broken_ = false;    // the active segment ends in half a record that could not be cut off
+  int openError_ = 0, beginError_ = 0;
+  bool begun_ = false;   // there was an active segment
+  bool broken_ = false;  // the active segment ends in half a record that could not be cut off
   std::uint64_t salt_ = 0, tookOver_ = 0;  // go into the next header
   std::uint64_t releasedTold_ = 1;         // the newest *released* on the disk
   std::deque<std::string> endsOwed_;       // ended, but not yet recorded
--- a/src/journal/journal_compaction.cpp
+++ b/src/journal/journal_compaction.cpp
@@ -30,13 +30,14 @@
 }
 
 bool Journal::wantsSlice() const {
+  if (!begun_) return false;  // nothing can be carried anywhere
   if (!endsOwed_.empty()) return true;
   return unsettled_ == 0 && (distrustTo_ != 0 || planner_.slice(room()) > 0);
 }
 
 bool Journal::slice() {
   if (unsettled_ > 0) return true;
-  if (resting()) return false;
+  if (resting() || !begun_) return false;
   writeEnds();
   if (Segment* segment = distrusted()) {
     ++figures_.slices;
@@ -111,11 +112,7 @@
   };
   tell();
   const std::string name = segmentName(segments_.front().sequence);
-  const int error = parts_.files.remove(path(name));
-  if (error != 0 && error != ENOENT) return fault("remove", name, error);
-  used_ -= inBlocks(segments_.front().fileBytes);
-  segments_.pop_front();
-  ++figures_.released;
+  if (const int error = dropOldest()) return fault("remove", name, error);
   tell();
   return true;
 }
--- a/src/journal/journal_open.cpp
+++ b/src/journal/journal_open.cpp
@@ -19,13 +19,16 @@
   std::string owner = options_.owner + "\n";
   if (const int fault = parts_.files.lock(path(kLockName), owner, lock_)) {
     while (!owner.empty() && owner.back() == '\n') owner.pop_back();
+    openError_ = fault;
     error = fault == EWOULDBLOCK
                 ? "the journal in " + options_.folder + " is held by another process: " + owner
                 : "cannot lock the journal in " + options_.folder + ": " + std::strerror(fault);
     return false;
   }
-  if (const RecoveryFault fault = recover(parts_.files, options_.folder, found,
-                                          options_.meanings.empty() ? nullptr : &options_.meanings)) {
+  if (const RecoveryFault fault =
+          recover(parts_.files, options_.folder, found,
+                  options_.meanings.empty() ? nullptr : &options_.meanings)) {
+    openError_ = fault.error;
     error = "the journal cannot be read: " + fault.text;
     return false;
   }
@@ -52,18 +55,41 @@
     if (old) tookOver_ = 0;
     used_ -= inBlocks(other.bytes);
   }
-  if (!active_) {
-    if (const int fault = begin()) {
-      error = "cannot write the journal in " + options_.folder + ": " + std::strerror(fault);
-      return false;
-    }
+  // Requests of which only the name is left stand in no whole record: they must, before damage is let go.
+  if (!writable() && found.bodiesLost > 0) {
+    openError_ = beginError_;
+    error = "cannot write the journal in " + options_.folder + ": " + std::strerror(beginError_);
+    return false;
+  }
+  if (begun_) {
+    writeNameless(found);
+    keepDamage(found, spoilt);
   }
-  writeNameless(found);
-  keepDamage(found, spoilt);
   measureCarry();
   return true;
 }
 
+bool Journal::writable() {
+  if (begun_) return true;
+  beginError_ = begin();
+  // A folder that was allowed more before: once nothing in it is owed, what is left only stands in the way.
+  const bool nothingOwed = live_ == 0 && reserved_ == 0;
+  while (beginError_ == ENOSPC && nothingOwed && !segments_.empty() && dropOldest() == 0)
+    beginError_ = begin();
+  return begun_;
+}
+
+int Journal::dropOldest() {
+  const Segment& oldest = segments_.front();
+  const int error = parts_.files.remove(path(segmentName(oldest.sequence)));
+  if (error != 0 && error != ENOENT) return error;
+  if (!begun_) releasedTold_ = oldest.sequence + 1;  // the next header says so
+  used_ -= inBlocks(oldest.fileBytes);
+  segments_.pop_front();
+  ++figures_.released;
+  return 0;
+}
+
 // Takes what was read as the state of the folder.
 void Journal::adopt(Recovered& found) {
   salt_ = found.salt != 0 ? found.salt : std::max<std::uint64_t>(1, options_.salt);
@@ -114,6 +140,7 @@
     closeFrame(bytes, at, header.salt, header.sequence);
   }
   const auto refuse = [&](int fault) {
+    openError_ = fault;
     error = "cannot take over the journal of version 1 in " + options_.folder + ": " + std::strerror(fault);
     return false;
   };
--- a/src/journal/recovery.cpp
+++ b/src/journal/recovery.cpp
@@ -10,8 +10,8 @@
 namespace myrtleloft {
 namespace {
 
-std::string cannot(const std::string& what, int fault) {
-  return "cannot " + what + ": " + std::strerror(fault);
+RecoveryFault cannot(const std::string& what, int error) {
+  return {"cannot " + what + ": " + std::strerror(error), error};
 }
 
 // What the header of one segment says of its neighbours.
@@ -28,7 +28,7 @@
 
   RecoveryFault run() {
     std::vector<FileSeen> seen;
-    if (const int fault = files_.list(folder_, seen)) return {cannot("list " + folder_, fault)};
+    if (const int fault = files_.list(folder_, seen)) return cannot("list " + folder_, fault);
     std::sort(seen.begin(), seen.end(), [](const auto& a, const auto& b) { return a.name < b.name; });
     for (FileSeen& file : seen) {
       if (const auto sequence = segmentSequence(file.name)) {
@@ -52,7 +52,7 @@
     if (sequence == loaded_) return {};
     loaded_ = 0;
     const std::string path = folder_ + "/" + segmentName(sequence);
-    if (const int fault = files_.read(path, bytes_)) return {cannot("read " + path, fault)};
+    if (const int fault = files_.read(path, bytes_)) return cannot("read " + path, fault);
     loaded_ = sequence;
     return {};
   }
@@ -64,7 +64,7 @@
       const std::uint64_t sequence = sequences_[i];
       const std::string path = folder_ + "/" + segmentName(sequence);
       if (const int fault = files_.read(path, bytes_, kSegmentHeaderBytes))
-        return {cannot("read " + path, fault)};
+        return cannot("read " + path, fault);
       const HeaderState state = readHeader(bytes_);
       if (state.kind == HeaderState::Kind::kNewer)
         return {folder_ + "/" + segmentName(sequence) + " has format version " +
@@ -98,7 +98,7 @@
     if (std::none_of(found_.others.begin(), found_.others.end(), old)) return {};
     std::string bytes;
     const std::string path = folder_ + "/" + kJournalV1;
-    if (const int fault = files_.read(path, bytes)) return {cannot("read " + path, fault)};
+    if (const int fault = files_.read(path, bytes)) return cannot("read " + path, fault);
     found_.versionOneFingerprint = fingerprint(bytes);
     // Taken over already, but the process ended before the old file was removed.
     if (found_.tookOver == found_.versionOneFingerprint) return {};
--- a/src/journal/recovery.h
+++ b/src/journal/recovery.h
@@ -76,6 +76,7 @@
 
 struct RecoveryFault {
   std::string text;
+  int error = 0;  // the errno behind it; 0: none
   explicit operator bool() const { return !text.empty(); }
 };
 
--- a/src/relay/impl.h
+++ b/src/relay/impl.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <string>
 
@@ -21,15 +22,24 @@
 #include "notices/notices.h"
 #include "outbound/outbound.h"
 #include "quota/quota_door.h"
+#include "relay/start_fault.h"
 
 namespace myrtleloft {
 
 class Relay::Impl {
  public:
-  Impl(LiveConfig& live, std::ostream& log, const RelayParts& parts);
+  // `quiet`: the last one could not start either, and said so; what it logged of its start is not said again.
+  Impl(LiveConfig& live, std::ostream& log, const RelayParts& parts, bool quiet);
 
-  // `drains`: its predecessor was told to stop.
-  int run(bool drains);
+  // Takes signals, reads what is owed, listens. After a fault it is of no use any more.
+  std::optional<StartFault> start();
+  // Until it is told to stop, once it has started; the exit code. `drains`: its predecessor was told to stop.
+  int serve(bool drains);
+  // Says why there is no start: that it waits, or that it ends.
+  void sayWaiting(const StartFault& fault) const;
+  void sayFailed(const StartFault& fault);
+  // It was told to stop before it had started.
+  void stop() { enter(Phase::kStopped); }
   void drain();
   // An allocation failed somewhere in the middle of something: what this one has in memory is not to be
   // trusted any more, the journal is. Clients that wait are answered by what stands there.
@@ -43,8 +53,10 @@
 
   std::unique_ptr<ThreadSyncer> syncerWhere(bool wanted);
   void enter(Phase phase);
-  bool start(std::string& error);
-  bool startFleet(std::string& error);
+  std::optional<StartFault> recover();
+  std::optional<StartFault> startFleet();
+  // Ready once what is taken on can be recorded.
+  void awaitJournal();
   // Whether draining is over.
   void look();
   bool takeSignals();
@@ -74,6 +86,7 @@
   Inbound inbound_;
   std::unique_ptr<Fleet> fleet_;  // none without a section [fleet]
   Phase phase_ = Phase::kStarting;
+  bool quiet_ = false;
   double drainingMs_ = 0;
   // Given back when an allocation fails, for what has to be done then.
   std::unique_ptr<char[]> reserve_ = std::make_unique<char[]>(kReserveBytes);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,17 +1,33 @@
 #include "myrtleloft/relay.h"
 
 #include <poll.h>
+#include <time.h>
 
+#include <csignal>
 #include <new>
+#include <optional>
 #include <string_view>
 
 #include "config/config.h"
 #include "relay/impl.h"
+#include "relay/start_fault.h"
 
 namespace myrtleloft {
 namespace {
 
 constexpr int kMemoryRestMs = 20;  // before a relay without memory starts anew
+constexpr int kCannotStart = 1;    // exit code
+
+// Waits so long. A relay that tries to start has blocked its signals: one that ends it comes here, and others
+// wait for the next try.
+bool toldToStop(double waitMs) {
+  sigset_t ends;
+  sigemptyset(&ends);
+  sigaddset(&ends, SIGTERM);
+  sigaddset(&ends, SIGINT);
+  const timespec wait{0, static_cast<long>(waitMs * 1e6)};
+  return ::sigtimedwait(&ends, nullptr, &wait) > 0;
+}
 
 }  // namespace
 
@@ -30,15 +46,15 @@
     : log_(log),
       parts_(parts),
       live_(std::make_unique<LiveConfig>(environment)),
-      impl_(std::make_unique<Impl>(*live_, log, parts)) {}
+      impl_(std::make_unique<Impl>(*live_, log, parts, false)) {}
 Relay::~Relay() = default;
 
 int Relay::run() {
   bool served = false, drains = false;
   for (;;) {
     try {
-      if (!impl_) impl_ = std::make_unique<Impl>(*live_, log_, parts_);
-      return impl_->run(drains);
+      if (const std::optional<int> code = start()) return *code;
+      return impl_->serve(drains);
     } catch (const std::bad_alloc&) {
       if (impl_) {
         served = served || impl_->served();
@@ -55,6 +71,27 @@
   }
 }
 
+std::optional<int> Relay::start() {
+  const Clock systemClock;
+  const Clock& clock = parts_.clock ? *parts_.clock : systemClock;
+  const double untilMs = clock.steadyMs() + kStartPatienceMs;
+  for (bool quiet = false;; quiet = true) {
+    if (!impl_) impl_ = std::make_unique<Impl>(*live_, log_, parts_, quiet);
+    const std::optional<StartFault> fault = impl_->start();
+    if (!fault) return std::nullopt;
+    if (!mayPass(fault->error) || clock.steadyMs() >= untilMs) {
+      impl_->sayFailed(*fault);
+      return kCannotStart;
+    }
+    if (!quiet) impl_->sayWaiting(*fault);
+    if (toldToStop(kStartAgainMs)) {
+      impl_->stop();
+      return 0;
+    }
+    impl_.reset();  // gives back the folder and the address
+  }
+}
+
 void Relay::drain() {
   if (impl_) impl_->drain();
 }
