Show that a wall clock set back or forward moves what is recovered

Lines at fault: the wall clock's times in records (exchange.cpp, exchange_batch.cpp, exchange_waiting.cpp) and Exchange::recover, which takes them by the wall clock of then. Ruled out: the kept list, which already has the machine's clock; windows in one process, on the steady clock.

--- a/lab/stand_ins.cpp
+++ b/lab/stand_ins.cpp
@@ -57,7 +57,8 @@
 }
 
 void Endpoint::answerTo(Hub::Id to) {
-  hub_.send(to, answer(status == 200 ? "200 OK" : std::to_string(status) + " Refused"));
+  const std::string line = "HTTP/1.1 " + (status == 200 ? "200 OK" : std::to_string(status) + " Refused");
+  hub_.send(to, line + "\r\n" + headers + "Content-Length: 0\r\n\r\n");
 }
 
 void Endpoint::release() {
--- a/lab/stand_ins.h
+++ b/lab/stand_ins.h
@@ -55,7 +55,8 @@
   const int destination;
   std::string address;
   int status = 200;
-  bool holds = false;  // answers wait for `release`
+  std::string headers = {};  // more lines of its answers, each with its end
+  bool holds = false;        // answers wait for `release`
   std::vector<Call> calls;
 
  private:
--- /dev/null
+++ b/tests/stepped_clock_test.cpp
@@ -0,0 +1,83 @@
+// The wall clock is set while a relay owes something, and the relay is killed: deadlines and windows of keys
+// are spans of real time all the same.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+#include "tests/shimmed_site.h"
+
+using namespace myrtleloft::lab;
+
+namespace {
+
+constexpr double kHourMs = 3600e3;
+constexpr int kSlots = 7;                           // the settings' callSlots
+constexpr double kRestartMs = 1500, kLateMs = 300;  // PROTOCOL's
+
+}  // namespace
+
+TEST_CASE("a request gets its end in its time, whatever the wall clock did before the restart") {
+  for (const double stepMs : {-5000.0, -kHourMs, 5000.0, kHourMs}) {
+    ShimmedSite site;
+    REQUIRE(site.start());
+    site.endpoint.holds = true;  // called, and not answered: nothing is delivered
+    const double handedMs = steadyMs();
+    for (const char* id : {"once", "again"})
+      site.hand(id, id[0] == 'o' ? "billing-charge" : "status-update", 2.5);
+    REQUIRE((site.taken("once") && site.taken("again")));
+    REQUIRE(site.until([&] { return site.callsOf("once") == 1 && site.callsOf("again") >= 1; }));
+    site.shim.stepWallClock(stepMs);
+    site.restart();
+    REQUIRE(site.serves());
+    const double dueMs = std::max(handedMs + 2500 + kLateMs, steadyMs() + kRestartMs);
+    INFO("step ", stepMs, "\n", site.relay->log());
+    for (const char* id : {"once", "again"}) {
+      REQUIRE(site.until([&] { return site.notices.count(id) > 0; }));
+      INFO(id, " told ", site.notices.at(id).atMs - handedMs, " ms after it was handed in");
+      CHECK(site.notices.at(id).atMs <= dueMs);
+    }
+    CHECK(site.callsOf("once") == 1);
+  }
+}
+
+TEST_CASE("what is untried is still tried after a restart, whatever the wall clock did") {
+  for (const double stepMs : {-kHourMs, -8000.0, 8000.0, kHourMs}) {
+    ShimmedSite site;
+    REQUIRE(site.start());
+    site.endpoint.holds = true;
+    for (int i = 0; i < kSlots; ++i) site.hand("first" + std::to_string(i), "billing-charge", 6);
+    REQUIRE(site.until([&] { return site.endpoint.calls.size() == kSlots; }));
+    site.hand("once", "billing-charge", 6);
+    REQUIRE(site.taken("once"));
+    REQUIRE(site.callsOf("once") == 0);
+    site.shim.stepWallClock(stepMs);
+    site.restart();
+    site.endpoint.holds = false;
+    REQUIRE(site.serves());
+    INFO("step ", stepMs, "\n", site.relay->log());
+    CHECK(site.until([&] { return site.callsOf("once") == 1; }, 6000));
+    CHECK(site.notices.count("once") == 0);
+  }
+}
+
+// The window is 15 s: set back by an hour, or forward, the clock neither opens a window that is over nor
+// shuts one that is open.
+TEST_CASE("a keyed request goes on inside its window, whatever the wall clock did") {
+  for (const double stepMs : {-kHourMs, kHourMs}) {
+    ShimmedSite site;
+    REQUIRE(site.start());
+    site.endpoint.holds = true;
+    site.hand("keyed", "caption-order", 10);
+    REQUIRE(site.taken("keyed"));
+    REQUIRE(site.until([&] { return site.callsOf("keyed") == 1; }));
+    site.shim.stepWallClock(stepMs);
+    site.restart();
+    site.endpoint.holds = false;
+    REQUIRE(site.serves());
+    INFO("step ", stepMs, "\n", site.relay->log());
+    CHECK(site.until([&] { return site.callsOf("keyed") == 2; }, 9000));
+    CHECK(site.notices.empty());
+  }
+}
