Tell an end once it is recorded, or once its time is up

Change: Exchange::conclude. Cost: while the disk fails, ends before their time are told late, at their time at the latest; at the level group a refusal of a request whose taking on waits for its sync is not covered.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -42,10 +42,11 @@
     parts_.journal.settle(open.owed);
     OwedRequest& owed = open.owed;
     const WallClock& wall = request.timesKnown ? byMachine : byWall;
+    open.notAfterMs = nowMs + owed.notAfterWallMs - wall.nowMs;
     // By the settings of now it may not be sent: it still has its end.
-    if (owed.verdict == Verdict::kNone && !mayGoOn(owed, request.allowed, settings_, wall))
-      parts_.journal.verdict(owed, Verdict::kDead, 0);
-    if (owed.verdict != Verdict::kNone) {
+    if (owed.verdict == Verdict::kNone && !mayGoOn(owed, request.allowed, settings_, wall)) {
+      conclude(open, Verdict::kDead, 0);
+    } else if (owed.verdict != Verdict::kNone) {
       parts_.notices.add(owed.id, owed.verdict, owed.waitMs);
     } else {
       MessageEvent event = eventOf(owed, nowMs, wall, hardLimitMs(owed.cls));
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -108,6 +108,11 @@
   void unchargeRequest(const Open& open);
   void unchargeCall(Open& open);
   void end(const std::string& id, Verdict verdict, double waitMs);
+  // Records a taken-on request's end and tells the platform. One that cannot be recorded is told once it can
+  // be, or once the request's time is up: the next process would know neither, and send what the platform
+  // holds to be over.
+  void conclude(Open& open, Verdict verdict, double waitMs);
+  void concludeAgain();
   void plan(const SendAction& action, std::vector<Plan>& plans);
   void carryOut(Plan& plan);
   void promise();
@@ -141,11 +146,13 @@
   Waiting next_;  // of this batch
   std::deque<Waiting> waiting_;
   std::vector<Unrecorded> unrecorded_;
-  std::vector<std::string> fresh_;  // came in since the last batch, in their order
+  std::vector<std::string> unconcluded_;  // ended, but neither recorded nor told
+  std::vector<std::string> fresh_;        // came in since the last batch, in their order
   double lastBatchMs_ = -1e9;
   bool quiet_ = false;
   Watcher watcher_;
-  Loop::Timer batchTimer_ = Loop::kNoTimer, sliceTimer_ = Loop::kNoTimer, recordTimer_ = Loop::kNoTimer;
+  Loop::Timer batchTimer_ = Loop::kNoTimer, sliceTimer_ = Loop::kNoTimer, recordTimer_ = Loop::kNoTimer,
+              concludeTimer_ = Loop::kNoTimer;
 };
 
 }  // namespace myrtleloft
--- a/src/exchange/exchange_batch.cpp
+++ b/src/exchange/exchange_batch.cpp
@@ -87,8 +87,7 @@
     return forget(at);
   }
   ++(verdict == Verdict::kDead ? parts_.counters.dead : parts_.counters.bounced);
-  parts_.journal.verdict(at->second.owed, verdict, waitMs);
-  parts_.notices.add(id, verdict, waitMs);
+  conclude(at->second, verdict, waitMs);
   dropPutOff(id);
 }
 
--- a/src/exchange/exchange_waiting.cpp
+++ b/src/exchange/exchange_waiting.cpp
@@ -35,6 +35,28 @@
   }
 }
 
+// Once its time is up the next process sends it no more, and a second notice does no harm.
+void Exchange::conclude(Open& open, Verdict verdict, double waitMs) {
+  const double nowMs = parts_.loop.nowMs();
+  if (parts_.journal.verdict(open.owed, verdict, waitMs) || nowMs >= open.notAfterMs)
+    return parts_.notices.add(open.owed.id, verdict, waitMs);
+  ++parts_.counters.journalFaults;
+  unconcluded_.push_back(open.owed.id);
+  const double againMs = std::min(nowMs + parts_.journal.restMs(), open.notAfterMs);
+  if (concludeTimer_ != Loop::kNoTimer && concludeTimer_.first <= againMs) return;
+  parts_.loop.cancel(concludeTimer_);
+  concludeTimer_ = parts_.loop.after(againMs - nowMs, [this] { concludeAgain(); });
+}
+
+void Exchange::concludeAgain() {
+  concludeTimer_ = Loop::kNoTimer;
+  for (const std::string& id : std::exchange(unconcluded_, {})) {
+    const auto at = open_.find(id);
+    if (at == open_.end()) continue;  // delivered after all, by a call that was still out
+    conclude(at->second, at->second.owed.verdict, at->second.owed.waitMs);
+  }
+}
+
 // Its request is over, and the module's slot free.
 void Exchange::dropPutOff(const std::string& id) {
   const auto put = putOffOf(id);
