Look at each call, refusal and close once more, count and log what became of each

Change: exchange/rule_guard.h is asked just before a call's first byte (ClientConnection's gate), before a refusal and at a start; what it withholds is counted by rule and logged, those that no timing excuses as guard.violation. Clients' connections are closed with a reason, counted by it, and counted where a request on them was not answered. log/request_trace.h: lines at the level debug by request id. The log no longer drops a line because poll failed. The lab's relays listen at the same address after each restart and are put to use once GET /up says 200; the soak counts guard violations as broken.

--- a/lab/fleet_machines.cpp
+++ b/lab/fleet_machines.cpp
@@ -1,8 +1,13 @@
 // The machines of a fleet's relays and what surrounds them: how they are placed, and what befalls them.
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <stdexcept>
 #include <utility>
 
 #include "lab/auditor_processes.h"
@@ -21,6 +26,35 @@
 
 }  // namespace
 
+// A port that a relay may listen at; nobody else is given it soon.
+std::string FleetOfProcesses::freeAddress() {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in raw{};
+  raw.sin_family = AF_INET;
+  raw.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof raw;
+  const bool bound = ::bind(fd, reinterpret_cast<sockaddr*>(&raw), size) == 0 &&
+                     ::getsockname(fd, reinterpret_cast<sockaddr*>(&raw), &size) == 0;
+  ::close(fd);
+  if (!bound) throw std::runtime_error("no free port");
+  return "127.0.0.1:" + std::to_string(ntohs(raw.sin_port));
+}
+
+void FleetOfProcesses::askUp(Relay& relay) {
+  const double now = witness_.nowMs();
+  if (now < relay.askAgainMs) return;
+  relay.askAgainMs = now + kAskEveryMs;
+  hub_.close(relay.asks);
+  const auto answered = [this, &relay](Hub::Id from, const Message& m) {
+    hub_.close(from);
+    if (relay.phase != Phase::kStarting || m.start.find(" 200 ") == std::string::npos) return;
+    relay.phase = Phase::kUp;
+    witness_.see({.saw = Saw::kReady, .relay = relay.name});
+  };
+  relay.asks = hub_.connect(relay.listen, {answered, {}, {}});
+  hub_.send(relay.asks, "GET /up HTTP/1.1\r\nHost: up\r\n\r\n");
+}
+
 void FleetOfProcesses::place(Relay& relay) {
   const std::string name = relay.name;
   for (std::unique_ptr<Directory>* const directory : {&relay.directory, &relay.otherDirectory}) {
@@ -44,7 +78,7 @@
              R"("balancers":)" + std::to_string(options_.relays) + R"(,"me":)" +
                  std::to_string(std::atoi(relay.name.c_str() + 1) - 1));
   replaceAll(settings, R"("memorySpanMs":15000.0)", R"("memorySpanMs":)" + std::to_string(options_.windowMs));
-  return R"({"name":")" + relay.name + R"(","listen":"127.0.0.1:0","discovery":")" +
+  return R"({"name":")" + relay.name + R"(","listen":")" + relay.listen + R"(","discovery":")" +
          relay.directory->address() + R"(","seed":")" + std::to_string(plan_.seed + 1) +
          relay.name.substr(1) + R"(","limits":{"sockets":256,"disk_mb":)" + std::to_string(relay.diskMb) +
          R"(},"settings":)" + settings + "}";
--- a/lab/fleet_of_processes.cpp
+++ b/lab/fleet_of_processes.cpp
@@ -1,7 +1,5 @@
 #include "lab/fleet_of_processes.h"
 
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -29,20 +27,6 @@
 constexpr std::size_t kMostBody = 4000;
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
-// A port that a relay may listen at; nobody else is given it soon.
-std::string freeAddress() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in raw{};
-  raw.sin_family = AF_INET;
-  raw.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof raw;
-  const bool bound = ::bind(fd, reinterpret_cast<sockaddr*>(&raw), size) == 0 &&
-                     ::getsockname(fd, reinterpret_cast<sockaddr*>(&raw), &size) == 0;
-  ::close(fd);
-  if (!bound) throw std::runtime_error("no free port");
-  return "127.0.0.1:" + std::to_string(ntohs(raw.sin_port));
-}
-
 }  // namespace
 
 FleetOfProcesses::FleetOfProcesses(FleetOptions options) : options_(std::move(options)) {
@@ -68,6 +52,7 @@
     relay.name = name;
     relay.folder = folder_ + "/" + name;
     relay.links = freeAddress();
+    relay.listen = freeAddress();
     relay.diskMb = options_.diskMb;
     place(relay);
   }
@@ -89,8 +74,7 @@
         **std::find_if(relays_.begin(), relays_.end(), [&](const auto& r) { return r->name == name; });
     // Of one that drains, the front learns a little later.
     const bool drains = relay.phase == Phase::kDraining && witness_.nowMs() < relay.drainsMs + kFrontMs;
-    return drains || relay.phase == Phase::kUp || relay.phase == Phase::kStopped ? relay.program->address()
-                                                                                 : "";
+    return drains || relay.phase == Phase::kUp || relay.phase == Phase::kStopped ? relay.listen : "";
   });
   clients_->reusedOfTen = options_.reusedOfTen;
   tell("");
@@ -143,14 +127,11 @@
   const double now = witness_.nowMs();
   relay.directory->turn();
   relay.otherDirectory->turn();
-  relay.rude->turn(relay.phase == Phase::kUp ? relay.program->address() : "");
+  relay.rude->turn(relay.phase == Phase::kUp ? relay.listen : "");
   if (!relay.untold.empty() && (relay.directory->heard() || now >= relay.toldAtMs))
     for (const std::string& endpoint : std::exchange(relay.untold, {}))
       witness_.see({.saw = Saw::kTold, .relay = relay.name, .endpoint = endpoint, .status = 0});
-  if (relay.phase == Phase::kStarting && relay.program->ready()) {
-    relay.phase = Phase::kUp;
-    witness_.see({.saw = Saw::kReady, .relay = relay.name});
-  }
+  if (relay.phase == Phase::kStarting) askUp(relay);
   int code = 0;
   if (relay.phase == Phase::kDraining &&
       (relay.program->ended(code) || now >= relay.drainsMs + kKillAfterMs)) {
--- a/lab/fleet_of_processes.h
+++ b/lab/fleet_of_processes.h
@@ -83,9 +83,14 @@
 
  private:
   static constexpr double kToldMs = 6000, kStartAfterMs = 600;  // PROTOCOL's
+  static constexpr double kAskEveryMs = 20;
+  static std::string freeAddress();
   enum class Phase : std::uint8_t { kAway, kStarting, kUp, kStopped, kDraining };
   struct Relay {
     std::string name, folder, operatorFile, links;
+    std::string listen;  // the same after each restart, as the platform has it
+    Hub::Id asks = 0;    // the connection of the present GET /up
+    double askAgainMs = 0;
     double diskMb = 0;
     Phase phase = Phase::kAway;
     std::unique_ptr<Directory> directory,
@@ -108,6 +113,8 @@
   void onEndpoint(FleetEndpoint& endpoint, const Fault& fault, bool begins);
   // Its process may have ended by itself.
   void lookAfter(Relay& relay);
+  // Asks one that starts for /up: it is put to use once that has answered 200.
+  void askUp(Relay& relay);
   void place(Relay& relay);
   void onLink(LinkStandIn& link, const Fault& fault, bool begins);
   void tell(const std::string& endpoint);
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -27,6 +27,16 @@
 // events have to meet, and left to chance alone they seldom do.
 constexpr double kKillAfterMs = 400, kKilledForMs = 300;
 
+// Each relay's log has what became of each request.
+constexpr const char* kTraces = "[log]\nformat = \"logfmt\"\nlevel = \"debug\"\n";
+constexpr const char* kViolation = "event=guard.violation";
+
+std::size_t countOf(const std::string& text, const std::string& part) {
+  std::size_t count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) ++count;
+  return count;
+}
+
 bool isMachine(const Fault& fault) {
   return fault.kind == FaultKind::kClockBack || fault.kind == FaultKind::kClockForward ||
          fault.kind == FaultKind::kDiskFails || fault.kind == FaultKind::kCallsFail;
@@ -82,6 +92,7 @@
 SoakResult soak(const SoakOptions& options, std::uint64_t seed, const FaultPlan* plan) {
   FleetOfProcesses fleet({.program = options.program,
                           .relays = options.relays,
+                          .operatorText = [](const FleetPlace&) { return kTraces; },
                           .trafficMs = options.trafficMs,
                           .perSecond = options.perSecond,
                           .messageMs = kMostMessageMs,
@@ -96,8 +107,9 @@
   result.played = fleet.play(plan ? *plan : soakPlan(fleet, seed, options.faults));
   result.findings = fleet.judge();
   result.report = fleet.report() + fleet.shimCounts();
-  result.logs =
-      result.findings.empty() ? (result.played ? "" : fleet.logs()) : logsOf(fleet, result.findings);
+  const std::string logs = fleet.logs();
+  result.violations = countOf(logs, kViolation);
+  if (!result.held()) result.logs = result.findings.empty() ? logs : logsOf(fleet, result.findings);
   return result;
 }
 
--- a/lab/soak.h
+++ b/lab/soak.h
@@ -28,9 +28,11 @@
 struct SoakResult {
   bool played = false;  // all relays were up at the end
   std::vector<AuditFinding> findings;
+  // What the relays' own guards withheld that no timing excuses (src/exchange/rule_guard.h).
+  std::size_t violations = 0;
   std::string report;  // plan, findings, figures
   std::string logs;    // of the relays whose names the findings hold; of all where there is none
-  bool held() const { return played && findings.empty(); }
+  bool held() const { return played && findings.empty() && violations == 0; }
 };
 
 // The plan of a seed for such a fleet.
--- a/lab/soak_main.cpp
+++ b/lab/soak_main.cpp
@@ -32,6 +32,7 @@
   for (const AuditFinding& finding : result.findings) ++counts[nameOf(finding.rule)];
   std::ostringstream text;
   for (const auto& [rule, count] : counts) text << ", " << rule << " " << count;
+  if (result.violations > 0) text << ", violations " << result.violations;
   return (result.held() ? "held" : result.played ? "broken" : "not all up") + text.str();
 }
 
--- a/src/counters/counters.cpp
+++ b/src/counters/counters.cpp
@@ -10,10 +10,20 @@
       << " hang-ups=" << hangUps << " evicted=" << evicted << " recovered=" << recovered << '\n'
       << "counters out: connections=" << connectionsOut << " calls=" << calls << " sends=" << sends
       << " spoilt=" << spoilt;
-  static constexpr std::array kNames = {"good",          "bad",   "full",      "late",
-                                        "no-connection", "reset", "cancelled", "not-sent"};
-  for (std::size_t i = 0; i < outcomes.size(); ++i) out << ' ' << kNames[i] << '=' << outcomes[i];
-  out << '\n'
+  for (std::size_t i = 0; i < outcomes.size(); ++i) out << ' ' << kOutcomeNames[i] << '=' << outcomes[i];
+  out << " retries=" << retries << '\n';
+  static constexpr std::array kGuard = {
+      "after-end",   "after-time", "once-repeated", "outside-window",    "outside-group",
+      "second-copy", "draining",   "told-to-wait",  "refused-after-run", "future-record"};
+  static_assert(kGuard.size() == kGuardKinds);
+  out << "counters guard:";
+  for (std::size_t i = 0; i < guard.size(); ++i) out << ' ' << kGuard[i] << '=' << guard[i];
+  static constexpr std::array kCloses = {"answered",     "idle",   "evicted",      "slow",        "flooded",
+                                         "client-ended", "broken", "write-failed", "process-ends"};
+  static_assert(kCloses.size() == kCloseReasons);
+  out << "\ncounters closes:";
+  for (std::size_t i = 0; i < closes.size(); ++i) out << ' ' << kCloses[i] << '=' << closes[i];
+  out << " unanswered=" << closedUnanswered << '\n'
       << "counters ends: delivered=" << delivered << " expired=" << expired << " dead=" << dead
       << " bounced=" << bounced << " notices=" << notices << " notice-retries=" << noticeRetries << '\n'
       << "counters rest: batches=" << batches << " lists=" << lists << " list-faults=" << listFaults
--- a/src/counters/counters.h
+++ b/src/counters/counters.h
@@ -14,7 +14,17 @@
   std::uint64_t hangUps = 0, evicted = 0, recovered = 0;
   // outbound
   std::uint64_t connectionsOut = 0, calls = 0, sends = 0, spoilt = 0;
+  static constexpr std::array kOutcomeNames = {"good",          "bad",   "full",      "late",
+                                               "no-connection", "reset", "cancelled", "not-sent"};
   std::array<std::uint64_t, 8> outcomes{};  // in the order of Outcome
+  // What exchange/rule_guard.h withheld, in the order of Violation.
+  static constexpr std::size_t kGuardKinds = 10;
+  std::array<std::uint64_t, kGuardKinds> guard{};
+  // Clients' connections closed, in the order of CloseReason (inbound/close_reason.h); those of them on which
+  // a request was not answered and the client had not gone; and second and further calls of a request.
+  static constexpr std::size_t kCloseReasons = 9;
+  std::array<std::uint64_t, kCloseReasons> closes{};
+  std::uint64_t closedUnanswered = 0, retries = 0;
   // ends
   std::uint64_t delivered = 0, expired = 0, dead = 0, bounced = 0, notices = 0, noticeRetries = 0;
   // the rest
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange/exchange.h"
 
 #include <algorithm>
+#include <iostream>
 #include <utility>
 
 #include "exchange/recovered.h"
@@ -19,7 +20,11 @@
 }  // namespace
 
 Exchange::Exchange(const Parts& parts, const Settings& settings)
-    : parts_(parts), settings_(settings), dispatcher_(settings) {}
+    : parts_(parts),
+      settings_(settings),
+      dispatcher_(settings),
+      guard_(settings_, parts.counters, parts.log.value_or(Log(std::cerr))),
+      trace_(parts.log.value_or(Log(std::cerr))) {}
 
 void Exchange::schedule() {
   if (batchTimer_ != Loop::kNoTimer || quiet_) return;
@@ -40,6 +45,7 @@
     open.owed = std::move(request.owed);
     if (parts_.quotas) open.quota = parts_.quotas->leafOf(open.owed.tenant, "");  // its unit is not recorded
     parts_.journal.settle(open.owed);
+    guard_.onRecovered(open.owed, byWall.nowMs);
     OwedRequest& owed = open.owed;
     const WallClock& wall = request.timesKnown ? byMachine : byWall;
     open.notAfterMs = nowMs + owed.notAfterWallMs - wall.nowMs;
@@ -82,16 +88,17 @@
   // A sync that hangs: its client would not wait for it, and what waits would grow with every request.
   if (full || quiet_ || waiting_.size() >= kMostWaiting) {
     ++parts_.counters.failFastFull;
-    return answer({Answer::Kind::kFailFast, kComeBackMs});
+    const char* const reason = quiet_ ? "ends" : full ? "full" : "waits-for-sync";
+    return refuse(request.id, answer, reason, {Answer::Kind::kFailFast, kComeBackMs});
   }
   // No list ever named it: held until its time is up, it would only take the room of others.
   if (!destinations().knows(request.destination)) {
     ++parts_.counters.failFastUnknown;
-    return answer({Answer::Kind::kFailFast, kComeBackMs});
+    return refuse(request.id, answer, "unknown-destination", {Answer::Kind::kFailFast, kComeBackMs});
   }
   // Its endpoint may be another's by now, and this class cannot afford that.
   if (const auto comeBackMs = parts_.membership.refuses(request.cls))
-    return answer({Answer::Kind::kFailFast, *comeBackMs});
+    return refuse(request.id, answer, "stale-list", {Answer::Kind::kFailFast, *comeBackMs});
   // None may be held for longer than its class allows. A little more is a clock's; much more is no time at
   // all. (One that gave itself 10^23 s was taken on, and would have been owed its end for good.)
   const double mostMs = hardLimitMs(request.cls);
@@ -100,7 +107,7 @@
   const int quota = parts_.quotas ? parts_.quotas->leafOf(request.tenant, request.unit) : QuotaDoor::kNoQuota;
   if (quota != QuotaDoor::kNoQuota) {
     if (const auto comeBackMs = parts_.quotas->refuses(quota, request.cls, parts_.loop.nowMs()))
-      return answer({Answer::Kind::kOverQuota, *comeBackMs});
+      return refuse(request.id, answer, "quota", {Answer::Kind::kOverQuota, *comeBackMs});
     parts_.quotas->takenIn(quota, request.cls, parts_.loop.nowMs());
   }
   MessageEvent event;
@@ -146,9 +153,15 @@
     const auto at = open_.find(outcome.id);
     if (at == open_.end()) continue;
     OwedRequest& owed = at->second.owed;
+    at->second.out = false;
+    trace_.outcome(outcome.id, uid, Counters::kOutcomeNames.at(static_cast<std::size_t>(outcome.outcome)),
+                   outcome.detail);
     push(OutcomeEvent{outcome.id, owed.attempts - 1, uid, outcome.outcome, outcome.ended, outcome.detail,
                       report});
-    waits = waits || (outcome.outcome != Outcome::kNop && outcome.detail > 0);
+    const bool waitTold = outcome.outcome != Outcome::kNop && outcome.detail > 0;
+    const EndpointEntry* endpoint = waitTold ? destinations().find(uid) : nullptr;
+    if (endpoint) guard_.toldToWait(*endpoint, parts_.loop.nowMs(), static_cast<double>(outcome.detail));
+    waits = waits || waitTold;
     if (outcome.ended) {
       ++(outcome.outcome == Outcome::kGood ? parts_.counters.delivered : parts_.counters.expired);
       if (owed.verdict == Verdict::kNone) --held_;
@@ -209,6 +222,11 @@
   if (whenMs != kNotCharged) parts_.quotas->calledInVain(open.quota, whenMs, parts_.loop.nowMs());
 }
 
+void Exchange::refuse(const std::string& id, const AnswerTo& to, const char* reason, const Answer& answer) {
+  trace_.refused(id, reason, answer.retryAfterMs);
+  to(answer);
+}
+
 void Exchange::answer(Open& open, const Answer& answer) {
   if (const AnswerTo to = std::exchange(open.answer, nullptr)) to(answer);
 }
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -14,7 +15,9 @@
 #include "counters/counters.h"
 #include "discovery/membership.h"
 #include "exchange/request.h"
+#include "exchange/rule_guard.h"
 #include "journal/journal.h"
+#include "log/request_trace.h"
 #include "myrtleloft/dispatcher.h"
 #include "net/loop.h"
 #include "notices/notices.h"
@@ -34,6 +37,8 @@
     Outbound& outbound;
     Counters& counters;
     QuotaDoor* quotas = nullptr;  // none: no limits but the module's
+    // For what the guard withholds, and what became of each request; none: standard error.
+    std::optional<Log> log = std::nullopt;
   };
   Exchange(const Parts& parts, const Settings& settings);
 
@@ -59,6 +64,7 @@
 
   void onRequest(IncomingRequest request, AnswerTo answer) override;
   void onHangUp(const std::string& id) override;
+  bool mayLeave(const std::string& uid, const Address& to, const std::vector<CallItem>& items) override;
   void onOutcomes(const std::string& uid, const std::vector<CallOutcome>& outcomes,
                   const Report& report) override;
 
@@ -72,6 +78,7 @@
     double notAfterMs = 0;  // the steady clock's: the wall clock may be set while the request is held
     int quota = QuotaDoor::kNoQuota;  // the node that it is charged to
     double chargedMs = 0, callChargedMs = kNotCharged;
+    bool out = false;         // the first byte of a call with it has left, and it has no outcome yet
     double firstDoubtMs = 0;  // while it has doubts: when the earliest of those attempts was decided
   };
   struct Plan {  // sends of one batch that travel as one call
@@ -104,6 +111,8 @@
   void runBatch();
   void takeOn(const std::string& id);
   void answer(Open& open, const Answer& answer);
+  // Why a request is refused before it is taken on.
+  void refuse(const std::string& id, const AnswerTo& to, const char* reason, const Answer& answer);
   // Its quotas get back what they were charged: it was not taken on; its last call has not counted.
   void unchargeRequest(const Open& open);
   void unchargeCall(Open& open);
@@ -140,6 +149,8 @@
   Parts parts_;
   Settings settings_;
   Dispatcher dispatcher_;
+  RuleGuard guard_;
+  RequestTrace trace_;
   std::map<std::string, Open, std::less<>> open_;
   std::size_t held_ = 0;  // open requests that the module has not ended
   std::vector<Event> pending_;
--- a/src/exchange/exchange_batch.cpp
+++ b/src/exchange/exchange_batch.cpp
@@ -69,6 +69,7 @@
   // What cannot be recorded would not outlast the process: it is not taken on.
   ++parts_.counters.journalFaults;
   unchargeRequest(at->second);
+  trace_.refused(id, "not-recorded", kComeBackMs);
   answer(at->second, {Answer::Kind::kFailFast, kComeBackMs});
   open_.erase(at);
   --held_;
@@ -79,10 +80,15 @@
   const auto at = open_.find(id);
   if (at == open_.end() || at->second.owed.verdict != Verdict::kNone) return;
   --held_;
+  if (verdict == Verdict::kBounced && !guard_.mayRefuse(at->second.owed)) {
+    guard_.withhold(Violation::kRefusedAfterRun, id);
+    verdict = Verdict::kDead;
+  }
   if (at->second.answer) {
     ++parts_.counters.failFast;
     const bool dead = verdict == Verdict::kDead;
     if (!dead) unchargeRequest(at->second);
+    trace_.refused(id, dead ? "failed" : "decided", waitMs);
     answer(at->second, {dead ? Answer::Kind::kFailed : Answer::Kind::kFailFast, waitMs});
     return forget(at);
   }
@@ -134,6 +140,8 @@
       open.callChargedMs = parts_.loop.nowMs();
       parts_.quotas->called(open.quota, open.callChargedMs);
     }
+    trace_.called(item.id, plan.uid, open.owed.attempts - 1);
+    if (open.owed.attempts > 1) ++parts_.counters.retries;
     items.push_back(std::move(item));
   }
   if (items.empty()) return;
--- a/src/exchange/exchange_waiting.cpp
+++ b/src/exchange/exchange_waiting.cpp
@@ -38,8 +38,9 @@
 // Once its time is up the next process sends it no more, and a second notice does no harm.
 void Exchange::conclude(Open& open, Verdict verdict, double waitMs) {
   const double nowMs = parts_.loop.nowMs();
-  if (parts_.journal.verdict(open.owed, verdict, waitMs) || nowMs >= open.notAfterMs)
-    return parts_.notices.add(open.owed.id, verdict, waitMs);
+  const bool recorded = parts_.journal.verdict(open.owed, verdict, waitMs);
+  trace_.ended(open.owed.id, verdict == Verdict::kDead ? "dead" : "bounced", waitMs, recorded);
+  if (recorded || nowMs >= open.notAfterMs) return parts_.notices.add(open.owed.id, verdict, waitMs);
   ++parts_.counters.journalFaults;
   unconcluded_.push_back(open.owed.id);
   const double againMs = std::min(nowMs + parts_.journal.restMs(), open.notAfterMs);
@@ -80,6 +81,7 @@
       const auto at = open_.find(id);
       if (at == open_.end() || !at->second.answer) continue;
       ++parts_.counters.taken;
+      trace_.taken(id);
       answer(at->second, {Answer::Kind::kTaken});
     }
     for (Plan& plan : ready.calls) callOut(plan);
@@ -104,6 +106,24 @@
   if (!items.empty()) parts_.outbound.call(*endpoint, std::move(items));
 }
 
+bool Exchange::mayLeave(const std::string& uid, const Address& to, const std::vector<CallItem>& items) {
+  const EndpointEntry* endpoint = destinations().find(uid);
+  for (const CallItem& item : items) {
+    const auto at = open_.find(item.id);
+    std::optional<Violation> broken = Violation::kAfterEnd;  // nobody holds it
+    if (at != open_.end()) {
+      const Open& open = at->second;
+      broken = guard_.forbidsSend(
+          {open.owed, endpoint, to.text, parts_.loop.nowMs(), open.notAfterMs, open.firstDoubtMs, open.out});
+    }
+    if (!broken) continue;
+    guard_.withhold(*broken, item.id);
+    return false;
+  }
+  for (const CallItem& item : items) open_.at(item.id).out = true;
+  return true;
+}
+
 // The module asked for it inside the window; the disk, a slot, its connection or the endpoint may take any
 // time.
 double Exchange::leaveByMs(const Open& open) const {
--- a/src/inbound/inbound.cpp
+++ b/src/inbound/inbound.cpp
@@ -19,13 +19,14 @@
 }  // namespace
 
 Inbound::Inbound(Loop& loop, RequestSink& sink, Counters& counters, InboundNames names,
-                 std::size_t mostConnections, std::size_t mostBytes)
+                 std::size_t mostConnections, std::size_t mostBytes, const RequestTrace* trace)
     : loop_(loop),
       sink_(sink),
       counters_(counters),
       names_(std::move(names)),
       mostConnections_(mostConnections),
-      mostBytes_(mostBytes) {}
+      mostBytes_(mostBytes),
+      trace_(trace) {}
 
 Inbound::~Inbound() {
   loop_.cancel(sweepTimer_);
@@ -35,8 +36,9 @@
     Connection& c = at->second;
     // Whatever was answered a moment ago, as where memory ran out, gets its end as between requests.
     if (!c.out.empty()) writeSome(c.fd, c.out, c.written);
-    if (c.stage() != Stage::kSilent && c.stage() != Stage::kBegun) endSending(at->first);
-    drop(at->first);
+    if (c.stage() != Stage::kSilent && c.stage() != Stage::kBegun)
+      endSending(at->first, CloseReason::kProcessEnds);
+    drop(at->first, CloseReason::kProcessEnds);
   }
   if (listener_) loop_.forget(listener_.get());
 }
@@ -106,14 +108,17 @@
   }
   if (!which) return;
   ++counters_.evicted;
-  drop(*which);
+  drop(*which, CloseReason::kEvicted);
 }
 
 // What came since a last answer is taken off first: closed over unread bytes, the connection would be reset,
 // and the answer with it. Of one that rests it is left: the reset tells its client that it was not read.
-void Inbound::drop(Number number) {
+void Inbound::drop(Number number, CloseReason reason) {
   const auto at = connections_.find(number);
   Connection& c = at->second;
+  ++counters_.closes.at(static_cast<std::size_t>(reason));
+  if (!c.waiting.empty() && !byClient(reason)) ++counters_.closedUnanswered;
+  if (trace_) trace_->closed(number, nameOf(reason), c.waiting);
   if (c.lingering) discardInput(c.fd, kLingerBytes);
   loop_.forget(c.fd.get());
   held_ -= c.held;
@@ -123,7 +128,7 @@
 void Inbound::retire() {
   retiring_ = true;
   for (auto& [number, c] : connections_)
-    if (c.stage() == Stage::kIdle && c.rests()) endSending(number);
+    if (c.stage() == Stage::kIdle && c.rests()) endSending(number, CloseReason::kAnswered);
 }
 
 void Inbound::sweep() {
@@ -151,9 +156,9 @@
     if (c.stage() == Stage::kBegun)
       refuse(number, 408);
     else if (c.lingering || !c.out.empty())
-      drop(number);
+      drop(number, c.lingering ? c.why : CloseReason::kSlow);
     else if (c.rests())
-      endSending(number);
+      endSending(number, CloseReason::kIdle);
   }
   sweepTimer_ = loop_.after(kSweepMs, [this] { sweep(); });
 }
--- a/src/inbound/inbound.h
+++ b/src/inbound/inbound.h
@@ -10,7 +10,9 @@
 
 #include "counters/counters.h"
 #include "exchange/request.h"
+#include "inbound/close_reason.h"
 #include "inbound/read_request.h"
+#include "log/request_trace.h"
 #include "net/http.h"
 #include "net/loop.h"
 #include "net/socket.h"
@@ -20,9 +22,9 @@
 class Inbound {
  public:
   // `mostBytes`: what all requests together may hold that are not read to their end, or not yet answered. One
-  // that would pass it is refused with when to come back.
+  // that would pass it is refused with when to come back. `trace`, if any, outlives it.
   Inbound(Loop& loop, RequestSink& sink, Counters& counters, InboundNames names, std::size_t mostConnections,
-          std::size_t mostBytes);
+          std::size_t mostBytes, const RequestTrace* trace = nullptr);
   ~Inbound();
 
   // false: `error` says why, and `number`, where it is given, is the errno.
@@ -57,7 +59,8 @@
     std::optional<HttpMessage> unsure;
     double unsureMs = 0;
     bool keepAlive = true, answered = false, lingering = false;
-    bool halfClosed = false;  // its client has ended its sending
+    CloseReason why = CloseReason::kAnswered;  // it lingers
+    bool halfClosed = false;                   // its client has ended its sending
     Stage stage() const;
     // No request is on it, not even one that has come and was not read yet.
     bool rests() const { return (stage() == Stage::kIdle || stage() == Stage::kSilent) && !hasInput(fd); }
@@ -81,8 +84,8 @@
   void reply(Number number, int status, const Headers& headers = {}, std::string_view body = {});
   void flush(Number number);
   // Ends the sending side. Nothing is read as a request after that.
-  void endSending(Number number);
-  void drop(Number number);
+  void endSending(Number number, CloseReason why);
+  void drop(Number number, CloseReason reason);
   // Counts what the connection's request holds; refuses it where that is too much for all.
   void weigh(Number number);
   void sweep();
@@ -92,6 +95,7 @@
   Counters& counters_;
   InboundNames names_;
   std::size_t mostConnections_, mostBytes_, held_ = 0;
+  const RequestTrace* trace_;
   Fd listener_;
   bool ready_ = false, retiring_ = false;
   std::map<Number, Connection> connections_;
--- a/src/inbound/inbound_serving.cpp
+++ b/src/inbound/inbound_serving.cpp
@@ -45,7 +45,7 @@
   if (c.lingering) {
     c.dropped += c.reader.buffer().size();
     c.reader.buffer().clear();
-    if (c.dropped > kLingerBytes) drop(number);
+    if (c.dropped > kLingerBytes) drop(number, CloseReason::kFlooded);
   } else if (!c.waiting.empty()) {
     onInputWhileAsked(number);
   } else {
@@ -67,13 +67,13 @@
 
 void Inbound::onHalfClose(Number number) {
   Connection& c = connections_.at(number);
-  if (c.lingering) return drop(number);
+  if (c.lingering) return drop(number, c.why);
   c.halfClosed = true;
   // Only its sending may have ended: what it has asked is still answered.
   if (!c.waiting.empty()) return loop_.setEvents(c.fd.get(), 0);
   if (!c.out.empty()) return loop_.setEvents(c.fd.get(), POLLOUT);
   if (c.stage() == Stage::kBegun) return refuse(number, 400);  // half a request, and no more will come
-  drop(number);
+  drop(number, CloseReason::kClientEnded);
 }
 
 void Inbound::onReset(Number number) {
@@ -84,7 +84,7 @@
   } else if (c.stage() == Stage::kBegun) {
     ++counters_.malformed;
   }
-  drop(number);
+  drop(number, CloseReason::kBroken);
 }
 
 // Answers one request after the other; while one waits for its answer, the next stays unread.
@@ -204,14 +204,14 @@
 void Inbound::flush(Number number) {
   Connection& c = connections_.at(number);
   const Io io = writeSome(c.fd, c.out, c.written);
-  if (io == Io::kFailed) return drop(number);
+  if (io == Io::kFailed) return drop(number, CloseReason::kWriteFailed);
   if (io == Io::kWouldBlock) return loop_.setEvents(c.fd.get(), POLLOUT);
   c.out = std::string();  // with its memory, as the reader does: an idle connection holds none
   c.written = 0;
   held_ -= std::exchange(c.held, 0);  // weighed anew with what comes next
   c.answered = true;
   c.sinceMs = loop_.nowMs();
-  if (!c.keepAlive) return endSending(number);
+  if (!c.keepAlive) return endSending(number, CloseReason::kAnswered);
   if (!c.reader.midMessage()) return loop_.setEvents(c.fd.get(), POLLIN);
   // Sent ahead: served from the loop, one in a turn, and nothing more is read before.
   loop_.setEvents(c.fd.get(), 0);
@@ -224,9 +224,10 @@
 // Closing while the client still sends, or in the instant in which it sends, would reset the connection and
 // an answer just written with it: the sending side ends, and what still comes is read and dropped for a
 // moment.
-void Inbound::endSending(Number number) {
+void Inbound::endSending(Number number, CloseReason why) {
   Connection& c = connections_.at(number);
   c.lingering = true;
+  c.why = why;
   c.unsure.reset();
   c.reader = HttpReader(HttpReader::Side::kRequest);
   c.sinceMs = loop_.nowMs();
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -58,6 +58,8 @@
 
 }  // namespace
 
+std::string asText(const LogField::Value& value) { return logfmtOf(value); }
+
 struct Log::Impl {
   struct Said {
     double atMs = -1e18;
@@ -115,6 +117,8 @@
 Log::Log(std::ostream& out, const LogOptions& options, const Clock& clock)
     : impl_(std::make_shared<Impl>(out, options, clock)) {}
 
+bool Log::writes(LogLevel level) const { return impl_->logger.should_log(levelOf(level)); }
+
 void Log::write(LogLevel level, std::string_view event, std::string_view text, const Fields& fields) const {
   using Wall = std::chrono::system_clock;
   const auto ms = std::chrono::duration<double, std::milli>(impl_->clock.wallMs());
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -55,6 +55,9 @@
   Value value;
 };
 
+// A value as the plain form shows it.
+std::string asText(const LogField::Value& value);
+
 class Log {
  public:
   using Fields = std::vector<LogField>;
@@ -64,6 +67,8 @@
   // `clock` outlives all copies.
   Log(std::ostream& out, const LogOptions& options, const Clock& clock);
 
+  // Whether lines of that level are written at all.
+  bool writes(LogLevel level) const;
   // `event`: dotted, lower case, never changed once it is out; docs/operators/log.md lists them.
   void write(LogLevel level, std::string_view event, std::string_view text, const Fields& fields = {}) const;
   // For what may come again at once: says it if it did not within the last `againMs`, and then how often it
--- /dev/null
+++ b/src/log/request_trace.cpp
@@ -0,0 +1,43 @@
+#include "log/request_trace.h"
+
+#include <string>
+
+namespace myrtleloft {
+
+void RequestTrace::taken(std::string_view id) const {
+  if (on_) write("request.taken", id, {});
+}
+
+void RequestTrace::refused(std::string_view id, std::string_view reason, double waitMs) const {
+  if (on_) write("request.refused", id, {{"reason", reason}, {"wait_ms", waitMs}});
+}
+
+void RequestTrace::called(std::string_view id, std::string_view endpoint, int attempt) const {
+  if (on_) write("request.called", id, {{"endpoint", endpoint}, {"attempt", attempt}});
+}
+
+void RequestTrace::outcome(std::string_view id, std::string_view endpoint, std::string_view outcome,
+                           std::int64_t detail) const {
+  if (on_) write("request.outcome", id, {{"endpoint", endpoint}, {"outcome", outcome}, {"detail", detail}});
+}
+
+void RequestTrace::ended(std::string_view id, std::string_view verdict, double waitMs, bool recorded) const {
+  if (on_) write("request.ended", id, {{"verdict", verdict}, {"wait_ms", waitMs}, {"recorded", recorded}});
+}
+
+void RequestTrace::closed(std::uint64_t connection, std::string_view reason, std::string_view id) const {
+  if (on_) write("connection.closed", id, {{"connection", connection}, {"reason", reason}});
+}
+
+void RequestTrace::write(std::string_view event, std::string_view id, const Log::Fields& fields) const {
+  Log::Fields all = {{"id", id}};
+  std::string text(event);
+  text.append(" id=").append(id);
+  for (const LogField& field : fields) {
+    all.push_back(field);
+    text.append(" ").append(field.name).append("=").append(asText(field.value));
+  }
+  log_.write(LogLevel::kDebug, event, text, all);
+}
+
+}  // namespace myrtleloft
--- a/src/log/standard_error.cpp
+++ b/src/log/standard_error.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <climits>
 #include <utility>
 
@@ -27,12 +28,28 @@
   return 0;  // a stream in a failed state would stay silent for good
 }
 
+namespace {
+
+constexpr int kTries = 8;
+
+// Whether a byte can be written at once. A poll that fails says nothing of who reads, and may work at once.
+bool writable(int fd) {
+  for (int i = 0; i < kTries; ++i) {
+    pollfd ready{fd, POLLOUT, 0};
+    const int count = ::poll(&ready, 1, 0);
+    if (count >= 0) return count == 1 && (ready.revents & POLLOUT);
+  }
+  return false;
+}
+
+}  // namespace
+
 // A pipe that polls as writable takes PIPE_BUF bytes without waiting.
 bool StandardError::Buffer::put(const std::string& text) {
   for (std::size_t at = 0; at < text.size();) {
-    pollfd ready{fd_, POLLOUT, 0};
-    if (::poll(&ready, 1, 0) != 1 || !(ready.revents & POLLOUT)) return false;
+    if (!writable(fd_)) return false;
     const ssize_t put = ::write(fd_, text.data() + at, std::min<std::size_t>(text.size() - at, PIPE_BUF));
+    if (put < 0 && errno == EINTR) continue;
     if (put <= 0) return false;
     at += static_cast<std::size_t>(put);
   }
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -17,11 +17,12 @@
   if (fd_) loop_.watch(fd_.get(), POLLOUT, [this](short revents) { onEvents(revents); });
 }
 
-void ClientConnection::send(std::string bytes, Done done) {
+void ClientConnection::send(std::string bytes, Done done, Gate mayLeave) {
   out_ = std::move(bytes);
   written_ = 0;
   writeFailed_ = false;
   done_ = std::move(done);
+  mayLeave_ = std::move(mayLeave);
   loop_.setEvents(fd_.get(), POLLIN | POLLOUT);
 }
 
@@ -33,6 +34,7 @@
   loop_.forget(fd_.get());
   fd_.reset();
   done_ = nullptr;
+  mayLeave_ = nullptr;
 }
 
 void ClientConnection::onEvents(short revents) {
@@ -59,6 +61,8 @@
 }
 
 void ClientConnection::write() {
+  if (const Gate mayLeave = std::exchange(mayLeave_, nullptr); mayLeave && !mayLeave())
+    return finish(End::kHeldBack);
   const Io io = writeSome(fd_, out_, written_);
   // An endpoint may have answered what it had of the call, and gone, in the instant of this write: a wait
   // that it told must be known. What stands there before a call's first byte is no answer to it.
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -15,6 +15,7 @@
   enum class End {
     kAnswered,  // a whole answer
     kSpoilt,    // one that cannot be read, or did not go on: `answer` holds what could be made out
+    kHeldBack,  // it might not leave, when its first byte was to be written
     kNotSent,   // it never came up, or broke before the last byte was written: the peer cannot have acted
     kBroken,    // it broke after that
   };
@@ -36,8 +37,10 @@
   ClientConnection& operator=(const ClientConnection&) = delete;
 
   bool open() const { return static_cast<bool>(fd_); }  // false also where no descriptor could be had
-  // Starts a call; `done` comes once, unless close() comes first. It may destroy this connection.
-  void send(std::string bytes, Done done);
+  using Gate = std::function<bool()>;
+  // Starts a call; `done` comes once, unless close() comes first. It may destroy this connection. `mayLeave`,
+  // if any, is asked just before the first byte is written.
+  void send(std::string bytes, Done done, Gate mayLeave = nullptr);
   // Idle, and the peer has not closed it.
   bool reusable() const;
   bool connected() const { return connected_; }
@@ -65,6 +68,7 @@
   bool connected_ = false, writeFailed_ = false;
   bool carried_ = false;  // an earlier call has been answered on it
   Done done_;
+  Gate mayLeave_;
 };
 
 }  // namespace myrtleloft
--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -70,8 +70,12 @@
 
 void Outbound::write(std::uint64_t number) {
   Call& call = calls_.at(number);
-  call.connection->send(bytesOf(call),
-                        [this, number](ClientConnection::Result r) { onResult(number, std::move(r)); });
+  call.connection->send(
+      bytesOf(call), [this, number](ClientConnection::Result r) { onResult(number, std::move(r)); },
+      [this, number] {
+        const Call& leaving = calls_.at(number);
+        return listener_->mayLeave(leaving.uid, leaving.address, leaving.items);
+      });
 }
 
 void Outbound::begin(std::uint64_t number) {
@@ -207,6 +211,8 @@
 
 void Outbound::onResult(std::uint64_t number, ClientConnection::Result result) {
   Call call = takeOff(number);
+  if (result.end == ClientConnection::End::kHeldBack)
+    return reportAll(call, {"", Outcome::kNop, false, 0}, {});
   if (result.end == ClientConnection::End::kSpoilt) {
     ++counters_.spoilt;
     return reportAll(call, readSpoiltAnswer(result.answer, call.bulk), {});
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -36,6 +36,12 @@
 class CallListener {
  public:
   virtual ~CallListener() = default;
+  // Asked just before a call's first byte is written, with the requests that it still carries. No: it is
+  // reported as not sent.
+  virtual bool mayLeave(const std::string& /*uid*/, const Address& /*to*/,
+                        const std::vector<CallItem>& /*items*/) {
+    return true;
+  }
   // Outcomes of one call; each of its requests is named once, over one or more such calls.
   virtual void onOutcomes(const std::string& uid, const std::vector<CallOutcome>& outcomes,
                           const Report& report) = 0;
--- a/src/relay/impl.cpp
+++ b/src/relay/impl.cpp
@@ -49,11 +49,12 @@
       watch_({loop_, membership_, counters_, log_}, config_.discovery, watchOptions(config_)),
       quotas_(quotaPlan(config_), config_.tenants, worths(config_), {counters_, log_}),
       exchange_({loop_, clock_, membership_, journal_, notices_, outbound_, counters_,
-                 quotas_.on() ? &quotas_ : nullptr},
+                 quotas_.on() ? &quotas_ : nullptr, log_},
                 config_.settings),
+      trace_(log_),
       inbound_(loop_, exchange_, counters_,
                {config_.classes, config_.tenants, config_.operatorFile.quota.header},
-               clientConnections(config_), requestBytes(config_)),
+               clientConnections(config_), requestBytes(config_), &trace_),
       quiet_(quiet) {
   outbound_.listen(exchange_);
   notices_.onConfirmed([this](const std::string& id) { exchange_.onConfirmed(id); });
--- a/src/relay/impl.h
+++ b/src/relay/impl.h
@@ -83,6 +83,7 @@
   DiscoveryWatch watch_;
   QuotaDoor quotas_;
   Exchange exchange_;
+  RequestTrace trace_;
   Inbound inbound_;
   std::unique_ptr<Fleet> fleet_;  // none without a section [fleet]
   Phase phase_ = Phase::kStarting;
