Wait two seconds for an address or a folder that another process still holds

But a predecessor that was killed and is not gone yet looks the same, and EWOULDBLOCK of the folder's lock was waited for as if it were EAGAIN, a minute long.

Change: relay/start_fault.h tells for how long which errno is waited for: a minute, two seconds, not at all.

--- a/include/myrtleloft/relay.h
+++ b/include/myrtleloft/relay.h
@@ -38,10 +38,11 @@
   ~Relay();
 
   // Starts, and serves until it is stopped. A start that meets what may pass (no descriptor, no port, a disk
-  // that fails or is full) is tried again ten times a second for up to a minute; what stays as it is, as an
-  // address that another process holds, ends it at once, with code 1. SIGTERM and SIGINT drain, SIGHUP reads
-  // the configuration again, SIGUSR1 prints the counters. The exit code. An allocation that fails while it
-  // serves ends nothing: it starts anew from its journal, at the same address.
+  // that fails or is full) is tried again ten times a second for up to a minute; an address or a folder that
+  // another process holds, for two seconds; what stays as it is, as a folder that is not there, ends it at
+  // once. The code is 1 then. SIGTERM and SIGINT drain, SIGHUP reads the configuration again, SIGUSR1 prints
+  // the counters. The exit code. An allocation that fails while it serves ends nothing: it starts anew from
+  // its journal, at the same address.
   int run();
   // Takes nothing more on for long, sees calls out to their end, then stops.
   void drain();
--- a/lab/fault_plan.h
+++ b/lab/fault_plan.h
@@ -53,7 +53,8 @@
   kHeldUp,        // `amount` thousandths of its writes begin up to 150 ms late
   // Of a relay's surroundings.
   kReload,     // its configuration moves discovery to another address, and SIGHUP
-  kDiscovery,  // its directory is down, silent, slow or spoilt, by `amount`
+  kDiscovery,  // its directory is silent, slow or spoilt, by `amount`; as platform it takes notices all the
+               // same
   kRude,       // `amount` hundredths of its clients misbehave
   // Of an endpoint.
   kSpoilt,  // serves, and its answers end half-way
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -74,12 +74,12 @@
 std::optional<int> Relay::start() {
   const Clock systemClock;
   const Clock& clock = parts_.clock ? *parts_.clock : systemClock;
-  const double untilMs = clock.steadyMs() + kStartPatienceMs;
+  const double sinceMs = clock.steadyMs();
   for (bool quiet = false;; quiet = true) {
     if (!impl_) impl_ = std::make_unique<Impl>(*live_, log_, parts_, quiet);
     const std::optional<StartFault> fault = impl_->start();
     if (!fault) return std::nullopt;
-    if (!mayPass(fault->error) || clock.steadyMs() >= untilMs) {
+    if (clock.steadyMs() - sinceMs >= patienceMs(fault->error)) {
       impl_->sayFailed(*fault);
       return kCannotStart;
     }
--- a/src/relay/start_fault.cpp
+++ b/src/relay/start_fault.cpp
@@ -3,22 +3,29 @@
 #include <cerrno>
 
 namespace myrtleloft {
+namespace {
 
-bool mayPass(int error) {
+constexpr double kPassesMs = 60e3, kHeldMs = 2e3;
+
+}  // namespace
+
+double patienceMs(int error) {
   switch (error) {
     case EIO:
     case ENOSPC:
     case EDQUOT:
-    case EAGAIN:
     case EINTR:
     case EMFILE:
     case ENFILE:
     case ENOBUFS:
     case ENOMEM:
     case EADDRNOTAVAIL:
-      return true;
+      return kPassesMs;
+    case EADDRINUSE:
+    case EWOULDBLOCK:  // of the folder's lock
+      return kHeldMs;
     default:
-      return false;
+      return 0;
   }
 }
 
