Soak bulk calls, synced journals, hasty requests and connections that end between calls

Cause: the soak had only single calls, one level of durability and times of 0.7 s or more.

Change: every other endpoint takes bulk calls, some of whose messages are turned away or fail; every other relay syncs; messages come in bursts of five, eight of a hundred with 1 to 100 ms; endpoints end idle connections; reloads meet an unreadable file, or come twice.

--- a/lab/auditor_processes.cpp
+++ b/lab/auditor_processes.cpp
@@ -58,8 +58,7 @@
   }
 
   double dueMs(const std::string& relay, double fromMs, double spanMs) const {
-    const double due = fromMs + spanMs + rules_.slackMs;
-    return due + time_.excusedMs(relay, fromMs, due);
+    return time_.afterMs(relay, fromMs, spanMs + rules_.slackMs);
   }
 
   const AuditRules& rules_;
--- a/lab/auditor_timeline.h
+++ b/lab/auditor_timeline.h
@@ -41,6 +41,14 @@
     return within(stalls_, fromMs, toMs) +
            (stops == stopped_.end() ? 0 : within(stops->second, fromMs, toMs));
   }
+  // When so much time has passed for the relay since that moment, without what excuses it.
+  double afterMs(const std::string& relay, double fromMs, double spanMs) const {
+    double atMs = fromMs + spanMs;
+    for (double next = atMs;; atMs = next) {
+      next = fromMs + spanMs + excusedMs(relay, fromMs, atMs);
+      if (next <= atMs) return atMs;
+    }
+  }
   bool restarts(const std::string& relay, double atMs) const {
     return std::any_of(downs(relay).begin(), downs(relay).end(),
                        [&](const Span& s) { return atMs >= s.fromMs && atMs < s.toMs; });
@@ -55,7 +63,7 @@
   }
   // When an end that the relay owes since `fromMs` is overdue.
   double overdueMs(const std::string& relay, double fromMs, double dueMs) const {
-    dueMs += excusedMs(relay, fromMs, dueMs);
+    dueMs = afterMs(relay, fromMs, dueMs - fromMs);
     for (const Span& s : downs(relay))
       if (dueMs >= s.fromMs && dueMs < s.toMs)
         dueMs = s.toMs + excusedMs(relay, s.toMs, s.toMs + rules_.slackMs);
--- a/lab/fault_plan.cpp
+++ b/lab/fault_plan.cpp
@@ -23,9 +23,9 @@
      {"cut-back", 'l', 0, 0},       {"lose-bytes", 'l', 0, 0},    {"delay", 'l', 5, 500},
      {"throttle", 'l', 200, 20000}, {"reset", 'l', 0, 4000},      {"repeat", 'l', 0, 400},
      {"spoil", 'l', 0, 4000},       {"clock-back", 'r', 0, 0},    {"clock-forward", 'r', 0, 0},
-     {"disk-fails", 'r', 1, 3},     {"calls-fail", 'r', 10, 200}, {"held-up", 'r', 10, 100},
-     {"reload", 'r', 0, 0},         {"discovery", 'r', 1, 3},     {"rude", 'r', 20, 90},
-     {"spoilt", 'e', 0, 0},         {"halts", 'e', 0, 0}}};
+     {"disk-fails", 'r', 1, 3},     {"calls-fail", 'r', 10, 200}, {"held-up", 'r', 2, 20},
+     {"reload", 'r', 1, 3},         {"discovery", 'r', 1, 3},     {"rude", 'r', 20, 90},
+     {"spoilt", 'e', 0, 0},         {"halts", 'e', 0, 0},         {"forgets", 'e', 0, 0}}};
 
 // Clocks are set by seconds, or by an hour where a time zone was meant.
 constexpr std::array<std::uint64_t, 5> kClockStepsMs = {1500, 3000, 5000, 8000, 3600000};
--- a/lab/fault_plan.h
+++ b/lab/fault_plan.h
@@ -52,15 +52,19 @@
   kCallsFail,     // `amount` thousandths of its network calls fail
   kHeldUp,        // `amount` thousandths of its writes begin up to 150 ms late
   // Of a relay's surroundings.
-  kReload,     // its configuration moves discovery to another address, and SIGHUP
+  // Its configuration moves discovery to another address, and SIGHUP; `amount` 2: it cannot be read at first,
+  // 3: and
+  // back again at once.
+  kReload,
   kDiscovery,  // its directory is silent, slow or spoilt, by `amount`; as platform it takes notices all the
                // same
   kRude,       // `amount` hundredths of its clients misbehave
   // Of an endpoint.
   kSpoilt,  // serves, and its answers end half-way
-  kHalts    // serves, begins its answers and never ends them
+  kHalts,   // serves, begins its answers and never ends them
+  kForgets  // serves, and ends its connections soon after their answers
 };
-inline constexpr int kFaultKinds = 32;
+inline constexpr int kFaultKinds = 33;
 const char* nameOf(FaultKind kind);
 // Whether two faults of one target may be on at the same time.
 bool mayOverlap(FaultKind a, FaultKind b);
--- a/lab/fleet_endpoint.cpp
+++ b/lab/fleet_endpoint.cpp
@@ -44,8 +44,9 @@
 }
 
 Entry FleetEndpoint::entry(const std::string& relay, bool leaving) const {
-  return {facts_.uid, addresses_.at(relay), leaving ? "leaving" : "active", facts_.destination, facts_.zone,
-          "other",    facts_.perSecond};
+  return {facts_.uid,         addresses_.at(relay), leaving ? "leaving" : "active",
+          facts_.destination, facts_.zone,          facts_.bulk ? "large" : "other",
+          facts_.perSecond};
 }
 
 void FleetEndpoint::capacity(double share) {
@@ -54,7 +55,8 @@
 
 void FleetEndpoint::become(Mode mode) {
   const auto outage = [](Mode m) {
-    return m != Mode::kServes && m != Mode::kSlow && m != Mode::kTellsWait && m != Mode::kSpoils;
+    return m != Mode::kServes && m != Mode::kSlow && m != Mode::kTellsWait && m != Mode::kSpoils &&
+           m != Mode::kForgets;
   };
   const Mode before = std::exchange(mode_, mode);
   for (const auto& [relay, address] : addresses_) {
@@ -62,6 +64,9 @@
     if (before == Mode::kRefuses) witness_.hub.acceptAgain(address);
   }
   // Whom it refuses has been reset without a word from the hub.
+  if (mode == Mode::kRefuses)
+    for (const auto& [connection, bulk] : std::exchange(bulks_, {}))
+      for (const FleetRecord& call : bulk.calls) witness_.end(call);
   if (mode == Mode::kRefuses)
     std::erase_if(witness_.out_, [this](const auto& at) {
       const bool here = at.second.call.endpoint == facts_.uid;
@@ -84,6 +89,8 @@
     return witness_.hub.send(from, up ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
                                       : "HTTP/1.1 503 Shut\r\nContent-Length: 0\r\n\r\n");
   }
+  forgets_.erase(from);
+  if (m.start.rfind("POST /inbox/bulk", 0) == 0) return onBulk(relay, from, m);
   FleetRecord call{.saw = Saw::kCall,
                    .relay = relay,
                    .id = m.header("x-request-id"),
@@ -107,6 +114,7 @@
     witness_.end(known->second);
     answered_.erase(known);
   }
+  endBulk(from);
   std::erase_if(witness_.out_, [&](const auto& at) {
     if (at.second.connection != from) return false;
     witness_.end(at.second.call);
@@ -131,19 +139,14 @@
 bool FleetEndpoint::answer(const FleetWitness::Out& out) {
   if (mode_ == Mode::kSpoils || mode_ == Mode::kHalts) return spoil(out);
   const double waitMs = std::max(0.0, waitUntilMs - witness_.nowMs());
-  const int status = mode_ == Mode::kErrs                      ? 500
-                     : mode_ == Mode::kTurnsAway               ? 503
-                     : mode_ == Mode::kTellsWait && waitMs > 0 ? 429
-                                                               : 200;
+  const int status = statusNow(waitMs);
   const std::string wait = status == 429 ? "Retry-After: " + std::to_string(waitMs / 1000) + "\r\n" : "";
   witness_.hub.send(out.connection, "HTTP/1.1 " + std::to_string(status) + " As told\r\n" + wait +
                                         "Content-Length: 0\r\n\r\n");
-  FleetRecord answer = out.call;
-  answer.saw = Saw::kAnswer;
-  answer.status = status;
-  answer.ms = status == 429 ? waitMs : 0;
-  witness_.see(std::move(answer));
+  answered(out.call, status, waitMs);
   answered_[out.connection] = out.call;
+  if (mode_ == Mode::kForgets)
+    forgets_[out.connection] = witness_.nowMs() + static_cast<double>(out.call.call % 60);
   return true;
 }
 
@@ -153,7 +156,9 @@
     steppedMs_ = now;
     capacity(std::min(1.0, kColdShare + (1 - kColdShare) * (now - backMs_) / kColdMs));
   }
+  forgetIdle(now);
   if (mode_ == Mode::kSilent) return;
+  turnBulks(now);
   for (auto at = witness_.out_.begin(); at != witness_.out_.end();) {
     FleetWitness::Out& out = at->second;
     const bool due = out.call.endpoint == facts_.uid && out.dueMs <= now && !out.halted;
--- a/lab/fleet_endpoint.h
+++ b/lab/fleet_endpoint.h
@@ -61,6 +61,7 @@
     kErrs,       // 500
     kTurnsAway,  // 503
     kTellsWait,  // 429, to wait until `waitUntilMs` of the witness' clock
+    kForgets,    // serves, and ends its connections soon after their answers, with a FIN or an RST
     kSpoils,     // serves; its answers end half-way, one in two within the first line
     kHalts       // serves; its answers begin and never end
   };
@@ -69,6 +70,7 @@
     int destination = 0;
     std::string zone;
     double perSecond = 1000;  // its capacity: told as a hint, recorded for the auditor, not enforced
+    bool bulk = false;        // of the kind that takes several messages in a call
   };
   FleetEndpoint(FleetWitness& witness, Facts facts, const std::vector<std::string>& relays);
 
@@ -83,9 +85,23 @@
   double serviceMs = 5, slowMs = 0, waitUntilMs = 0;
 
  private:
+  struct Bulk {
+    std::vector<FleetRecord> calls;
+    double dueMs = 0;
+    bool halted = false, over = false;  // over: answered, and kept until its connection ends or has another
+  };
   static constexpr double kColdMs = 11000, kColdShare = 0.14, kStepMs = 500;
   void onMessage(const std::string& relay, Hub::Id from, const Message& m);
   void onClosed(Hub::Id from);
+  void onBulk(const std::string& relay, Hub::Id from, const Message& m);
+  void endBulk(Hub::Id from);
+  // Whether it is over with that.
+  bool settle(Hub::Id from, Bulk& bulk);
+  bool answer(Hub::Id from, const Bulk& bulk);
+  void answered(const FleetRecord& call, int status, double waitMs);
+  int statusNow(double waitMs) const;
+  void turnBulks(double now);
+  void forgetIdle(double now);
   bool answer(const FleetWitness::Out& out);
   // Each: whether the call is over with that.
   bool settle(FleetWitness::Out& out);
@@ -97,6 +113,8 @@
   Mode mode_ = Mode::kServes;
   std::map<std::string, std::string> addresses_;  // by relay
   std::map<Hub::Id, FleetRecord> answered_;       // the last call on a connection
+  std::map<Hub::Id, Bulk> bulks_;                 // by connection
+  std::map<Hub::Id, double> forgets_;             // connections that are to end, and when
   double backMs_ = -kColdMs, steppedMs_ = 0;
 };
 
--- a/lab/fleet_faults.cpp
+++ b/lab/fleet_faults.cpp
@@ -71,7 +71,7 @@
       {FaultKind::kSilent, Mode::kSilent},  {FaultKind::kSlow, Mode::kSlow},
       {FaultKind::kError, Mode::kErrs},     {FaultKind::kTurnAway, Mode::kTurnsAway},
       {FaultKind::kWait, Mode::kTellsWait}, {FaultKind::kSpoilt, Mode::kSpoils},
-      {FaultKind::kHalts, Mode::kHalts}};
+      {FaultKind::kHalts, Mode::kHalts},    {FaultKind::kForgets, Mode::kForgets}};
   endpoint.slowMs = fault.amount;
   endpoint.waitUntilMs = witness_.nowMs() + fault.forMs;
   endpoint.become(begins ? modes.at(fault.kind) : Mode::kServes);
--- a/lab/fleet_machines.cpp
+++ b/lab/fleet_machines.cpp
@@ -26,12 +26,13 @@
 }  // namespace
 
 // A port that a relay may listen at, below those that the system gives to whoever connects: one of them could
-// be taken while the relay is away.
+// be taken while the relay is away. Labs that run beside each other take theirs from different parts.
 std::string FleetOfProcesses::freeAddress() {
-  constexpr int kLeastPort = 12000, kPorts = 20000;
-  static std::mt19937 random{std::random_device{}()};
+  constexpr int kLeastPort = 12000, kParts = 40, kPorts = 500;
+  const int least = kLeastPort + static_cast<int>(::getpid()) % kParts * kPorts;
+  static int next = 0;
   for (int tries = 0; tries < kPorts; ++tries) {
-    const int port = kLeastPort + static_cast<int>(random() % kPorts);
+    const int port = least + next++ % kPorts;
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in raw{};
     raw.sin_family = AF_INET;
@@ -116,7 +117,7 @@
     case FaultKind::kHeldUp:
       return relay.shim->delayWrites(amount);
     case FaultKind::kReload:
-      return begins ? moveDirectory(relay) : void();
+      return reload(relay, fault, begins);
     case FaultKind::kDiscovery:
       relay.directory->become(begins ? directoryMode(fault.amount) : Directory::Mode::kUp);
       if (!begins) relay.otherDirectory->become(Directory::Mode::kUp);
@@ -130,9 +131,24 @@
   }
 }
 
+void FleetOfProcesses::reload(Relay& relay, const Fault& fault, bool begins) {
+  constexpr double kUnreadable = 2, kAndBack = 3;
+  if (fault.amount == kUnreadable && begins) {
+    std::ofstream(relay.folder + "/config.json") << "{\"name\":";
+    return hangUp(relay);
+  }
+  if (begins == (fault.amount == kUnreadable)) return;
+  moveDirectory(relay);
+  if (fault.amount == kAndBack) moveDirectory(relay);
+}
+
 void FleetOfProcesses::moveDirectory(Relay& relay) {
   std::swap(relay.directory, relay.otherDirectory);
   std::ofstream(relay.folder + "/config.json") << config(relay);
+  hangUp(relay);
+}
+
+void FleetOfProcesses::hangUp(const Relay& relay) const {
   if (relay.phase == Phase::kUp || relay.phase == Phase::kStarting || relay.phase == Phase::kDraining)
     relay.program->signal(SIGHUP);
 }
--- a/lab/fleet_of_processes.cpp
+++ b/lab/fleet_of_processes.cpp
@@ -43,7 +43,7 @@
     endpoints_.push_back(std::make_unique<FleetEndpoint>(
         witness_,
         FleetEndpoint::Facts{"e" + std::to_string(i + 1), kFirstDestination + i / 2, i % 2 ? "sur" : "norte",
-                             options_.perEndpoint},
+                             options_.perEndpoint, options_.bulk && i % 2 == 0},
         names_));
     if (options_.endpointMs > 0) endpoints_.back()->serviceMs = options_.endpointMs;
   }
@@ -171,7 +171,8 @@
       [&] {
         const double now = witness_.nowMs();
         player.turn(now - startMs);
-        for (; now >= nextMs && nextMs < startMs + options_.trafficMs; nextMs += 1000 / options_.perSecond)
+        for (; now >= nextMs && nextMs < startMs + options_.trafficMs;
+             nextMs += 1000 * options_.burst / options_.perSecond)
           handIn();
         return player.over() && nextMs >= startMs + options_.trafficMs;
       },
@@ -199,7 +200,9 @@
     letter.timeMs = options_.leastMessageMs + static_cast<double>((drawn >> 40) % 1000) / 1000 *
                                                   (options_.messageMs - options_.leastMessageMs);
   letter.body.assign((drawn >> 24) % kMostBody, 'x');
-  clients_->hand(std::move(letter), names_[(drawn >> 16) % names_.size()]);
+  if (static_cast<int>((drawn >> 52) % 100) < options_.hastyOfHundred)
+    letter.timeMs = 1 + (drawn >> 40) % 100;
+  for (int i = 0; i < options_.burst; ++i) clients_->hand(letter, names_[(drawn >> 16) % names_.size()]);
 }
 
 bool FleetOfProcesses::settled() const {
--- a/lab/fleet_of_processes.h
+++ b/lab/fleet_of_processes.h
@@ -55,6 +55,9 @@
   double leastMessageMs = 0;  // above 0: a message's time is drawn from there to `messageMs`
   int reusedOfTen = 0;        // FleetClients::reusedOfTen
   double windowMs = 15000;    // of the keyed class
+  bool bulk = false;          // every other endpoint takes several messages in a call
+  int burst = 1;              // messages handed in together, to one relay for one destination
+  int hastyOfHundred = 0;     // of a hundred messages, how many have next to no time
 };
 
 class FleetOfProcesses {
@@ -109,7 +112,9 @@
   void onRelay(Relay& relay, const Fault& fault, bool begins);
   void onMachine(Relay& relay, const Fault& fault, bool begins);
   void trouble(const Relay& relay, int what, bool begins);
+  void reload(Relay& relay, const Fault& fault, bool begins);
   void moveDirectory(Relay& relay);
+  void hangUp(const Relay& relay) const;
   void onEndpoint(FleetEndpoint& endpoint, const Fault& fault, bool begins);
   // Its process may have ended by itself.
   void lookAfter(Relay& relay);
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -1,14 +1,15 @@
 #include "lab/soak.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace myrtleloft::lab {
 namespace {
 
-constexpr double kSlackMs = 700, kWindowMs = 2500;
+constexpr double kSlackMs = 500, kWindowMs = 2500;
 constexpr double kLeastMessageMs = 700, kMostMessageMs = 6000;
-constexpr int kReusedOfTen = 6;
+constexpr int kReusedOfTen = 6, kBurst = 5, kHastyOfHundred = 8;
 // A wait counts from the moment in which it was told. Behind a proxy, or a proxy's reset, it may not have
 // come.
 const std::string kWaitingEndpoint = "e3";
@@ -21,7 +22,8 @@
     FaultKind::kReload,    FaultKind::kDiscovery,    FaultKind::kRude,      FaultKind::kRefuse,
     FaultKind::kDrop,      FaultKind::kSilent,       FaultKind::kSlow,      FaultKind::kError,
     FaultKind::kTurnAway,  FaultKind::kWait,         FaultKind::kDrain,     FaultKind::kSpoilt,
-    FaultKind::kHalts,     FaultKind::kReset,        FaultKind::kReset,     FaultKind::kLoseBytes};
+    FaultKind::kHalts,     FaultKind::kForgets,      FaultKind::kReset,     FaultKind::kReset,
+    FaultKind::kLoseBytes};
 
 // How long after the beginning of a trouble of its machine a relay is killed, in every second one: rare
 // events have to meet, and left to chance alone they seldom do.
@@ -29,6 +31,11 @@
 
 // Each relay's log has what became of each request.
 constexpr const char* kTraces = "[log]\nformat = \"logfmt\"\nlevel = \"debug\"\n";
+// Every other one syncs what it promises.
+constexpr const char* kSynced = "[journal]\ndurability = \"group\"\n";
+std::string operatorText(const FleetPlace& place) {
+  return std::string(kTraces) + (std::atoi(place.name.c_str() + 1) % 2 == 0 ? kSynced : "");
+}
 constexpr const char* kViolation = "event=guard.violation";
 
 std::size_t countOf(const std::string& text, const std::string& part) {
@@ -92,7 +99,7 @@
 SoakResult soak(const SoakOptions& options, std::uint64_t seed, const FaultPlan* plan) {
   FleetOfProcesses fleet({.program = options.program,
                           .relays = options.relays,
-                          .operatorText = [](const FleetPlace&) { return kTraces; },
+                          .operatorText = operatorText,
                           .trafficMs = options.trafficMs,
                           .perSecond = options.perSecond,
                           .messageMs = kMostMessageMs,
@@ -102,7 +109,10 @@
                           .proxies = true,
                           .leastMessageMs = kLeastMessageMs,
                           .reusedOfTen = kReusedOfTen,
-                          .windowMs = kWindowMs});
+                          .windowMs = kWindowMs,
+                          .bulk = true,
+                          .burst = kBurst,
+                          .hastyOfHundred = kHastyOfHundred});
   SoakResult result;
   result.played = fleet.play(plan ? *plan : soakPlan(fleet, seed, options.faults));
   result.findings = fleet.judge();
--- a/lab/soak.h
+++ b/lab/soak.h
@@ -21,8 +21,8 @@
 struct SoakOptions {
   std::string program, shim;
   int relays = 10;
-  int faults = 60;
-  double trafficMs = 12000, perSecond = 150;
+  int faults = 80;
+  double trafficMs = 12000, perSecond = 250;
 };
 
 struct SoakResult {
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -153,7 +153,7 @@
     const auto at = open_.find(outcome.id);
     if (at == open_.end()) continue;
     OwedRequest& owed = at->second.owed;
-    at->second.out = false;
+    at->second.out = 0;
     trace_.outcome(outcome.id, uid, Counters::kOutcomeNames.at(static_cast<std::size_t>(outcome.outcome)),
                    outcome.detail);
     push(OutcomeEvent{outcome.id, owed.attempts - 1, uid, outcome.outcome, outcome.ended, outcome.detail,
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -64,7 +64,7 @@
 
   void onRequest(IncomingRequest request, AnswerTo answer) override;
   void onHangUp(const std::string& id) override;
-  bool mayLeave(const std::string& uid, const Address& to, const std::vector<CallItem>& items) override;
+  bool mayLeave(const Departure& call) override;
   void onOutcomes(const std::string& uid, const std::vector<CallOutcome>& outcomes,
                   const Report& report) override;
 
@@ -78,7 +78,7 @@
     double notAfterMs = 0;  // the steady clock's: the wall clock may be set while the request is held
     int quota = QuotaDoor::kNoQuota;  // the node that it is charged to
     double chargedMs = 0, callChargedMs = kNotCharged;
-    bool out = false;         // the first byte of a call with it has left, and it has no outcome yet
+    std::uint64_t out = 0;    // the call with it that may have left and has no outcome yet; 0: none
     double firstDoubtMs = 0;  // while it has doubts: when the earliest of those attempts was decided
   };
   struct Plan {  // sends of one batch that travel as one call
--- a/src/exchange/exchange_waiting.cpp
+++ b/src/exchange/exchange_waiting.cpp
@@ -106,21 +106,22 @@
   if (!items.empty()) parts_.outbound.call(*endpoint, std::move(items));
 }
 
-bool Exchange::mayLeave(const std::string& uid, const Address& to, const std::vector<CallItem>& items) {
-  const EndpointEntry* endpoint = destinations().find(uid);
-  for (const CallItem& item : items) {
+bool Exchange::mayLeave(const Departure& call) {
+  const EndpointEntry* endpoint = destinations().find(call.uid);
+  for (const CallItem& item : call.items) {
     const auto at = open_.find(item.id);
     std::optional<Violation> broken = Violation::kAfterEnd;  // nobody holds it
     if (at != open_.end()) {
       const Open& open = at->second;
-      broken = guard_.forbidsSend(
-          {open.owed, endpoint, to.text, parts_.loop.nowMs(), open.notAfterMs, open.firstDoubtMs, open.out});
+      const bool another = open.out != 0 && open.out != call.number;
+      broken = guard_.forbidsSend({open.owed, endpoint, call.to.text, parts_.loop.nowMs(), open.notAfterMs,
+                                   open.firstDoubtMs, another});
     }
     if (!broken) continue;
     guard_.withhold(*broken, item.id);
     return false;
   }
-  for (const CallItem& item : items) open_.at(item.id).out = true;
+  for (const CallItem& item : call.items) open_.at(item.id).out = call.number;
   return true;
 }
 
--- a/src/journal/files.cpp
+++ b/src/journal/files.cpp
@@ -19,6 +19,14 @@
 
 int done(int result) { return result == 0 ? 0 : errno; }
 
+// Of a call that a signal, or a file system that was held up, may end before it has done anything.
+template <typename Call>
+int retried(const Call& call) {
+  int result = call();
+  while (result < 0 && errno == EINTR) result = call();
+  return result;
+}
+
 class PosixOutFile : public OutFile {
  public:
   explicit PosixOutFile(Fd fd) : fd_(std::move(fd)) {}
@@ -36,8 +44,12 @@
     }
     return written;
   }
-  int truncate(std::size_t size) override { return done(::ftruncate(fd_.get(), static_cast<off_t>(size))); }
-  int sync() override { return done(::fdatasync(fd_.get())); }
+  int truncate(std::size_t size) override {
+    return done(retried([&] { return ::ftruncate(fd_.get(), static_cast<off_t>(size)); }));
+  }
+  int sync() override {
+    return done(retried([&] { return ::fdatasync(fd_.get()); }));
+  }
 
  private:
   Fd fd_;
@@ -73,7 +85,7 @@
 }
 
 int PosixFiles::read(const std::string& path, std::string& bytes, std::size_t most) {
-  const Fd fd(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+  const Fd fd(retried([&] { return ::open(path.c_str(), O_RDONLY | O_CLOEXEC); }));
   struct stat about {};
   if (!fd || ::fstat(fd.get(), &about) != 0) return errno;
   bytes.resize(std::min(static_cast<std::size_t>(about.st_size), most));
@@ -90,7 +102,8 @@
 }
 
 int PosixFiles::create(const std::string& path, std::shared_ptr<OutFile>& out) {
-  Fd fd(::open(path.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC, 0600));
+  constexpr int kNew = O_WRONLY | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC;
+  Fd fd(retried([&] { return ::open(path.c_str(), kNew, 0600); }));
   if (!fd) return errno;
   out = std::make_shared<PosixOutFile>(std::move(fd));
   return 0;
@@ -104,11 +117,11 @@
 
 int PosixFiles::syncFolder(const std::string& folder) {
   const Fd fd(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  return fd ? done(::fsync(fd.get())) : errno;
+  return fd ? done(retried([&] { return ::fsync(fd.get()); })) : errno;
 }
 
 int PosixFiles::lock(const std::string& path, std::string& owner, std::unique_ptr<FolderLock>& lock) {
-  Fd fd(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+  Fd fd(retried([&] { return ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600); }));
   if (const int fault = take(fd, owner)) return fault;
   // Who holds it is for people to read. A full disk must not keep a relay from starting for want of that.
   if (::ftruncate(fd.get(), 0) == 0 && ::pwrite(fd.get(), owner.data(), owner.size(), 0) < 0) {
--- a/src/journal/syncer.cpp
+++ b/src/journal/syncer.cpp
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <csignal>
 #include <mutex>
+#include <system_error>
 #include <thread>
 #include <utility>
 
@@ -29,7 +30,11 @@
     sigset_t all, before;
     sigfillset(&all);
     ::pthread_sigmask(SIG_SETMASK, &all, &before);
-    thread_ = std::thread([this] { work(); });
+    try {
+      thread_ = std::thread([this] { work(); });
+    } catch (const std::system_error&) {
+      event_.reset();  // without it, there is none to ask
+    }
     ::pthread_sigmask(SIG_SETMASK, &before, nullptr);
   }
   ~Impl() {
@@ -38,7 +43,7 @@
       ends_ = true;
     }
     wake_.notify_one();
-    thread_.join();
+    if (thread_.joinable()) thread_.join();
   }
 
   void submit(SyncJob job) {
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -61,8 +61,7 @@
 }
 
 void ClientConnection::write() {
-  if (const Gate mayLeave = std::exchange(mayLeave_, nullptr); mayLeave && !mayLeave())
-    return finish(End::kHeldBack);
+  if (!begun() && mayLeave_ && !mayLeave_()) return finish(End::kHeldBack);
   const Io io = writeSome(fd_, out_, written_);
   // An endpoint may have answered what it had of the call, and gone, in the instant of this write: a wait
   // that it told must be known. What stands there before a call's first byte is no answer to it.
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -39,7 +39,7 @@
   bool open() const { return static_cast<bool>(fd_); }  // false also where no descriptor could be had
   using Gate = std::function<bool()>;
   // Starts a call; `done` comes once, unless close() comes first. It may destroy this connection. `mayLeave`,
-  // if any, is asked just before the first byte is written.
+  // if any, is asked just before the first byte is written, again where it could not be.
   void send(std::string bytes, Done done, Gate mayLeave = nullptr);
   // Idle, and the peer has not closed it.
   bool reusable() const;
--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -74,7 +74,7 @@
       bytesOf(call), [this, number](ClientConnection::Result r) { onResult(number, std::move(r)); },
       [this, number] {
         const Call& leaving = calls_.at(number);
-        return listener_->mayLeave(leaving.uid, leaving.address, leaving.items);
+        return listener_->mayLeave({number, leaving.uid, leaving.address, leaving.items});
       });
 }
 
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -33,15 +33,20 @@
   std::int64_t detail = 0;
 };
 
+// A call whose first byte is about to be written, with the requests that it still carries.
+struct Departure {
+  std::uint64_t number = 0;  // no other call has it; never 0
+  const std::string& uid;
+  const Address& to;
+  const std::vector<CallItem>& items;
+};
+
 class CallListener {
  public:
   virtual ~CallListener() = default;
-  // Asked just before a call's first byte is written, with the requests that it still carries. No: it is
-  // reported as not sent.
-  virtual bool mayLeave(const std::string& /*uid*/, const Address& /*to*/,
-                        const std::vector<CallItem>& /*items*/) {
-    return true;
-  }
+  // Asked just before a call's first byte is written, again where it could not be. No: it is reported as not
+  // sent.
+  virtual bool mayLeave(const Departure& /*call*/) { return true; }
   // Outcomes of one call; each of its requests is named once, over one or more such calls.
   virtual void onOutcomes(const std::string& uid, const std::vector<CallOutcome>& outcomes,
                           const Report& report) = 0;
