--- a/lab/cold_fleet.h
+++ b/lab/cold_fleet.h
@@ -1,7 +1,7 @@
 // A day of many forwarders, each with a decision module of its own, and a few receivers, of which one or more
 // fail and come back cold. The day is drawn from a seed. Judged is the rule on cold receivers as it is
 // worded: N calls are what a receiver takes in fallMs (overloadFactor x present capacity x fallMs; the
-// capacity climbs from coldShare to all in coldMs), it falls at more than N + 2 x root of N + 2, all that
+// capacity climbs from coldShare to all in coldMs), it falls at more than lab/cold_budget.h says, all that
 // reaches it counted, and the rule is broken by a fall of which over two thirds came from forwarders told of
 // the outage in an earlier batch. A process that restarts was told nothing.
 #pragma once
--- a/lab/fault_shim_page.cpp
+++ b/lab/fault_shim_page.cpp
@@ -24,7 +24,9 @@
 
 std::vector<std::pair<std::string, std::string>> FaultShim::environment(
     const std::string& shimLibrary) const {
-  return {{"LD_PRELOAD", shimLibrary}, {kShimPageVariable, path_}};
+  // A sanitized relay would not start with another library before the sanitizer's.
+  return {
+      {"LD_PRELOAD", shimLibrary}, {kShimPageVariable, path_}, {"ASAN_OPTIONS", "verify_asan_link_order=0"}};
 }
 
 }  // namespace myrtleloft::lab
