Hold all drawn returns in one test, and say what the renewed bound leaves

Tried for the one that is left, on a scratch copy: three ways to pace what is held when a bound goes; each cost 1.3% to 3.6% of what two forwarders deliver, or did not keep it (docs/bench/cold-returns.md).

--- a/tests/cold_returns_test.cpp
+++ b/tests/cold_returns_test.cpp
@@ -5,10 +5,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
-#include <algorithm>
 #include <array>
 #include <cstdint>
-#include <vector>
 
 #include "lab/cold_fleet.h"
 
@@ -19,27 +17,20 @@
 
 struct Fleet {
   int forwarders = 0;
-  std::uint64_t days = 0;               // by seeds from 1 on
-  std::vector<std::uint64_t> overruns;  // not mended: the days of which those told overrun a return
+  std::uint64_t days = 0;  // by seeds from 1 on
 };
-const std::array<Fleet, 5> kFleets = {{
-    {2, 200, {}},
-    {8, 200, {28}},
-    {20, 100, {65}},
-    {30, 100, {}},
-    {300, 40, {}},
-}};
+constexpr std::array<Fleet, 5> kFleets = {{{2, 200}, {8, 200}, {20, 100}, {30, 100}, {300, 40}}};
 
 }  // namespace
 
-TEST_CASE("no other drawn return of a fleet is overrun by those told") {
+TEST_CASE("no drawn return of a fleet is overrun by those told") {
   for (const Fleet& fleet : kFleets) {
     int handedIn = 0, delivered = 0, rated = 0, batches = 0, clumps = 0, restarts = 0;
     std::array<int, 4> outages{};
     for (std::uint64_t seed = 1; seed <= fleet.days; ++seed) {
       const ColdVerdict day = ColdFleet(fleet.forwarders, seed).run();
       INFO("fleet of ", fleet.forwarders, ", seed ", seed, ": ", day.fall);
-      if (std::ranges::count(fleet.overruns, seed) == 0) CHECK(!day.broken);
+      CHECK(!day.broken);
       handedIn += day.handedIn, delivered += day.delivered;
       rated += day.rated, batches += day.batches, clumps += day.clumps, restarts += day.restarts;
       ++outages[static_cast<std::size_t>(day.outage)];
@@ -52,12 +43,3 @@
     for (const int drawn : outages) CHECK(drawn > few);
   }
 }
-
-// Not mended: KNOWN-RED.txt names it, and docs/bench/cold-returns.md what overruns them.
-TEST_CASE("no drawn return of a fleet is overrun by those told") {
-  for (const Fleet& fleet : kFleets)
-    for (const std::uint64_t seed : fleet.overruns) {
-      const ColdVerdict day = ColdFleet(fleet.forwarders, seed).run();
-      CHECK_MESSAGE(!day.broken, "fleet of ", fleet.forwarders, ", seed ", seed, ": ", day.fall);
-    }
-}
--- a/tests/module_properties_test.cpp
+++ b/tests/module_properties_test.cpp
@@ -466,7 +466,7 @@
 }  // namespace
 
 // The days, by seed, of which some forwarder still overruns a cold return.
-constexpr std::array<std::uint64_t, 7> kOverrun = {74, 193, 350, 601, 782, 798, 801};
+constexpr std::array<std::uint64_t, 1> kOverrun = {798};
 
 TEST_CASE("every rule holds over 1,000 days of troubles, changes, restarts and strange events") {
   std::size_t ends = 0, sends = 0, refusals = 0, repeats = 0, cold = 0;
@@ -488,8 +488,8 @@
   CHECK(cold > 1000);
 }
 
-// Not mended: a restart late in the outage, or one that fails most calls and answers a few. What kept it off
-// on all drawn days cost 0.05 to 0.07 of the score on sockets (docs/review-findings.md, 36 and 37).
+// Not mended: a bound that goes with the first answer after a short trouble, and seven messages held. What
+// kept it off cost 1.3% or more of what two forwarders deliver (docs/bench/cold-returns.md).
 TEST_CASE("no drawn day overruns a cold return") {
   for (const std::uint64_t seed : kOverrun) {
     const std::string fault = World(seed, seed % 2 == 0).run();
