Show that a refusal leaves though the next process does not know of it

Lines at fault: Exchange::refuseWaiting and Exchange::end, which refuse a message whose taking on is written and waits for its sync, whether or not the record of its end could be written. Ruled out: the level process, where nothing lies between the record and the 202.

--- a/lab/fault_shim.h
+++ b/lab/fault_shim.h
@@ -25,6 +25,7 @@
   kIoError,     // each operation that changes something fails with EIO
   kNoSpace,     // files can neither grow nor be made: ENOSPC; cutting and removing work
   kHalfWrites,  // like kNoSpace, after half of what is written has reached the file
+  kAfterSync,   // nothing, until the next fdatasync: that fails, and all after it as with kIoError
 };
 
 // Calls that can be made to fail a given number of times, in place of by chance.
--- a/lab/fault_shim_disk.cpp
+++ b/lab/fault_shim_disk.cpp
@@ -21,7 +21,10 @@
   return !folder.empty() && ::strncmp(path, folder.c_str(), folder.size()) == 0;
 }
 
-DiskFault diskFault() { return page() ? page()->disk.load() : DiskFault::kNone; }
+DiskFault diskFault() {
+  const DiskFault fault = page() ? page()->disk.load() : DiskFault::kNone;
+  return fault == DiskFault::kAfterSync ? DiskFault::kNone : fault;
+}
 int diskError() { return diskFault() == DiskFault::kIoError ? EIO : ENOSPC; }
 int failDisk(int error) {
   ++page()->failedDisk;
@@ -98,6 +101,8 @@
 
 int fdatasync(int fd) {
   static const auto next = real<int(int)>("fdatasync");
+  if (kindOf(fd) == FdKind::kDisk && page() && page()->disk == DiskFault::kAfterSync)
+    page()->disk = DiskFault::kIoError;
   if (kindOf(fd) == FdKind::kDisk && diskFault() != DiskFault::kNone) return failDisk(diskError());
   return next(fd);
 }
--- a/lab/fleet_machines.cpp
+++ b/lab/fleet_machines.cpp
@@ -1,13 +1,10 @@
 // The machines of a fleet's relays and what surrounds them: how they are placed, and what befalls them.
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
-#include <stdexcept>
 #include <utility>
 
 #include "lab/auditor_processes.h"
@@ -25,24 +22,14 @@
 
 }  // namespace
 
-// A port that a relay may listen at, below those that the system gives to whoever connects: one of them could
-// be taken while the relay is away. Labs that run beside each other take theirs from different parts.
+// Where a relay may listen, on an address of the loopback that is this lab's alone: nobody else listens or
+// connects from there while the relay is away.
 std::string FleetOfProcesses::freeAddress() {
-  constexpr int kLeastPort = 12000, kParts = 40, kPorts = 500;
-  const int least = kLeastPort + static_cast<int>(::getpid()) % kParts * kPorts;
+  constexpr int kLeastPort = 12000, kPorts = 20000, kHosts = 250;
   static int next = 0;
-  for (int tries = 0; tries < kPorts; ++tries) {
-    const int port = least + next++ % kPorts;
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in raw{};
-    raw.sin_family = AF_INET;
-    raw.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    raw.sin_port = htons(static_cast<std::uint16_t>(port));
-    const bool bound = ::bind(fd, reinterpret_cast<const sockaddr*>(&raw), sizeof raw) == 0;
-    ::close(fd);
-    if (bound) return "127.0.0.1:" + std::to_string(port);
-  }
-  throw std::runtime_error("no free port");
+  const int lab = static_cast<int>(::getpid());
+  return "127." + std::to_string(1 + lab / kHosts % kHosts) + "." + std::to_string(lab % kHosts) +
+         ".1:" + std::to_string(kLeastPort + next++ % kPorts);
 }
 
 void FleetOfProcesses::askUp(Relay& relay) {
--- a/lab/hub.cpp
+++ b/lab/hub.cpp
@@ -27,6 +27,13 @@
   return raw;
 }
 
+// "127.0.0.1:3000", or another address of the loopback.
+sockaddr_in parsed(const std::string& address) {
+  sockaddr_in raw = loopback(std::atoi(address.substr(address.rfind(':') + 1).c_str()));
+  ::inet_pton(AF_INET, address.substr(0, address.rfind(':')).c_str(), &raw.sin_addr);
+  return raw;
+}
+
 int portOf(const std::string& address) { return std::atoi(address.substr(address.rfind(':') + 1).c_str()); }
 
 double nowMs() {
@@ -91,7 +98,7 @@
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
   ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  const sockaddr_in raw = loopback(portOf(address));
+  const sockaddr_in raw = parsed(address);
   ::connect(fd, reinterpret_cast<const sockaddr*>(&raw), sizeof raw);
   const Id id = ++last_;
   Peer& peer = peers_[id];
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -1,6 +1,7 @@
 #include "lab/soak.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <utility>
 
@@ -60,6 +61,22 @@
   return kills;
 }
 
+// One destination answers nothing for so long: what is owed to it comes to its end, and machines fail
+// meanwhile.
+constexpr double kAwayMs = 5000, kAwayFromMs = 2000;
+constexpr std::uint64_t kAwaySpreadMs = 4000;
+const std::array<std::string, 2> kAwayEndpoints = {"e5", "e6"};
+
+void takeAway(FaultPlan& plan) {
+  const double fromMs = kAwayFromMs + static_cast<double>(plan.seed * 977 % kAwaySpreadMs);
+  std::erase_if(plan.faults, [&](const Fault& fault) {
+    const bool there = std::ranges::find(kAwayEndpoints, fault.target) != kAwayEndpoints.end();
+    return there && fault.atMs <= fromMs + kAwayMs && fromMs <= fault.atMs + fault.forMs;
+  });
+  for (const std::string& endpoint : kAwayEndpoints)
+    plan.faults.push_back({fromMs, FaultKind::kSilent, endpoint, kAwayMs, 0});
+}
+
 bool isLink(const Fault& fault) { return fault.target.find('>') != std::string::npos; }
 bool reaches(const Fault& fault, const std::string& endpoint) {
   return fault.target == endpoint || fault.target.ends_with(">" + endpoint);
@@ -90,6 +107,7 @@
         isLink(fault) || (fault.kind != FaultKind::kWait && fault.kind != FaultKind::kDrain);
     return reaches(fault, kWaitingEndpoint) && mayLoseWaits;
   });
+  takeAway(plan);
   for (const Fault& kill : killsUnderTrouble(plan)) plan.faults.push_back(kill);
   std::stable_sort(plan.faults.begin(), plan.faults.end(),
                    [](const Fault& a, const Fault& b) { return a.atMs < b.atMs; });
--- a/tests/shimmed_site.h
+++ b/tests/shimmed_site.h
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,7 +22,10 @@
  public:
   static constexpr int kPatienceMs = 20000;  // a bound for a test that fails, never a pause
 
-  ShimmedSite() : folder(newFolder()), shim(folder + "/shim", 1), endpoint(hub, "a", 7), directory(hub) {
+  // `operatorText`: of the operator's file; empty: none.
+  explicit ShimmedSite(const std::string& operatorText = "")
+      : folder(newFolder()), shim(folder + "/shim", 1), endpoint(hub, "a", 7), directory(hub) {
+    if (!operatorText.empty()) std::ofstream(operatorFile_ = folder + "/operator.toml") << operatorText;
     directory.noticed = [this](const std::string& id, const std::string& result) {
       notices.try_emplace(id, Notice{result, steadyMs()});
     };
@@ -37,7 +41,8 @@
     relay = std::make_unique<Program>(
         hub, MYRTLELOFT_PROGRAM, folder,
         R"({"name":"n1","listen":")" + listen + R"(","discovery":")" + directory.address() +
-            R"(","seed":"5","limits":{"sockets":256,"disk_mb":1},"settings":)" + kSiteSettings + "}");
+            R"(","seed":"5","limits":{"sockets":256,"disk_mb":1},"settings":)" + kSiteSettings + "}",
+        operatorFile_);
     relay->environment = shim.environment(MYRTLELOFT_FAULT_SHIM);
   }
   bool serves() {
@@ -114,6 +119,8 @@
   std::map<std::string, Notice> notices;  // the first of each request
 
  private:
+  std::string operatorFile_;
+
   static std::string newFolder() {
     std::string name = (std::filesystem::temp_directory_path() / "shimmed-XXXXXX").string();
     return ::mkdtemp(name.data()) ? name : "";
