Refuse a message whose taking on is written only once its end is

Change: Exchange::refuseOnceEnded. Where the record of the end fails too, the client is not answered until it is written, or its client has gone; a process that ends before that says 202, for so the next process finds it.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -140,6 +140,7 @@
 void Exchange::onHangUp(const std::string& id) {
   const auto at = open_.find(id);
   if (at == open_.end() || !at->second.answer) return;
+  if (at->second.owed.verdict != Verdict::kNone) return forget(at);  // over already, and only not answered
   unchargeRequest(at->second);
   forget(at);  // never told that it is taken on, so nothing is owed
   --held_;
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -54,6 +54,9 @@
   // No sync will cover what waits for one, or none in time: clients that wait for their 202 are refused at
   // once and the journal owes nothing of theirs; calls that wait are reported as not sent.
   void refuseWaiting();
+  // The process ends. Clients whose refusal waits for a record hear that they are taken on: so the next
+  // process finds it.
+  void answerUnrefused();
   // Somebody sees what the module is told of each batch, just before it decides; it changes nothing.
   using Watcher = std::function<void(double nowMs, const std::vector<Event>& events)>;
   void watchBatches(Watcher watcher) { watcher_ = std::move(watcher); }
@@ -117,6 +120,11 @@
   void unchargeRequest(const Open& open);
   void unchargeCall(Open& open);
   void end(const std::string& id, Verdict verdict, double waitMs);
+  // A request that its client was not told to be taken on is over: the client hears so once no process will
+  // find it owed. Until then it stays, unanswered.
+  void refuseOnceEnded(std::map<std::string, Open, std::less<>>::iterator at, Verdict verdict,
+                       const Answer& answer);
+  void refuseAgain();
   // Records a taken-on request's end and tells the platform. One that cannot be recorded is told once it can
   // be, or once the request's time is up: the next process would know neither, and send what the platform
   // holds to be over.
@@ -157,13 +165,14 @@
   Waiting next_;  // of this batch
   std::deque<Waiting> waiting_;
   std::vector<Unrecorded> unrecorded_;
-  std::vector<std::string> unconcluded_;  // ended, but neither recorded nor told
-  std::vector<std::string> fresh_;        // came in since the last batch, in their order
+  std::vector<std::pair<std::string, Answer>> unrefused_;  // over, their end not recorded, and not answered
+  std::vector<std::string> unconcluded_;                   // ended, but neither recorded nor told
+  std::vector<std::string> fresh_;                         // came in since the last batch, in their order
   double lastBatchMs_ = -1e9;
   bool quiet_ = false;
   Watcher watcher_;
   Loop::Timer batchTimer_ = Loop::kNoTimer, sliceTimer_ = Loop::kNoTimer, recordTimer_ = Loop::kNoTimer,
-              concludeTimer_ = Loop::kNoTimer;
+              concludeTimer_ = Loop::kNoTimer, refuseTimer_ = Loop::kNoTimer;
 };
 
 }  // namespace myrtleloft
--- a/src/exchange/exchange_batch.cpp
+++ b/src/exchange/exchange_batch.cpp
@@ -76,27 +76,6 @@
   push(HangUpEvent{id});
 }
 
-void Exchange::end(const std::string& id, Verdict verdict, double waitMs) {
-  const auto at = open_.find(id);
-  if (at == open_.end() || at->second.owed.verdict != Verdict::kNone) return;
-  --held_;
-  if (verdict == Verdict::kBounced && !guard_.mayRefuse(at->second.owed)) {
-    guard_.withhold(Violation::kRefusedAfterRun, id);
-    verdict = Verdict::kDead;
-  }
-  if (at->second.answer) {
-    ++parts_.counters.failFast;
-    const bool dead = verdict == Verdict::kDead;
-    if (!dead) unchargeRequest(at->second);
-    trace_.refused(id, dead ? "failed" : "decided", waitMs);
-    answer(at->second, {dead ? Answer::Kind::kFailed : Answer::Kind::kFailFast, waitMs});
-    return forget(at);
-  }
-  ++(verdict == Verdict::kDead ? parts_.counters.dead : parts_.counters.bounced);
-  conclude(at->second, verdict, waitMs);
-  dropPutOff(id);
-}
-
 std::size_t Exchange::batchOf(int kind) const {
   const auto k = static_cast<std::size_t>(std::max(0, kind));
   return k < settings_.kindBatch.size() ? static_cast<std::size_t>(std::max(1, settings_.kindBatch[k])) : 1;
--- a/src/exchange/exchange_waiting.cpp
+++ b/src/exchange/exchange_waiting.cpp
@@ -35,29 +35,6 @@
   }
 }
 
-// Once its time is up the next process sends it no more, and a second notice does no harm.
-void Exchange::conclude(Open& open, Verdict verdict, double waitMs) {
-  const double nowMs = parts_.loop.nowMs();
-  const bool recorded = parts_.journal.verdict(open.owed, verdict, waitMs);
-  trace_.ended(open.owed.id, verdict == Verdict::kDead ? "dead" : "bounced", waitMs, recorded);
-  if (recorded || nowMs >= open.notAfterMs) return parts_.notices.add(open.owed.id, verdict, waitMs);
-  ++parts_.counters.journalFaults;
-  unconcluded_.push_back(open.owed.id);
-  const double againMs = std::min(nowMs + parts_.journal.restMs(), open.notAfterMs);
-  if (concludeTimer_ != Loop::kNoTimer && concludeTimer_.first <= againMs) return;
-  parts_.loop.cancel(concludeTimer_);
-  concludeTimer_ = parts_.loop.after(againMs - nowMs, [this] { concludeAgain(); });
-}
-
-void Exchange::concludeAgain() {
-  concludeTimer_ = Loop::kNoTimer;
-  for (const std::string& id : std::exchange(unconcluded_, {})) {
-    const auto at = open_.find(id);
-    if (at == open_.end()) continue;  // delivered after all, by a call that was still out
-    conclude(at->second, at->second.owed.verdict, at->second.owed.waitMs);
-  }
-}
-
 // Its request is over, and the module's slot free.
 void Exchange::dropPutOff(const std::string& id) {
   const auto put = putOffOf(id);
@@ -150,22 +127,6 @@
   put->untilMs = 0;  // told with the others: at once, the next attempt would soon be called off too
 }
 
-void Exchange::refuseWaiting() {
-  for (const Waiting& waiting : std::exchange(waiting_, {})) {
-    for (const std::string& id : waiting.taken) {
-      const auto at = open_.find(id);
-      if (at == open_.end() || !at->second.answer) continue;
-      unchargeRequest(at->second);
-      answer(at->second, {Answer::Kind::kFailFast, kComeBackMs});
-      forget(at);
-      --held_;
-      push(HangUpEvent{id});
-    }
-    for (const Plan& plan : waiting.calls)
-      for (const CallItem& item : plan.items) neverLeft(item.id, plan.uid);
-  }
-}
-
 void Exchange::onSynced() {
   if (!parts_.journal.collect()) {
     // Nothing of what waited may be promised any more. It is refused at once; calls did not leave.
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -101,8 +101,13 @@
   bool harmless(OwedRequest& owed);
   // Given up: drops the body.
   bool verdict(OwedRequest& owed, Verdict verdict, double waitMs);
-  // Nothing is owed any more; the pointer is let go. A record that cannot be written is tried again later.
+  // Nothing is owed any more; the pointer is let go. false: the record could not be written, and is tried
+  // again later; until `endRecorded` the next process would find it owed.
   bool ended(OwedRequest& owed);
+  // Whether no end of that id waits to be recorded. O(ends that wait).
+  bool endRecorded(const std::string& id) const {
+    return std::find(endsOwed_.begin(), endsOwed_.end(), id) == endsOwed_.end();
+  }
 
   // The time that goes into its records, in ms: the wall clock's at the start, and nobody can set it since.
   double nowMs() const { return clock_.nowMs(); }
--- a/src/relay/impl.cpp
+++ b/src/relay/impl.cpp
@@ -173,6 +173,7 @@
   if (inbound_.connections() == 0 && (exchange_.settled() || quiet)) return enter(Phase::kStopped);
   if (passed >= kStopMs) {
     exchange_.refuseWaiting();
+    exchange_.answerUnrefused();
     return enter(Phase::kStopped);
   }
   loop_.after(kLookMs, [this] { look(); });
