Part reading and writing of the kept list

Change: kept_format.h has the records and their frames, kept_list_reading.cpp what an earlier process left; no line of behaviour.

--- a/lab/fleet_machines.cpp
+++ b/lab/fleet_machines.cpp
@@ -121,6 +121,8 @@
 void FleetOfProcesses::reload(Relay& relay, const Fault& fault, bool begins) {
   constexpr double kUnreadable = 2, kAndBack = 3;
   if (fault.amount == kUnreadable && begins) {
+    // A start that reads such a file ends with code 2, as it should.
+    if (relay.phase != Phase::kUp) return;
     std::ofstream(relay.folder + "/config.json") << "{\"name\":";
     return hangUp(relay);
   }
--- a/src/discovery/kept_list.cpp
+++ b/src/discovery/kept_list.cpp
@@ -4,76 +4,18 @@
 #include <cerrno>
 #include <cstring>
 #include <limits>
-#include <map>
 #include <utility>
 
-#include "journal/archive.h"
+#include "discovery/kept_format.h"
 #include "journal/planner.h"
-#include "journal/segment.h"
 
 namespace myrtleloft {
-
-// ---- what stands in the file ----
-struct KeptBegin {
-  std::uint32_t version = kKeptVersion;
-  std::string machineRun;
-  std::vector<std::string> zones, kinds;
-};
-struct KeptEndpoint {
-  std::string uid, address;
-  std::int32_t zone = 0, kind = 0;
-  std::int64_t destination = 0;
-  double rating = 1, toldWallMs = 0, drainsSinceWallMs = 0;
-  bool drains = false, byChange = false, missing = false;
-};
-struct KeptCommit {
-  std::int64_t rev = 0;
-  double wallMs = 0, machineMs = 0;
-  std::uint64_t endpoints = 0;
-};
-
-template <typename Archive>
-void serialize(Archive& ar, KeptBegin& b) {
-  ar(b.version, b.machineRun, b.zones, b.kinds);
-}
-template <typename Archive>
-void serialize(Archive& ar, KeptEndpoint& e) {
-  ar(e.uid, e.address, e.zone, e.kind, e.destination, e.rating, e.toldWallMs, e.drainsSinceWallMs, e.drains,
-     e.byChange, e.missing);
-}
-template <typename Archive>
-void serialize(Archive& ar, KeptCommit& c) {
-  ar(c.rev, c.wallMs, c.machineMs, c.endpoints);
-}
-
 namespace {
 
 constexpr const char* kNextName = "members.new";
-constexpr std::uint64_t kSequence = 0;  // no segment of the journal has it
-constexpr std::size_t kPerFrame = 32;   // endpoints in one frame
-
-enum class Type : char { kBegin = 'B', kPut = 'P', kGone = 'G', kCommit = 'C' };
-
-template <typename T>
-void frame(std::string& out, std::uint64_t salt, Type type, T record) {
-  const std::size_t at = openFrame(out);
-  out += static_cast<char>(type);
-  TextOut archive(out);
-  archive(record);
-  closeFrame(out, at, salt, kSequence);
-}
 
-template <typename T>
-bool get(std::string_view payload, T& record) try {
-  TextIn in(payload.substr(1));
-  in(record);
-  return in.left() == 0;
-} catch (const std::exception&) {
-  return false;
-}
-
-KeptEndpoint stored(const EndpointEntry& e) {
-  KeptEndpoint k;
+kept::Endpoint stored(const EndpointEntry& e) {
+  kept::Endpoint k;
   k.uid = uidOf(e.entry.target);
   k.address = e.address.text;
   k.zone = e.entry.zone;
@@ -88,145 +30,8 @@
   return k;
 }
 
-// The index in `names` of what stands under `index` in the file's own names.
-std::optional<int> indexIn(const std::vector<std::string>& names, const std::vector<std::string>& own,
-                           std::int32_t index) {
-  if (index < 0 || static_cast<std::size_t>(index) >= own.size()) return std::nullopt;
-  return indexOf(names, own[static_cast<std::size_t>(index)]);
-}
-
-class Reading {
- public:
-  Reading(std::string_view bytes, std::uint64_t salt, const ListNames* names, KeptFound& found)
-      : bytes_(bytes), salt_(salt), names_(names), found_(found) {}
-
-  bool run() {
-    if (!findLastCommit()) return false;
-    SegmentScanner scanner(bytes_.substr(0, end_), salt_, kSequence, SegmentScanner::kUnknownEnd);
-    for (Piece piece = scanner.next(); piece.kind != Piece::Kind::kEnd; piece = scanner.next())
-      if (!take(piece.payload)) return spoilt("an unreadable record", piece.offset);
-    if (read_.size() + found_.unknownNames != commit_.endpoints) return spoilt("a wrong count", end_);
-    found_.list.rev = commit_.rev;
-    found_.list.all = true;
-    for (auto& [uid, endpoint] : read_) found_.list.endpoints.push_back(std::move(endpoint));
-    found_.told = {commit_.wallMs, commit_.machineMs, begin_.machineRun};
-    found_.there = true;
-    return true;
-  }
-
- private:
-  bool spoilt(const char* what, std::size_t offset) {
-    found_.fault = std::string(what) + " at byte " + std::to_string(offset);
-    return false;
-  }
-
-  bool findLastCommit() {
-    SegmentScanner scanner(bytes_, salt_, kSequence, SegmentScanner::kUnknownEnd);
-    std::size_t seen = kSegmentHeaderBytes;
-    for (Piece piece = scanner.next(); piece.kind != Piece::Kind::kEnd; piece = scanner.next()) {
-      if (piece.kind == Piece::Kind::kHole) return spoilt("damage", piece.offset);
-      seen = piece.offset + piece.bytes;
-      if (piece.kind == Piece::Kind::kRecord && piece.payload.front() == static_cast<char>(Type::kCommit))
-        end_ = seen;
-    }
-    if (end_ == 0) return spoilt("no whole list", seen);
-    if (end_ == seen) return true;
-    found_.whole = false;
-    found_.fault = "cut off at byte " + std::to_string(end_);
-    return true;
-  }
-
-  bool take(std::string_view payload) {
-    switch (static_cast<Type>(payload.front())) {
-      case Type::kBegin:
-        if (!get(payload, begin_) || begin_.version > kKeptVersion) return false;
-        found_.names = {begin_.zones, begin_.kinds};
-        return true;
-      case Type::kPut: {
-        std::vector<KeptEndpoint> endpoints;
-        if (!get(payload, endpoints)) return false;
-        for (const KeptEndpoint& e : endpoints)
-          if (!put(e)) return false;
-        return true;
-      }
-      case Type::kGone: {
-        std::vector<std::string> gone;
-        if (!get(payload, gone)) return false;
-        for (const std::string& uid : gone) remove(uid);
-        return true;
-      }
-      case Type::kCommit:
-        return get(payload, commit_);
-    }
-    return false;
-  }
-
-  void remove(const std::string& uid) {
-    read_.erase(uid);
-    found_.unknownNames -= unknown_.erase(uid);
-  }
-
-  bool put(const KeptEndpoint& e) {
-    remove(e.uid);
-    EndpointEntry entry;
-    const auto address = parseAddress(e.address);
-    if (!address || e.uid.empty()) return false;
-    entry.address = *address;
-    entry.entry.target = e.uid;
-    const ListNames& names = names_ ? *names_ : found_.names;
-    const auto zone = indexIn(names.zones, begin_.zones, e.zone);
-    const auto kind = indexIn(names.kinds, begin_.kinds, e.kind);
-    if (!zone || !kind) {
-      found_.unknownNames += unknown_.insert(e.uid).second;
-      return true;
-    }
-    entry.entry.zone = *zone;
-    entry.entry.kind = *kind;
-    entry.entry.destination = e.destination;
-    entry.entry.state = e.drains ? RouteState::kStopping : RouteState::kRunning;
-    entry.entry.rating = e.rating;
-    entry.toldWallMs = e.toldWallMs;
-    entry.drainsSinceWallMs = e.drainsSinceWallMs;
-    entry.byChange = e.byChange;
-    entry.missing = e.missing;
-    read_.emplace(e.uid, std::move(entry));
-    return true;
-  }
-
-  std::string_view bytes_;
-  std::uint64_t salt_;
-  const ListNames* names_;
-  KeptFound& found_;
-  std::size_t end_ = 0;  // of the last commit
-  KeptBegin begin_;
-  KeptCommit commit_;
-  std::map<std::string, EndpointEntry> read_;
-  std::set<std::string> unknown_;
-};
-
 }  // namespace
 
-KeptFound readKept(Files& files, const std::string& folder, const ListNames* names) {
-  KeptFound found;
-  std::string bytes;
-  const int fault = files.read(folder + "/" + kKeptName, bytes);
-  if (fault == ENOENT) return found;
-  if (fault != 0) {
-    found.fault = std::strerror(fault);
-    return found;
-  }
-  found.fileBytes = bytes.size();
-  const HeaderState header = readHeader(bytes);
-  if (header.kind == HeaderState::Kind::kNewer)
-    found.fault = "format version " + std::to_string(header.version) + " is not known";
-  else if (header.kind != HeaderState::Kind::kGood)
-    found.fault = "a damaged header";
-  else if (!Reading(bytes, header.header.salt, names, found).run())
-    found.list = {};
-  return found;
-}
-
-// ---- writing ----
 void KeptList::begin() {
   std::vector<FileSeen> files;
   if (parts_.files.list(options_.folder, files) != 0) return;
@@ -282,23 +87,23 @@
     cursor_.clear();
     SegmentHeader header;
     header.salt = options_.salt;
-    header.sequence = kSequence;
+    header.sequence = kept::kSequence;
     header.createdWallMs = parts_.clock.wallMs();
     frames = encodeHeader(header);
-    KeptBegin begin{kKeptVersion, parts_.clock.machineRun(), options_.names.zones, options_.names.kinds};
-    frame(frames, options_.salt, Type::kBegin, std::move(begin));
+    kept::Begin begin{kKeptVersion, parts_.clock.machineRun(), options_.names.zones, options_.names.kinds};
+    kept::frame(frames, options_.salt, kept::Type::kBegin, std::move(begin));
   }
-  std::vector<KeptEndpoint> some;
+  std::vector<kept::Endpoint> some;
   std::size_t left = options_.tuning.endpointsPerSlice;
   const auto put = [&] {
-    if (!some.empty()) frame(frames, options_.salt, Type::kPut, std::exchange(some, {}));
+    if (!some.empty()) kept::frame(frames, options_.salt, kept::Type::kPut, std::exchange(some, {}));
   };
   auto at = begins ? set.all().begin() : set.all().upper_bound(cursor_);
   for (; at != set.all().end() && left > 0; ++at, --left) {
     some.push_back(stored(at->second));
     cursor_ = at->first;
     dirty_.erase(at->first);
-    if (some.size() == kPerFrame) put();
+    if (some.size() == kept::kPerFrame) put();
   }
   put();
   // Changed since they were written, or gone: what the list has by now.
@@ -334,7 +139,7 @@
 
 std::string KeptList::takeDirty(const DestinationSet& set) {
   std::string frames;
-  std::vector<KeptEndpoint> put;
+  std::vector<kept::Endpoint> put;
   std::vector<std::string> gone;
   for (std::size_t left = options_.tuning.endpointsPerSlice; left > 0 && !dirty_.empty(); --left) {
     const auto first = dirty_.begin();
@@ -344,15 +149,15 @@
       gone.push_back(*first);
     dirty_.erase(first);
   }
-  for (std::size_t i = 0; i < put.size(); i += kPerFrame) {
-    const auto end = put.begin() + static_cast<std::ptrdiff_t>(std::min(put.size(), i + kPerFrame));
-    frame(frames, options_.salt, Type::kPut,
-          std::vector<KeptEndpoint>(put.begin() + static_cast<std::ptrdiff_t>(i), end));
+  for (std::size_t i = 0; i < put.size(); i += kept::kPerFrame) {
+    const auto end = put.begin() + static_cast<std::ptrdiff_t>(std::min(put.size(), i + kept::kPerFrame));
+    kept::frame(frames, options_.salt, kept::Type::kPut,
+                std::vector<kept::Endpoint>(put.begin() + static_cast<std::ptrdiff_t>(i), end));
   }
-  if (!gone.empty()) frame(frames, options_.salt, Type::kGone, std::move(gone));
+  if (!gone.empty()) kept::frame(frames, options_.salt, kept::Type::kGone, std::move(gone));
   if (dirty_.empty())
-    frame(frames, options_.salt, Type::kCommit,
-          KeptCommit{set.rev(), told_.wallMs, told_.machineMs, set.all().size()});
+    kept::frame(frames, options_.salt, kept::Type::kCommit,
+                kept::Commit{set.rev(), told_.wallMs, told_.machineMs, set.all().size()});
   return frames;
 }
 
