Show two waits that are not heeded: over half a call, and in the turn of a time-out

Both were found by going through all paths on which a told wait can be missed: - Outbound::recall takes back only calls of which no byte is written. A call counts once its last byte has arrived; a bulk of ten half out at an endpoint that hangs arrives whenever that reads on, inside the wait. Ruled out: waits set shorter by a second one (max in events.cpp), outcomes of requests that are over (none has a call out then).

--- a/tests/half_sent_calls_test.cpp
+++ b/tests/half_sent_calls_test.cpp
@@ -115,3 +115,70 @@
   CHECK(outbound.callsOut() == 0);
   CHECK(readSome(fd, bytes) == Io::kClosed);
 }
+
+// Forces the instant at which an endpoint tells a wait while another call to it is half out: the endpoint
+// does not read, and what it reads later arrives inside the wait.
+TEST_CASE("a call of which a part is written is taken back by a wait") {
+  lab::HandClock clock;
+  Loop loop(clock);
+  Counters counters;
+  Outbound outbound(loop, counters, {60000, 10000, 8, {}});
+  Outcomes outcomes;
+  outbound.listen(outcomes);
+  std::string error;
+  const Fd listener = listenOn(*parseAddress("127.0.0.1:0"), error);
+  const std::string long_(32 * 1024 * 1024, 'x');  // more than the system holds for a peer that does not read
+  outbound.call(at("a", *parseAddress(localAddress(listener))), {{"long", "", long_, 60000}});
+  const auto turn = [&] {
+    loop.after(0, [] {});
+    loop.runOnce();
+  };
+  int code = 0;
+  const Fd fd = acceptFrom(listener, code);
+  REQUIRE(fd);
+  while (!hasInput(fd)) turn();
+  turn();
+  outbound.recall([](const std::string&) { return true; });
+  REQUIRE(outcomes.all.size() == 1);
+  CHECK(outcomes.all[0].second.outcome == Outcome::kNop);
+  CHECK(outbound.callsOut() == 0);
+  std::string bytes;
+  for (Io io = Io::kProgress; io == Io::kProgress;) io = readSome(fd, bytes);
+  CHECK(bytes.size() < long_.size());
+}
+
+// Forces the instant at which an answer comes between the loop's look at its descriptors and the timer that
+// gives the call up: closed unread, the wait that it tells would be broken by the next call.
+TEST_CASE("an answer that has come when its call's time is up still counts") {
+  lab::HandClock clock;
+  Loop loop(clock);
+  Counters counters;
+  Outbound outbound(loop, counters, {60000, 10000, 8, {}});
+  Outcomes outcomes;
+  outbound.listen(outcomes);
+  std::string error;
+  const Fd listener = listenOn(*parseAddress("127.0.0.1:0"), error);
+  outbound.call(at("a", *parseAddress(localAddress(listener))), {{"m", "", "x", 100}});
+  const auto turn = [&] {
+    loop.after(0, [] {});
+    loop.runOnce();
+  };
+  int code = 0;
+  const Fd fd = acceptFrom(listener, code);
+  REQUIRE(fd);
+  std::string bytes;
+  while (bytes.find("\r\n\r\nx") == bytes.npos) {
+    turn();
+    readSome(fd, bytes);
+  }
+  loop.after(90, [&] {
+    std::size_t put = 0;
+    writeSome(fd, "HTTP/1.1 429 Wait\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n", put);
+  });
+  clock.nowMs += 110;  // both timers are due in one turn
+  turn();
+  REQUIRE(outcomes.all.size() == 1);
+  CHECK(outcomes.all[0].second.outcome == Outcome::kFull);
+  CHECK(outcomes.all[0].second.detail == 2500);
+  CHECK(outbound.callsOut() == 0);
+}
