Heed a wait over a call that is half out, and read what has come before giving a call up

Change: recall takes back every call whose last byte is not written; nothing of it has run, and it is reported as not sent. giveUp first takes in what has come on the call's connection: a whole answer is its outcome, a wait or a delivery in it included.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -70,12 +70,25 @@
   if (io == Io::kProgress) loop_.setEvents(fd_.get(), POLLIN);
 }
 
-void ClientConnection::read() {
+bool ClientConnection::takeArrived() {
+  if (!fd_ || !done_ || !begun() || !hasInput(fd_)) return false;
+  bool over = false;
+  const Done done = done_;
+  done_ = [&over, &done](Result result) {
+    over = true;
+    done(std::move(result));
+  };
+  read(false);
+  if (!over) done_ = done;
+  return over;
+}
+
+void ClientConnection::read(bool writesOn) {
   for (int i = 0; i < kReadsInTurn; ++i) {
     const Io io = readSome(fd_, reader_.buffer());
     if (io == Io::kWouldBlock && writeFailed_) return finish(End::kNotSent);
     if (io == Io::kWouldBlock) {
-      if (!lastByteWritten()) write();
+      if (writesOn && !lastByteWritten()) write();
       return;
     }
     auto state = io == Io::kProgress ? reader_.advance() : HttpReader::State::kBad;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -50,11 +50,14 @@
   // Of an answer that has only begun; its status is 0 until its first line is in.
   const HttpMessage& answerSoFar() const { return reader_.partial(); }
   void close();
+  // Takes in what has come and was not read yet, without writing on. Whether the call is over with that:
+  // `done` has been called then, and may have destroyed this connection.
+  bool takeArrived();
 
  private:
   void onEvents(short revents);
   void write();
-  void read();
+  void read(bool writesOn = true);
   void armRest();
   void finish(End end, HttpMessage answer = {}, bool stalled = false);
 
--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -124,12 +124,14 @@
   idle_.reconsider(set);
 }
 
-// A connection may take seconds to come up, and the wait binds what it then carries. (A call whose first SYN
-// was lost arrived 1.1 s after it was decided, inside a wait that another call had been told meanwhile.)
+// A connection may take seconds to come up, or an endpoint to read on, and the wait binds what arrives then.
+// (A call whose first SYN was lost arrived 1.1 s after it was decided, inside a wait that another call had
+// been told meanwhile.) A call counts once its last byte has arrived: of which a byte is missing, nothing has
+// run.
 void Outbound::recall(const std::function<bool(const std::string&)>& bound) {
   std::vector<std::uint64_t> back;
   for (const auto& [number, call] : calls_)
-    if (bound(call.uid) && (!call.connection || !call.connection->begun())) back.push_back(number);
+    if (bound(call.uid) && (!call.connection || !call.connection->lastByteWritten())) back.push_back(number);
   takeBack(back);
 }
 
@@ -202,6 +204,9 @@
 }
 
 void Outbound::giveUp(std::uint64_t number, Outcome outcome) {
+  // What has come counts, though the loop has not read it: it may tell a wait, or a delivery.
+  if (const Connection& connection = calls_.at(number).connection; connection && connection->takeArrived())
+    return;
   Call call = takeOff(number);
   // An answer that has begun has something to say, though its time is up before its end.
   if (call.connection && call.connection->answerBegun())
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -77,8 +77,8 @@
   // reported as not sent, and idle connections to addresses that are not its any more are closed. Calls that
   // have left are seen to their end: whoever has them may have run them.
   void reconsider(const DestinationSet& set);
-  // Reports calls of which no byte is written, as they wait for a slot or for their connection, to endpoints
-  // for which `bound` holds, as not sent.
+  // Reports calls whose last byte is not written, as they wait for a slot, for their connection or for their
+  // endpoint to read, to endpoints for which `bound` holds, as not sent.
   void recall(const std::function<bool(const std::string& uid)>& bound);
   void freeIdle(const std::string& uid) { idle_.free(uid); }
   std::size_t callsOut() const { return calls_.size(); }  // those that wait for a slot as well
