--- a/lab/fault_shim.h
+++ b/lab/fault_shim.h
@@ -29,7 +29,7 @@
 };
 
 // Calls that can be made to fail a given number of times, in place of by chance.
-enum class ShimCall : std::uint32_t { kNone, kSocket, kSignalfd, kSendAccepted, kRecvAccepted };
+enum class ShimCall : std::uint32_t { kNone, kSocket, kSignalfd, kConnect, kSendAccepted, kRecvAccepted };
 
 // The shared page. Rates are in thousandths of the calls.
 struct FaultPage {
--- a/lab/fault_shim_network.cpp
+++ b/lab/fault_shim_network.cpp
@@ -71,6 +71,7 @@
 
 int connect(int fd, const sockaddr* address, socklen_t size) {
   static const auto next = real<int(int, const sockaddr*, socklen_t)>("connect");
+  if (scripted(ShimCall::kConnect)) return -1;
   if (networkFails()) return failWith(std::array{EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ENOBUFS});
   setKind(fd, FdKind::kConnected);
   return next(fd, address, size);
--- a/tests/failing_answers_test.cpp
+++ b/tests/failing_answers_test.cpp
@@ -46,3 +46,34 @@
   REQUIRE(site.answered("m1"));
   CHECK(site.answers.at("m1") == -1);
 }
+
+TEST_CASE("a connect that fails for want of something on this machine is not held against the endpoint") {
+  for (const int error : {EADDRNOTAVAIL, ENOBUFS, EAGAIN}) {
+    ShimmedSite site;
+    REQUIRE(site.start());
+    site.shim.failNext(ShimCall::kConnect, error, 2);
+    site.hand("m1", "billing-charge", 10);
+    REQUIRE(site.taken("m1"));
+    CHECK(site.until([&] { return site.callsOf("m1") == 1; }));
+    CHECK(site.shim.scriptedLeft() == 0);
+    site.relay->signal(SIGUSR1);
+    REQUIRE(site.until([&] { return site.logged("counters out:") > 0; }));
+    INFO("errno ", error, "\n", site.relay->log());
+    CHECK(site.logged(" no-connection=0 ") == 1);
+    CHECK(site.logged(" not-sent=0 ") == 0);
+  }
+}
+
+// An endpoint that refuses says so in the same call, where the system knows at once.
+TEST_CASE("a connect that the network refuses is") {
+  ShimmedSite site;
+  REQUIRE(site.start());
+  site.shim.failNext(ShimCall::kConnect, ENETUNREACH, 1);
+  site.hand("m1", "billing-charge", 10);
+  REQUIRE(site.taken("m1"));
+  CHECK(site.until([&] { return site.callsOf("m1") == 1; }));
+  site.relay->signal(SIGUSR1);
+  REQUIRE(site.until([&] { return site.logged("counters out:") > 0; }));
+  INFO(site.relay->log());
+  CHECK(site.logged(" no-connection=1 ") == 1);
+}
