Drop the send that waits for the disk once its request waits to be refused

Ruled out: the shim and the lab (killed_relay has neither), memory.

Measured: that case crashed before and passes; kill_points 4 of 4 beside each other.

--- a/src/exchange/exchange_ends.cpp
+++ b/src/exchange/exchange_ends.cpp
@@ -74,6 +74,7 @@
   }
   owed.verdict = verdict;
   owed.doubts.clear();  // its call, if any, waits as well and never leaves
+  dropPutOff(at->first);
   unrefused_.emplace_back(at->first, answer);
   if (refuseTimer_ == Loop::kNoTimer)
     refuseTimer_ = parts_.loop.after(parts_.journal.restMs(), [this] { refuseAgain(); });
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -150,6 +150,7 @@
 }
 
 bool Journal::attempt(OwedRequest& owed, Doubt doubt) {
+  if (owed.ticket == kNone) return false;  // over, or never taken on
   doubt.attempt = owed.attempts;
   writeEnds();
   const std::size_t grows = encodedSize(doubt);
@@ -163,7 +164,7 @@
 }
 
 bool Journal::harmless(OwedRequest& owed) {
-  if (owed.doubts.empty()) return true;
+  if (owed.doubts.empty() || owed.ticket == kNone) return owed.doubts.empty();
   const Doubt doubt = std::move(owed.doubts.back());
   owed.doubts.pop_back();
   Entry& entry = entries_[owed.ticket];
@@ -174,8 +175,8 @@
 bool Journal::verdict(OwedRequest& owed, Verdict verdict, double waitMs) {
   owed.verdict = verdict;
   owed.waitMs = waitMs;
-  owed.body.clear();
-  owed.body.shrink_to_fit();
+  owed.body = std::string();
+  if (owed.ticket == kNone) return false;
   Entry& entry = entries_[owed.ticket];
   if (entry.live > 0) setLive(entry, recordBytes(owed));
   return record(VerdictRecord{owed.id, verdict, waitMs}, &entry, 0, 0);
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -93,7 +93,8 @@
   // A request from `open` has found its place. Compaction rests until all have.
   void settle(OwedRequest& owed);
 
-  // Each returns false where it could not be recorded; the log then still ends with a whole record.
+  // Each returns false where it could not be recorded, as for a request that is not held; the log then still
+  // ends with a whole record.
   bool taken(OwedRequest& owed);                 // also false where too little is free to see it to its end
   bool attempt(OwedRequest& owed, Doubt doubt);  // numbers the doubt itself
   // The newest attempt never ran. Withdrawn in memory also where it cannot be recorded: the doubt on disk is
--- a/tests/exchange_window_test.cpp
+++ b/tests/exchange_window_test.cpp
@@ -123,3 +123,31 @@
   CHECK(site.counters.delivered == 0);
   CHECK(site.counters.dead + site.counters.bounced == 1);
 }
+
+// The taking on is written, and everything after it fails: the attempt, the sync, and the end.
+TEST_CASE("group: a refusal that waits for its end to be recorded drops the send that waits for the disk") {
+  Site site(true);
+  site.files.failAt(site.files.operations() + 2, 1 << 20, EIO);
+  site.handIn("m");
+  site.pass(10);
+  site.syncer.work();
+  site.exchange->onSynced();
+  site.pass(600);  // the send is looked at again, twice
+  CHECK(site.answers.empty());
+  site.mendDisk();
+  site.pass(600);
+  REQUIRE(site.answers.size() == 1);
+  CHECK(site.answers[0] == Answer::Kind::kFailFast);
+  for (int turns = 0; turns < 5; ++turns) {  // what the failed sync was to cover is written anew
+    site.syncer.work();
+    site.exchange->onSynced();
+    site.pass(300);
+  }
+  site.handIn("n");  // the slot is free
+  site.pass(10);
+  site.syncer.work();
+  site.exchange->onSynced();
+  REQUIRE(site.answers.size() == 2);
+  CHECK(site.answers[1] == Answer::Kind::kTaken);
+  CHECK(site.outbound.callsOut() == 1);
+}
--- a/tests/kill_points_test.cpp
+++ b/tests/kill_points_test.cpp
@@ -108,7 +108,8 @@
     if (!until([this] { return dead() || !fault_.empty() || (enough() && ended()); }))
       return fail("the first process neither ends nor finishes");
     killed_ = child_ < 0;
-    if (point_.fails() && killed_) return fail("a fault of the disk ended the process");
+    if (point_.fails() && killed_)
+      return fail("a fault of the disk ended the process, status " + std::to_string(status_));
     if (!killed_ && std::getenv("LAB_LOG")) tellCounters();
     if (child_ > 0) kill();
     for (int restart = 1;; ++restart) {
@@ -192,7 +193,7 @@
                          }});
   }
   bool dead() {
-    if (child_ > 0 && ::waitpid(child_, nullptr, WNOHANG) == child_) child_ = -1;
+    if (child_ > 0 && ::waitpid(child_, &status_, WNOHANG) == child_) child_ = -1;
     return child_ < 0;
   }
   void kill() {
@@ -380,7 +381,7 @@
   std::array<std::string, 3> endpoints_;
   pid_t child_ = -1;
   bool ready_ = false, killed_ = false;
-  int next_ = 0, restarts_ = 0;
+  int next_ = 0, restarts_ = 0, status_ = 0;  // the last: waitpid's
   std::size_t refused_ = 0, takenBefore_ = 0;
   std::set<std::string> taken_, delivered_, mayHaveRun_;
   std::map<std::string, std::string> notices_;
