Give a call up by ending its sending, and hear an answer that was on its way

Lines at fault: Outbound::giveUp, which closes the connection: a wait binds from when its answer is written, and nobody is left to hear it. Ruled out: waits that were heard (the guard would hold the call back), the proxy (e3 is reached without one).

Change: a call whose last byte is written parts: its sending ends, which PROTOCOL has as giving up, and what was written before the endpoint learned of it is still read, for 50 ms at most or until the endpoint closes: a wait, a delivery, else the outcome that it was given up with. Cost: that outcome comes up to 50 ms later where the endpoint does not answer to the end of sending.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "net/client_connection.h"
 
+#include <sys/socket.h>
+
 #include <utility>
 
 namespace myrtleloft {
@@ -70,6 +72,11 @@
   if (io == Io::kProgress) loop_.setEvents(fd_.get(), POLLIN);
 }
 
+void ClientConnection::endSending() {
+  ::shutdown(fd_.get(), SHUT_WR);
+  loop_.setEvents(fd_.get(), POLLIN);
+}
+
 bool ClientConnection::takeArrived() {
   if (!fd_ || !done_ || !begun() || !hasInput(fd_)) return false;
   bool over = false;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -50,6 +50,8 @@
   // Of an answer that has only begun; its status is 0 until its first line is in.
   const HttpMessage& answerSoFar() const { return reader_.partial(); }
   void close();
+  // Ends its sending, which gives the call up; what the peer had written before it learns so still comes.
+  void endSending();
   // Takes in what has come and was not read yet, without writing on. Whether the call is over with that:
   // `done` has been called then, and may have destroyed this connection.
   bool takeArrived();
--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr double kDescriptorMs = 50;  // between two looks for a free one
+// How long an answer may be on its way that was written before its endpoint learned that the call is given
+// up. Half of what a wait lets through (PROTOCOL, "The rules on sockets").
+constexpr double kPartingMs = 50;
 
 std::string seconds(double ms) {
   char text[32];
@@ -204,9 +207,13 @@
 }
 
 void Outbound::giveUp(std::uint64_t number, Outcome outcome) {
-  // What has come counts, though the loop has not read it: it may tell a wait, or a delivery.
-  if (const Connection& connection = calls_.at(number).connection; connection && connection->takeArrived())
-    return;
+  Call& given = calls_.at(number);
+  if (given.parting) return;
+  // What has come counts, though the loop has not read it.
+  if (given.connection && given.connection->takeArrived()) return;
+  const bool mayBeAnswered = given.connection && given.connection->open() &&
+                             given.connection->lastByteWritten() && !given.connection->answerBegun();
+  if (outcome != Outcome::kNop && mayBeAnswered) return part(number, outcome);
   Call call = takeOff(number);
   // An answer that has begun has something to say, though its time is up before its end.
   if (call.connection && call.connection->answerBegun())
@@ -214,6 +221,20 @@
   reportAll(call, {"", unanswered(call.connection.get(), outcome), false, 0}, {});
 }
 
+void Outbound::part(std::uint64_t number, Outcome outcome) {
+  Call& call = calls_.at(number);
+  call.parting = outcome;
+  call.connection->endSending();
+  loop_.cancel(call.capTimer);
+  call.capTimer = loop_.after(kPartingMs, [this, number] {
+    if (calls_.at(number).connection->takeArrived()) return;
+    const Call parted = takeOff(number);
+    const bool begun = parted.connection->answerBegun();
+    const CallOutcome unheard{"", *parted.parting, false, 0};
+    reportAll(parted, begun ? readSpoiltAnswer(parted.connection->answerSoFar(), parted.bulk) : unheard, {});
+  });
+}
+
 void Outbound::onResult(std::uint64_t number, ClientConnection::Result result) {
   Call call = takeOff(number);
   if (result.end == ClientConnection::End::kHeldBack)
@@ -222,12 +243,14 @@
     ++counters_.spoilt;
     return reportAll(call, readSpoiltAnswer(result.answer, call.bulk), {});
   }
+  if (result.end != ClientConnection::End::kAnswered && call.parting)
+    return reportAll(call, {"", *call.parting, false, 0}, {});
   if (result.end != ClientConnection::End::kAnswered) {
     const bool neverRan = result.end == ClientConnection::End::kNotSent;
     reportAll(call, {"", neverRan ? Outcome::kNoConn : Outcome::kReset, false, 0}, {});
     return;
   }
-  idle_.keep(call.uid, call.address, std::move(call.connection));
+  if (!call.parting) idle_.keep(call.uid, call.address, std::move(call.connection));
   const Report told = readReport(result.answer, limits_.reportColumns);
   if (call.bulk && result.answer.status == 200)
     report(call, readBulkAnswer(result.answer, call.items), told);
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -6,6 +6,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -92,6 +93,8 @@
     bool bulk = false;
     double startedMs = 0;   // the caps count from here
     Connection connection;  // none while it waits for a slot
+    // Given up, with this outcome, unless an answer was on its way: its sending has ended.
+    std::optional<Outcome> parting;
     Loop::Timer connectTimer = Loop::kNoTimer, capTimer = Loop::kNoTimer, leaveTimer = Loop::kNoTimer;
   };
 
@@ -108,8 +111,10 @@
   void onCap(std::uint64_t number);
   void armLeave(std::uint64_t number);
   void onResult(std::uint64_t number, ClientConnection::Result result);
-  // Ends a call that had no answer; where its last byte was not written it cannot have run.
+  // Ends a call that had no answer; where its last byte was not written it cannot have run. Else it parts: an
+  // answer that was written before the endpoint learns of it may tell a wait, which binds, or a delivery.
   void giveUp(std::uint64_t number, Outcome outcome);
+  void part(std::uint64_t number, Outcome outcome);
   void report(const Call& call, std::vector<CallOutcome> outcomes, const Report& report);
   void reportAll(const Call& call, const CallOutcome& like, const Report& report);
 
--- a/tests/half_sent_calls_test.cpp
+++ b/tests/half_sent_calls_test.cpp
@@ -98,8 +98,11 @@
   CHECK(site.bytes.size() < body.size());
 }
 
-// Forces the instant at which one of a call's requests is over while the endpoint works on all of them: from
-// then on an answer would speak for none.
+constexpr double kPartingMs = 50;  // outbound.cpp's
+
+// Forces the instant at which one of a call's requests is over while the endpoint works on all of them: the
+// call is given up, which its endpoint sees at once, and an answer that was on its way is waited for a
+// moment.
 TEST_CASE("a call that has left is given up whole once one of its requests is over") {
   CallSite site;
   site.outbound.call(site.endpoint(), {{"later", "", "x", 60000}, {"soon", "", "y", 100}});
@@ -108,10 +111,46 @@
   CHECK(site.bytes.find("X-Timeout: 0.100") != std::string::npos);  // so the endpoint is told
   CHECK(site.outcomes.all.empty());
   site.pass(110);
+  CHECK(readSome(fd, site.bytes) == Io::kClosed);
+  CHECK(site.outcomes.all.empty());
+  site.pass(kPartingMs + 1);
   REQUIRE(site.outcomes.all.size() == 2);
   for (const auto& [uid, outcome] : site.outcomes.all) CHECK(outcome.outcome == Outcome::kLate);
   CHECK(site.outbound.callsOut() == 0);
+}
+
+namespace {
+
+// What becomes of a call that is given up after 100 ms, where `answer` is written on its connection just
+// then.
+CallOutcome outcomeOf(const std::string& answer, bool closes) {
+  CallSite site;
+  site.outbound.call(site.endpoint(), {{"m", "", "x", 100}});
+  Fd fd = site.accepted();
+  site.readUntil(fd, "\r\n\r\nx");
+  site.pass(110);
   CHECK(readSome(fd, site.bytes) == Io::kClosed);
+  std::size_t put = 0;
+  writeSome(fd, answer, put);
+  if (closes) fd.reset();
+  for (int turns = 0; turns < 100 && site.outcomes.all.empty(); ++turns) site.pass(1);
+  REQUIRE(site.outcomes.all.size() == 1);
+  CHECK(site.outbound.callsOut() == 0);
+  return site.outcomes.all[0].second;
+}
+
+}  // namespace
+
+// Forces the instant at which an answer and the end of its call cross.
+TEST_CASE("an answer that was on its way when its call was given up still counts") {
+  const CallOutcome wait =
+      outcomeOf("HTTP/1.1 429 Wait\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n", false);
+  CHECK(wait.outcome == Outcome::kFull);
+  CHECK(wait.detail == 2500);
+  CHECK(outcomeOf("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false).ended);
+  CHECK(outcomeOf("", false).outcome == Outcome::kLate);
+  CHECK(outcomeOf("", true).outcome == Outcome::kLate);
+  CHECK(outcomeOf("HTTP/1.1 4", false).outcome == Outcome::kBad);  // it may have run
 }
 
 // Forces the instant at which an endpoint tells a wait while another call to it is half out: the endpoint
