--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -10,9 +10,6 @@
 namespace {
 
 constexpr double kDescriptorMs = 50;  // between two looks for a free one
-// How long an answer may be on its way that was written before its endpoint learned that the call is given
-// up. Half of what a wait lets through (PROTOCOL, "The rules on sockets").
-constexpr double kPartingMs = 50;
 
 std::string seconds(double ms) {
   char text[32];
@@ -25,13 +22,6 @@
   return std::ranges::min(items, {}, &CallItem::capMs).capMs;
 }
 
-// What an attempt without an answer comes to: proven not to have run where its last byte was not written, and
-// not even the endpoint's doing where there was no slot or no descriptor for it.
-Outcome unanswered(const ClientConnection* connection, Outcome outcome) {
-  if (outcome == Outcome::kNop || !connection || !connection->open()) return Outcome::kNop;
-  return connection->lastByteWritten() ? outcome : Outcome::kNoConn;
-}
-
 }  // namespace
 
 void Outbound::call(const EndpointEntry& endpoint, std::vector<CallItem> items) {
@@ -144,34 +134,6 @@
     if (calls_.count(number)) giveUp(number, Outcome::kNop);
 }
 
-// A bulk call has one fate. What has not left must not leave any more once its time is up, for its request
-// may be refused to its client: it is taken out of a call of which no byte is written, and the others go on.
-// A call that has begun is given up whole with the first of its requests whose time is up: answered after one
-// of them was ended, it was seen to count as no delivery for the others either, left without an end.
-void Outbound::armCap(std::uint64_t number) {
-  Call& call = calls_.at(number);
-  const auto soonest = std::min_element(call.items.begin(), call.items.end(),
-                                        [](const auto& a, const auto& b) { return a.capMs < b.capMs; });
-  const double left = call.startedMs + soonest->capMs - loop_.nowMs();
-  call.capTimer = loop_.after(left, [this, number] { onCap(number); });
-}
-
-void Outbound::onCap(std::uint64_t number) {
-  Call& call = calls_.at(number);
-  const double passed = loop_.nowMs() - call.startedMs;
-  const auto split = std::stable_partition(call.items.begin(), call.items.end(),
-                                           [passed](const CallItem& item) { return item.capMs > passed; });
-  const bool begun = call.connection && call.connection->begun();
-  if (begun || split == call.items.begin()) return giveUp(number, Outcome::kLate);
-  const Outcome late = unanswered(call.connection.get(), Outcome::kLate);
-  std::vector<CallOutcome> outcomes;
-  for (auto item = split; item != call.items.end(); ++item) outcomes.push_back({item->id, late, false, 0});
-  call.items.erase(split, call.items.end());
-  if (call.connection && call.connection->open()) write(number);  // without them
-  armCap(number);
-  report(call, std::move(outcomes), {});
-}
-
 // It may wait for a slot, for its connection, or for the endpoint to read. A bulk call goes back whole: none
 // of it has run.
 void Outbound::armLeave(std::uint64_t number) {
@@ -194,80 +156,4 @@
   }
 }
 
-Outbound::Call Outbound::takeOff(std::uint64_t number) {
-  Call call = std::move(calls_.at(number));
-  calls_.erase(number);
-  waiting_.erase(number);
-  loop_.cancel(call.connectTimer);
-  loop_.cancel(call.capTimer);
-  loop_.cancel(call.leaveTimer);
-  // Its connection goes first, and with a new list all others that have not left.
-  if (!waiting_.empty()) loop_.after(0, [this] { beginNext(); });
-  return call;
-}
-
-void Outbound::giveUp(std::uint64_t number, Outcome outcome) {
-  Call& given = calls_.at(number);
-  if (given.parting) return;
-  // What has come counts, though the loop has not read it.
-  if (given.connection && given.connection->takeArrived()) return;
-  const bool mayBeAnswered = given.connection && given.connection->open() &&
-                             given.connection->lastByteWritten() && !given.connection->answerBegun();
-  if (outcome != Outcome::kNop && mayBeAnswered) return part(number, outcome);
-  Call call = takeOff(number);
-  // An answer that has begun has something to say, though its time is up before its end.
-  if (call.connection && call.connection->answerBegun())
-    return reportAll(call, readSpoiltAnswer(call.connection->answerSoFar(), call.bulk), {});
-  reportAll(call, {"", unanswered(call.connection.get(), outcome), false, 0}, {});
-}
-
-void Outbound::part(std::uint64_t number, Outcome outcome) {
-  Call& call = calls_.at(number);
-  call.parting = outcome;
-  call.connection->endSending();
-  loop_.cancel(call.capTimer);
-  call.capTimer = loop_.after(kPartingMs, [this, number] {
-    if (calls_.at(number).connection->takeArrived()) return;
-    const Call parted = takeOff(number);
-    const bool begun = parted.connection->answerBegun();
-    const CallOutcome unheard{"", *parted.parting, false, 0};
-    reportAll(parted, begun ? readSpoiltAnswer(parted.connection->answerSoFar(), parted.bulk) : unheard, {});
-  });
-}
-
-void Outbound::onResult(std::uint64_t number, ClientConnection::Result result) {
-  Call call = takeOff(number);
-  if (result.end == ClientConnection::End::kHeldBack)
-    return reportAll(call, {"", Outcome::kNop, false, 0}, {});
-  if (result.end == ClientConnection::End::kSpoilt) {
-    ++counters_.spoilt;
-    return reportAll(call, readSpoiltAnswer(result.answer, call.bulk), {});
-  }
-  if (result.end != ClientConnection::End::kAnswered && call.parting)
-    return reportAll(call, {"", *call.parting, false, 0}, {});
-  if (result.end != ClientConnection::End::kAnswered) {
-    const bool neverRan = result.end == ClientConnection::End::kNotSent;
-    reportAll(call, {"", neverRan ? Outcome::kNoConn : Outcome::kReset, false, 0}, {});
-    return;
-  }
-  if (!call.parting) idle_.keep(call.uid, call.address, std::move(call.connection));
-  const Report told = readReport(result.answer, limits_.reportColumns);
-  if (call.bulk && result.answer.status == 200)
-    report(call, readBulkAnswer(result.answer, call.items), told);
-  else
-    reportAll(call, readAnswer(result.answer), told);
-}
-
-void Outbound::reportAll(const Call& call, const CallOutcome& like, const Report& told) {
-  std::vector<CallOutcome> outcomes;
-  for (const CallItem& item : call.items)
-    outcomes.push_back({item.id, like.outcome, like.ended, like.detail});
-  report(call, std::move(outcomes), told);
-}
-
-void Outbound::report(const Call& call, std::vector<CallOutcome> outcomes, const Report& told) {
-  for (const CallOutcome& o : outcomes) ++counters_.outcomes.at(static_cast<std::size_t>(o.outcome));
-  listener_->onOutcomes(call.uid, outcomes, told);
-}
-
 }  // namespace myrtleloft
--- a/tests/kill_points_test.cpp
+++ b/tests/kill_points_test.cpp
@@ -108,8 +108,7 @@
     if (!until([this] { return dead() || !fault_.empty() || (enough() && ended()); }))
       return fail("the first process neither ends nor finishes");
     killed_ = child_ < 0;
-    if (point_.fails() && killed_)
-      return fail("a fault of the disk ended the process, status " + std::to_string(status_));
+    if (point_.fails() && killed_) return fail("a fault ended the process: " + std::to_string(status_));
     if (!killed_ && std::getenv("LAB_LOG")) tellCounters();
     if (child_ > 0) kill();
     for (int restart = 1;; ++restart) {
