Count no delivery that came when its request's time was up

A call that ends with its request's time is given up 5 ms before it, and an answer that is on its way was heard for 50 ms more. Written after the time by the other's clock, a 200 is no delivery there, but was one here: no end was told. Line at fault: Exchange::onOutcomes, which takes any 200.

Change: a 200 that comes later than 5 ms before its request's time counts as no answer in time; the end is told, which does no harm to what was delivered after all. kLastMomentMs is one constant for both.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -150,9 +150,12 @@
 void Exchange::onOutcomes(const std::string& uid, const std::vector<CallOutcome>& outcomes,
                           const Report& report) {
   bool waits = false;
-  for (const CallOutcome& outcome : outcomes) {
+  for (CallOutcome outcome : outcomes) {
     const auto at = open_.find(outcome.id);
     if (at == open_.end()) continue;
+    // Its end is told: to what was delivered in time after all, that does no harm.
+    const bool tooLate = parts_.loop.nowMs() > at->second.notAfterMs - kLastMomentMs;
+    if (outcome.outcome == Outcome::kGood && tooLate) outcome.outcome = Outcome::kLate, outcome.ended = false;
     OwedRequest& owed = at->second.owed;
     at->second.out = 0;
     trace_.outcome(outcome.id, uid, Counters::kOutcomeNames.at(static_cast<std::size_t>(outcome.outcome)),
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -75,6 +75,10 @@
   static constexpr double kNotCharged = -1;
   // Advice of the relay's own, where the module was not asked: over maxOpen, journal full, about to end.
   static constexpr double kComeBackMs = 1000;
+  // A call is not waited for up to its request's last moment. By the other's clock that is earlier: by what
+  // the request took to be read, and the loop's timers are up to a millisecond late. Answered from then on,
+  // it would count as delivered here alone, and its end would stay untold.
+  static constexpr double kLastMomentMs = 5;
   struct Open {
     OwedRequest owed;
     AnswerTo answer;        // until the client has its answer
--- a/src/exchange/exchange_batch.cpp
+++ b/src/exchange/exchange_batch.cpp
@@ -9,10 +9,6 @@
 
 // What an item of a bulk call takes beside its id, key and body, and what JSON makes of a printable byte.
 constexpr std::size_t kItemFrame = 40, kMostEscaped = 2;
-// A call is not waited for up to its request's last moment. By the other's clock that is earlier: by what the
-// request took to be read, and the loop's timers are up to a millisecond late. Answered in between, it would
-// count as delivered here alone, and its end would stay untold.
-constexpr double kLastMomentMs = 5;
 
 template <typename... Handlers>
 struct Visitor : Handlers... {
--- a/tests/exchange_window_test.cpp
+++ b/tests/exchange_window_test.cpp
@@ -118,8 +118,11 @@
   site.pass(80);
   CHECK(site.outbound.callsOut() == 1);
   site.pass(5);  // 95 of the 100 ms
+  std::string bytes;
+  for (Io io = Io::kProgress; io == Io::kProgress;) io = readSome(fd, bytes);
+  CHECK(readSome(fd, bytes) == Io::kClosed);  // for its endpoint the call is over
+  site.pass(60);                              // an answer that was on its way is heard out
   CHECK(site.outbound.callsOut() == 0);
-  site.pass(10);
   CHECK(site.counters.delivered == 0);
   CHECK(site.counters.dead + site.counters.bounced == 1);
 }
@@ -151,3 +154,22 @@
   CHECK(site.answers[1] == Answer::Kind::kTaken);
   CHECK(site.outbound.callsOut() == 1);
 }
+
+// The call is given up 5 ms before its request's last moment; its endpoint answers just then. By its clock
+// the time may be up, and then the message has no end but the one that is told.
+TEST_CASE("an answer that was on its way at the last moment does not keep the end from being told") {
+  Site site;
+  site.handIn("m", 100);
+  site.pass(10);
+  int code = 0;
+  const Fd call = acceptFrom(site.endpoint, code);
+  REQUIRE(call);
+  site.pass(90);
+  CHECK(site.outbound.callsOut() == 1);  // it parts
+  std::size_t put = 0;
+  writeSome(call, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", put);
+  site.pass(30);
+  CHECK(site.outbound.callsOut() == 0);
+  CHECK(site.counters.delivered == 0);
+  CHECK(site.counters.dead + site.counters.bounced == 1);
+}
