Take as too late only a delivery whose call had been given up

Cause: endpoint_crossings on in the whole suite: 'an answer in the turn in which the attempt's time is up counts' failed (delivered=1 and no notice expected): a 200 that had come in time, and was read late by a relay that was held up, was taken as too late. Line at fault: Exchange::onOutcomes, for any 200 near the end of its request's time. Change: CallOutcome::parted; only an answer that was heard after its call was given up is judged so.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -154,7 +154,7 @@
     const auto at = open_.find(outcome.id);
     if (at == open_.end()) continue;
     // Its end is told: to what was delivered in time after all, that does no harm.
-    const bool tooLate = parts_.loop.nowMs() > at->second.notAfterMs - kLastMomentMs;
+    const bool tooLate = outcome.parted && parts_.loop.nowMs() > at->second.notAfterMs - kLastMomentMs;
     if (outcome.outcome == Outcome::kGood && tooLate) outcome.outcome = Outcome::kLate, outcome.ended = false;
     OwedRequest& owed = at->second.owed;
     at->second.out = 0;
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -32,6 +32,7 @@
   Outcome outcome = Outcome::kBad;
   bool ended = false;
   std::int64_t detail = 0;
+  bool parted = false;  // its call had been given up, and the answer was on its way
 };
 
 // A call whose first byte is about to be written, with the requests that it still carries.
--- a/src/outbound/outbound_ends.cpp
+++ b/src/outbound/outbound_ends.cpp
@@ -121,7 +121,10 @@
 }
 
 void Outbound::report(const Call& call, std::vector<CallOutcome> outcomes, const Report& told) {
-  for (const CallOutcome& o : outcomes) ++counters_.outcomes.at(static_cast<std::size_t>(o.outcome));
+  for (CallOutcome& o : outcomes) {
+    o.parted = call.parting.has_value();
+    ++counters_.outcomes.at(static_cast<std::size_t>(o.outcome));
+  }
   listener_->onOutcomes(call.uid, outcomes, told);
 }
 
