Let each open request be decided once, by the first of its deciders

Cause: whether a request is over was asked of two fields (its status, its client's callback) at six places. A request that the module gave up before its sync, whose completion could not be recorded, kept its callback: DurabilityQueue::answerAccepted then answered 202, and the completion was recorded later (lost); DurabilityQueue::rejectAccepted counted it off and refunded it a second time, so that the count of undecided requests wrapped below zero. The process's end was a fourth decider: it rejected what waits for a sync, which recorded the completions, and answered 202 to the requests of just these. The second decision had hidden that; answerPendingRejections now goes by what is recorded. The counter decided-before shows crossings from now on.

--- a/src/counters/counters.cpp
+++ b/src/counters/counters.cpp
@@ -26,7 +26,8 @@
   for (std::size_t i = 0; i < closes.size(); ++i) out << ' ' << kCloses[i] << '=' << closes[i];
   out << " unanswered=" << closedUnanswered << '\n'
       << "counters completed: delivered=" << delivered << " expired=" << expired << " dead=" << dead
-      << " bounced=" << bounced << " notices=" << notices << " notice-retries=" << noticeRetries << '\n'
+      << " bounced=" << bounced << " notices=" << notices << " notice-retries=" << noticeRetries
+      << " decided-before=" << decidedBefore << '\n'
       << "counters rest: batches=" << batches << " lists=" << lists << " list-faults=" << listFaults
       << " lists-rejected=" << listsRejected << " journal-faults=" << journalFaults
       << " compactions=" << compactions << " reloads=" << reloads << " reload-faults=" << reloadFaults
--- a/src/counters/counters.h
+++ b/src/counters/counters.h
@@ -27,6 +27,8 @@
   std::uint64_t closedUnanswered = 0, retries = 0;
   // completed
   std::uint64_t delivered = 0, expired = 0, dead = 0, bounced = 0, notices = 0, noticeRetries = 0;
+  // Steps of requests (202, rejection, giving up) that came after another part had decided the request.
+  std::uint64_t decidedBefore = 0;
   // the rest
   std::uint64_t batches = 0, lists = 0, listFaults = 0, listsRejected = 0, journalFaults = 0, compactions = 0;
   std::uint64_t reloads = 0, reloadFaults = 0;
--- a/src/exchange/admission.cpp
+++ b/src/exchange/admission.cpp
@@ -31,9 +31,8 @@
 
 bool Admission::isSame(const OpenRequest& known, const IncomingRequest& request) {
   const PendingRequest& pending = known.pending;
-  return pending.status == FinalStatus::kUndecided && !known.answer &&
-         pending.classIndex == request.classIndex && pending.destination == request.destination &&
-         pending.key == request.key;
+  return known.phase() == RequestPhase::kAccepted && pending.classIndex == request.classIndex &&
+         pending.destination == request.destination && pending.key == request.key;
 }
 
 std::optional<Admission::Rejection> Admission::findRejection(const IncomingRequest& request) const {
@@ -73,7 +72,7 @@
   event.destination = request.destination;
   event.isRetry = request.isRetry;
 
-  OpenRequest& added = parts_.requests.add(request.id);
+  OpenRequest& added = parts_.requests.add(request.id, RequestPhase::kUnanswered);
   added.answer = std::move(answer);
   added.deadlineMs = event.deadlineMs;
   added.charge = charge;
@@ -87,7 +86,6 @@
   pending.tenant = request.tenant;
   pending.destination = request.destination;
   pending.isRetry = request.isRetry;
-  parts_.requests.countUndecided();
   new_.push_back(std::move(request.id));
   parts_.scheduler.push(std::move(event));
 }
@@ -101,7 +99,6 @@
   parts_.trace.refused(id, wordOf(RejectReason::kNotRecorded), kRetryAfterMs);
   request->answerClient({Answer::Kind::kRejected, kRetryAfterMs});
   parts_.requests.erase(id);
-  parts_.requests.countDecided();
   parts_.scheduler.push(ClientDisconnectEvent{id});
   return false;
 }
@@ -112,7 +109,6 @@
     if (request == nullptr) continue;
     request->answerClient({Answer::Kind::kRejected, kRetryAfterMs});
     parts_.requests.erase(id);
-    parts_.requests.countDecided();
   }
 }
 
--- a/src/exchange/call_tracker.cpp
+++ b/src/exchange/call_tracker.cpp
@@ -66,7 +66,6 @@
     parts_.guard.onRetryAfter(*record, parts_.loop.nowMs(), static_cast<double>(outcome.detail));
   if (outcome.ended) {
     ++(outcome.outcome == Outcome::kSuccess ? parts_.counters.delivered : parts_.counters.expired);
-    if (request.pending.status == FinalStatus::kUndecided) parts_.requests.countDecided();
     parts_.completions.close(outcome.id);
   } else if (isKnownNotExecuted(outcome.outcome)) {
     parts_.journal.recordNotExecuted(request.pending);
--- a/src/exchange/completions.cpp
+++ b/src/exchange/completions.cpp
@@ -15,14 +15,15 @@
 
 void Completions::giveUp(const std::string& id, FinalStatus status, double retryAfterMs) {
   OpenRequest* const request = parts_.requests.find(id);
-  if (request == nullptr || request->pending.status != FinalStatus::kUndecided) return;
-  parts_.requests.countDecided();
+  if (request == nullptr) return;
+  const std::optional<RequestPhase> phase = parts_.requests.giveUp(*request);
+  if (!phase) return;
   if (status == FinalStatus::kReturned && !parts_.guard.mayReject(request->pending)) {
     parts_.guard.report(Violation::kRejectedAfterAttempt, id);
     status = FinalStatus::kFailed;
   }
   const bool failed = status == FinalStatus::kFailed;
-  if (request->answer) {
+  if (phase == RequestPhase::kRejected) {
     ++parts_.counters.failFast;
     if (!failed) parts_.quotas.refundRequest(request->charge, request->pending.classIndex);
     const RejectReason reason = failed ? RejectReason::kFailed : RejectReason::kDecided;
@@ -97,10 +98,13 @@
   parts_.sends.drop(id);
 }
 
-void Completions::acceptPendingRejections() {
-  for (const PendingRejection& rejection : std::exchange(unrejected_, {}))
-    if (OpenRequest* const request = parts_.requests.find(rejection.id))
-      request->answerClient({Answer::Kind::kAccepted});
+void Completions::answerPendingRejections() {
+  for (const PendingRejection& rejection : std::exchange(unrejected_, {})) {
+    OpenRequest* const request = parts_.requests.find(rejection.id);
+    if (request == nullptr) continue;  // its client has gone
+    const bool isRecorded = parts_.journal.completionRecorded(rejection.id);
+    request->answerClient(isRecorded ? rejection.answer : Answer{Answer::Kind::kAccepted});
+  }
 }
 
 }  // namespace myrtleloft
--- a/src/exchange/completions.h
+++ b/src/exchange/completions.h
@@ -50,9 +50,9 @@
   void rejectOnceRecorded(OpenRequest& request, FinalStatus status, const Answer& answer);
   // Nothing is left to do for an open request: records that and forgets it. `id` must not be a part of it.
   void close(const std::string& id);
-  // The process ends: clients whose rejection waits for its record get a 202, as the next process will find
-  // their requests pending.
-  void acceptPendingRejections();
+  // The process ends: clients whose rejection still waits for its record get a 202, as the next process will
+  // find their requests pending; those whose rejection has been recorded meanwhile are rejected.
+  void answerPendingRejections();
 
  private:
   struct PendingRejection {
--- a/src/exchange/durability_queue.cpp
+++ b/src/exchange/durability_queue.cpp
@@ -29,7 +29,7 @@
 
 void DurabilityQueue::answerAccepted(const std::string& id) {
   OpenRequest* const request = parts_.requests.find(id);
-  if (request == nullptr || !request->answer) return;
+  if (request == nullptr || !parts_.requests.accept(*request)) return;
   ++parts_.counters.taken;
   parts_.trace.taken(id);
   request->answerClient({Answer::Kind::kAccepted});
@@ -41,7 +41,7 @@
   std::vector<CallItem> items;
   for (CallItem& item : call.items) {
     const OpenRequest* const request = parts_.requests.find(item.id);
-    const bool isUndecided = request != nullptr && request->pending.status == FinalStatus::kUndecided;
+    const bool isUndecided = request != nullptr && request->isUndecided();
     if (isUndecided) item.leaveByMs = sendDeadlineMs(*request);
     // While it waited for the disk the request may have completed, its idempotency window may have passed, or
     // the endpoint may have gone or begun to drain. The time to connect counts: at the window's end the call
@@ -102,9 +102,8 @@
 
 void DurabilityQueue::rejectAccepted(const std::string& id) {
   OpenRequest* const request = parts_.requests.find(id);
-  if (request == nullptr || !request->answer) return;
+  if (request == nullptr || !parts_.requests.reject(*request)) return;
   parts_.quotas.refundRequest(request->charge, request->pending.classIndex);
-  parts_.requests.countDecided();
   parts_.scheduler.push(ClientDisconnectEvent{id});
   parts_.completions.rejectOnceRecorded(*request, FinalStatus::kReturned,
                                         {Answer::Kind::kRejected, kRetryAfterMs});
--- a/src/exchange/request_manager.cpp
+++ b/src/exchange/request_manager.cpp
@@ -21,6 +21,7 @@
       trace_(parts.log.value_or(Log(std::cerr))),
       guard_(settings_, parts.counters, parts.log.value_or(Log(std::cerr))),
       quotas_(parts.loop, parts.quotas),
+      requests_(parts.counters),
       scheduler_({parts.loop, parts.counters}, settings_,
                  [this](const std::vector<Action>& actions) { carryOut(actions); }),
       compactor_({parts.loop, parts.journal, parts.counters}),
@@ -57,12 +58,11 @@
 void RequestManager::onClientDisconnect(const std::string& id) {
   const OpenRequest* const request = requests_.find(id);
   if (request == nullptr || !request->answer) return;
-  // Over already, and only not answered.
-  if (request->pending.status != FinalStatus::kUndecided) return completions_.close(id);
-  quotas_.refundRequest(request->charge, request->pending.classIndex);
+  if (request->isUndecided()) {  // else it is over already, and only not answered
+    quotas_.refundRequest(request->charge, request->pending.classIndex);
+    scheduler_.push(ClientDisconnectEvent{id});
+  }
   completions_.close(id);  // its client has no 202
-  requests_.countDecided();
-  scheduler_.push(ClientDisconnectEvent{id});
 }
 
 void RequestManager::onSynced() {
--- a/src/exchange/request_manager.h
+++ b/src/exchange/request_manager.h
@@ -65,9 +65,9 @@
   // No sync will cover what waits for one, or none in time: clients that wait for their 202 are rejected, and
   // the journal has nothing pending of theirs; calls that wait are reported as not sent.
   void rejectWaiting() { commit_.rejectWaiting(); }
-  // The process ends: clients whose rejection waits for its record get a 202, as the next process will find
-  // their requests pending.
-  void acceptPendingRejections() { completions_.acceptPendingRejections(); }
+  // The process ends: clients whose rejection waits for its record are answered by what the next process will
+  // find: 202 where their request is still pending in the journal.
+  void answerPendingRejections() { completions_.answerPendingRejections(); }
   // `observer` sees the events of each batch just before the module decides; it changes nothing.
   void observeBatches(BatchScheduler::Observer observer) { scheduler_.observe(std::move(observer)); }
   // Answers the clients that still wait, for a process that ends here: `recorded` is what the journal would
--- a/src/exchange/request_recovery.cpp
+++ b/src/exchange/request_recovery.cpp
@@ -13,7 +13,7 @@
 
 void RequestRecovery::recover(RecoveredRequest found, const WallClock& wall, double nowMs) {
   ++parts_.counters.recovered;
-  OpenRequest& request = parts_.requests.add(found.pending.id);
+  OpenRequest& request = parts_.requests.add(found.pending.id, RequestPhase::kAccepted);
   request.firstAmbiguousMs = nowMs;
   request.pending = std::move(found.pending);
   PendingRequest& pending = request.pending;
@@ -22,10 +22,14 @@
   parts_.guard.onRecovered(pending, wall.nowMs);
   const WallClock clock = found.timesKnown ? WallClock{wall.nowMs, 0, 0} : wall;
   request.deadlineMs = nowMs + pending.deadlineWallMs - clock.nowMs;
-  if (pending.status != FinalStatus::kUndecided)
+  if (pending.status != FinalStatus::kUndecided) {
+    parts_.requests.giveUp(request);  // the earlier process did
     return parts_.notifications.add(pending.id, pending.status, pending.retryAfterMs);
-  if (!mayContinue(pending, found.permission, parts_.settings, clock))
+  }
+  if (!mayContinue(pending, found.permission, parts_.settings, clock)) {
+    parts_.requests.giveUp(request);
     return parts_.completions.recordFinalStatus(request, FinalStatus::kFailed, 0);
+  }
   const double maxLifetimeMs =
       parts_.settings.classes.at(static_cast<std::size_t>(pending.classIndex)).maxLifetimeMs;
   RequestEvent event = requestEventOf(pending, nowMs, clock, maxLifetimeMs);
@@ -33,7 +37,6 @@
   for (const AmbiguousAttempt& attempt : event.ambiguousAttempts)
     request.firstAmbiguousMs = std::min(request.firstAmbiguousMs, attempt.sentMs);
   parts_.scheduler.enqueue(std::move(event));
-  parts_.requests.countUndecided();
 }
 
 }  // namespace myrtleloft
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -177,7 +177,7 @@
   if (server_.connections() == 0 && (requests_.idle() || nothingInFlight)) return enter(Phase::kStopped);
   if (elapsedMs >= kDrainLimitMs) {
     requests_.rejectWaiting();
-    requests_.acceptPendingRejections();
+    requests_.answerPendingRejections();
     return enter(Phase::kStopped);
   }
   loop_.after(kDrainCheckMs, [this] { checkDrained(); });
--- a/tests/exchange/exchange_site.h
+++ b/tests/exchange/exchange_site.h
@@ -11,12 +11,14 @@
 #include <cerrno>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <sstream>
 #include <string>
 #include <vector>
 
 #include "exchange/request_manager.h"
+#include "journal/recovery.h"
 #include "lab/faulty_files.h"
 #include "lab/hand_clock.h"
 #include "lab/hand_syncer.h"
@@ -65,8 +67,9 @@
     request.body = body;
     request.destination = 7;
     request.timeLeftMs = timeLeftMs;
-    manager->onRequest(std::move(request), [this](const Answer& answer) {
+    manager->onRequest(std::move(request), [this, id](const Answer& answer) {
       answers.push_back(answer.kind);
+      answersById[id].push_back(answer.kind);
       lastRetryAfterMs = answer.retryAfterMs;
     });
   }
@@ -78,6 +81,11 @@
       loop.runOnce();
     }
   }
+  // What the next process would find pending.
+  bool isPendingOnDisk(const std::string& id) {
+    const auto found = recover(files, "/s");
+    return found && found->pending.find(id) != nullptr;
+  }
   void failDisk() { files.failAt(files.operations() + 1, 1 << 20, EIO); }
   void repairDisk() { files.failAt(0, 0, 0); }
 
@@ -99,6 +107,7 @@
   std::unique_ptr<Journal> journal;
   std::unique_ptr<RequestManager> manager;
   std::vector<Answer::Kind> answers;
+  std::map<std::string, std::vector<Answer::Kind>> answersById;
   double lastRetryAfterMs = 0;
   std::int64_t revision = 0;
 
