Tell a request from a later one with the same id wherever it is kept by id

Cause: the batch's new requests, the queue for the sync, and the rejections that wait for the disk hold ids. A request that comes again under its id was taken for the one that had been closed; in one batch it was recorded twice, over the first's entry. Why it works: each open request has a number; lists hold handles of id and number, and RequestTable::find says nothing for one that was closed. A call that waits for the same sync is reported unsent when its client leaves, so the decision module has let go of the first before it sees the second.

--- a/src/exchange/admission.cpp
+++ b/src/exchange/admission.cpp
@@ -79,36 +79,35 @@
   PendingRequest& pending = added.pending;
   pending.acceptedWallMs = parts_.journal.nowMs();
   pending.deadlineWallMs = pending.acceptedWallMs + timeLeftMs;
-  pending.id = request.id;
   pending.key = std::move(request.key);
   pending.body = std::move(request.body);
   pending.classIndex = request.classIndex;
   pending.tenant = request.tenant;
   pending.destination = request.destination;
   pending.isRetry = request.isRetry;
-  new_.push_back(std::move(request.id));
+  new_.push_back(added.handle());
   parts_.scheduler.push(std::move(event));
 }
 
-bool Admission::recordAccepted(const std::string& id) {
-  OpenRequest* const request = parts_.requests.find(id);
+bool Admission::recordAccepted(const RequestHandle& handle) {
+  OpenRequest* const request = parts_.requests.find(handle);
   if (request == nullptr) return false;
   if (parts_.journal.recordAccepted(request->pending)) return true;
   ++parts_.counters.journalFaults;
   parts_.quotas.refundRequest(request->charge, request->pending.classIndex);
-  parts_.trace.refused(id, wordOf(RejectReason::kNotRecorded), kRetryAfterMs);
+  parts_.trace.refused(handle.id, wordOf(RejectReason::kNotRecorded), kRetryAfterMs);
   request->answerClient({Answer::Kind::kRejected, kRetryAfterMs});
-  parts_.requests.erase(id);
-  parts_.scheduler.push(ClientDisconnectEvent{id});
+  parts_.requests.erase(handle.id);
+  parts_.scheduler.push(ClientDisconnectEvent{handle.id});
   return false;
 }
 
 void Admission::rejectNew() {
-  for (const std::string& id : takeNew()) {
-    OpenRequest* const request = parts_.requests.find(id);
+  for (const RequestHandle& handle : takeNew()) {
+    OpenRequest* const request = parts_.requests.find(handle);
     if (request == nullptr) continue;
     request->answerClient({Answer::Kind::kRejected, kRetryAfterMs});
-    parts_.requests.erase(id);
+    parts_.requests.erase(handle.id);
   }
 }
 
--- a/src/exchange/admission.h
+++ b/src/exchange/admission.h
@@ -2,8 +2,8 @@
 // that gives it up at once, it is recorded in the journal, and accepted when the record is durable.
 //
 //   admission.onRequest(std::move(request), answer);        // from the client side
-//   for (const std::string& id : admission.takeNew()) ...   // in the batch that decided on them
-//     if (admission.recordAccepted(id)) commit.stageAccepted(id);
+//   for (const RequestHandle& request : admission.takeNew()) ...   // in the batch that decided on them
+//     if (admission.recordAccepted(request)) commit.stageAccepted(request);
 //
 // Requests are rejected while the relay drains or is full, for destinations that nobody named, for an
 // endpoint list that is too old, and for quotas; each of them is counted and logged. One thread; O(log
@@ -39,11 +39,11 @@
   // As RequestSink::onRequest. The same request again is accepted; another one under its id is malformed, as
   // is one with much more time than its class allows.
   void onRequest(IncomingRequest request, RequestSink::AnswerCallback answer);
-  // The ids that came in since the last batch, in their order; some may be gone again.
-  std::vector<std::string> takeNew() { return std::exchange(new_, {}); }
+  // What came in since the last batch, in its order; some of it may be gone again.
+  std::vector<RequestHandle> takeNew() { return std::exchange(new_, {}); }
   // Records a request that the module has not given up in the batch it came with. false: it is gone; what
   // cannot be recorded would not outlast the process, and is rejected.
-  bool recordAccepted(const std::string& id);
+  bool recordAccepted(const RequestHandle& handle);
   // The relay drains: what came in since the last batch is rejected.
   void rejectNew();
 
@@ -62,7 +62,7 @@
             const QuotaCharge& charge);
 
   Parts parts_;
-  std::vector<std::string> new_;
+  std::vector<RequestHandle> new_;
 };
 
 }  // namespace myrtleloft
--- a/src/exchange/completions.cpp
+++ b/src/exchange/completions.cpp
@@ -43,7 +43,7 @@
   parts_.trace.ended(id, wordOf(status), retryAfterMs, recorded);
   if (recorded || nowMs >= request.deadlineMs) return parts_.notifications.add(id, status, retryAfterMs);
   ++parts_.counters.journalFaults;
-  unnotified_.push_back(id);
+  unnotified_.push_back(request.handle());
   const double retryMs = std::min(nowMs + parts_.journal.restMs(), request.deadlineMs);
   if (notifyTimer_ != Loop::kNoTimer && notifyTimer_.first <= retryMs) return;
   parts_.loop.cancel(notifyTimer_);
@@ -52,23 +52,23 @@
 
 void Completions::retryFinalStatuses() {
   notifyTimer_ = Loop::kNoTimer;
-  for (const std::string& id : std::exchange(unnotified_, {})) {
-    OpenRequest* const request = parts_.requests.find(id);
+  for (const RequestHandle& handle : std::exchange(unnotified_, {})) {
+    OpenRequest* const request = parts_.requests.find(handle);
     if (request == nullptr) continue;  // delivered after all, by a call that was still in flight
     recordFinalStatus(*request, request->pending.status, request->pending.retryAfterMs);
   }
 }
 
 void Completions::rejectOnceRecorded(OpenRequest& request, FinalStatus status, const Answer& answer) {
-  const std::string id = request.pending.id;
+  const RequestHandle handle = request.handle();
   if (parts_.journal.recordCompleted(request.pending)) {
     request.answerClient(answer);
-    return close(id);
+    return close(handle.id);
   }
   request.pending.status = status;
   request.pending.ambiguousAttempts.clear();  // its call, if any, waits as well and never leaves
-  parts_.sends.drop(id);
-  unrejected_.push_back({id, answer});
+  parts_.sends.drop(handle.id);
+  unrejected_.push_back({handle, answer});
   if (rejectTimer_ == Loop::kNoTimer)
     rejectTimer_ = parts_.loop.after(parts_.journal.restMs(), [this] { retryRejections(); });
 }
@@ -77,14 +77,14 @@
   rejectTimer_ = Loop::kNoTimer;
   parts_.compactor.step();  // which records the completions that wait
   for (PendingRejection& rejection : std::exchange(unrejected_, {})) {
-    OpenRequest* const request = parts_.requests.find(rejection.id);
+    OpenRequest* const request = parts_.requests.find(rejection.request);
     if (request == nullptr) continue;  // its client has gone
-    if (!parts_.journal.completionRecorded(rejection.id)) {
+    if (!parts_.journal.completionRecorded(rejection.request.id)) {
       unrejected_.push_back(std::move(rejection));
       continue;
     }
     request->answerClient(rejection.answer);
-    close(rejection.id);
+    close(rejection.request.id);
   }
   if (!unrejected_.empty())
     rejectTimer_ = parts_.loop.after(parts_.journal.restMs(), [this] { retryRejections(); });
@@ -100,9 +100,9 @@
 
 void Completions::answerPendingRejections() {
   for (const PendingRejection& rejection : std::exchange(unrejected_, {})) {
-    OpenRequest* const request = parts_.requests.find(rejection.id);
+    OpenRequest* const request = parts_.requests.find(rejection.request);
     if (request == nullptr) continue;  // its client has gone
-    const bool isRecorded = parts_.journal.completionRecorded(rejection.id);
+    const bool isRecorded = parts_.journal.completionRecorded(rejection.request.id);
     request->answerClient(isRecorded ? rejection.answer : Answer{Answer::Kind::kAccepted});
   }
 }
--- a/src/exchange/completions.h
+++ b/src/exchange/completions.h
@@ -56,7 +56,7 @@
 
  private:
   struct PendingRejection {
-    std::string id;
+    RequestHandle request;
     Answer answer;
   };
 
@@ -64,7 +64,7 @@
   void retryRejections();
 
   Parts parts_;
-  std::vector<std::string> unnotified_;
+  std::vector<RequestHandle> unnotified_;
   Loop::Timer notifyTimer_ = Loop::kNoTimer;
   std::vector<PendingRejection> unrejected_;
   Loop::Timer rejectTimer_ = Loop::kNoTimer;
--- a/src/exchange/durability_queue.cpp
+++ b/src/exchange/durability_queue.cpp
@@ -22,16 +22,16 @@
   while (!waiting_.empty() && waiting_.front().position <= parts_.journal.durable()) {
     Batch batch = std::move(waiting_.front());
     waiting_.pop_front();
-    for (const std::string& id : batch.accepted) answerAccepted(id);
+    for (const RequestHandle& request : batch.accepted) answerAccepted(request);
     for (PlannedCall& call : batch.calls) makeCall(call);
   }
 }
 
-void DurabilityQueue::answerAccepted(const std::string& id) {
-  OpenRequest* const request = parts_.requests.find(id);
+void DurabilityQueue::answerAccepted(const RequestHandle& handle) {
+  OpenRequest* const request = parts_.requests.find(handle);
   if (request == nullptr || !parts_.requests.accept(*request)) return;
   ++parts_.counters.taken;
-  parts_.trace.taken(id);
+  parts_.trace.taken(handle.id);
   request->answerClient({Answer::Kind::kAccepted});
 }
 
@@ -94,17 +94,17 @@
 
 void DurabilityQueue::rejectWaiting() {
   for (const Batch& batch : std::exchange(waiting_, {})) {
-    for (const std::string& id : batch.accepted) rejectAccepted(id);
+    for (const RequestHandle& request : batch.accepted) rejectAccepted(request);
     for (const PlannedCall& call : batch.calls)
       for (const CallItem& item : call.items) parts_.unsent.reportRecorded(item.id, call.endpoint);
   }
 }
 
-void DurabilityQueue::rejectAccepted(const std::string& id) {
-  OpenRequest* const request = parts_.requests.find(id);
+void DurabilityQueue::rejectAccepted(const RequestHandle& handle) {
+  OpenRequest* const request = parts_.requests.find(handle);
   if (request == nullptr || !parts_.requests.reject(*request)) return;
   parts_.quotas.refundRequest(request->charge, request->pending.classIndex);
-  parts_.scheduler.push(ClientDisconnectEvent{id});
+  parts_.scheduler.push(ClientDisconnectEvent{handle.id});
   parts_.completions.rejectOnceRecorded(*request, FinalStatus::kReturned,
                                         {Answer::Kind::kRejected, kRetryAfterMs});
 }
--- a/src/exchange/durability_queue.h
+++ b/src/exchange/durability_queue.h
@@ -2,7 +2,7 @@
 // here, batch by batch and in order, until a sync has covered its records; at the level `process` for no time
 // at all.
 //
-//   commit.stageAccepted(id);
+//   commit.stageAccepted(request.handle());
 //   commit.stageCall(std::move(call));
 //   commit.closeBatch();        // its records end at the journal's position of now
 //   journal.sync();
@@ -44,7 +44,7 @@
   explicit DurabilityQueue(const Parts& parts) : parts_(parts) {}
 
   // Of the batch that is being carried out.
-  void stageAccepted(const std::string& id) { staged_.accepted.push_back(id); }
+  void stageAccepted(RequestHandle request) { staged_.accepted.push_back(std::move(request)); }
   void stageCall(PlannedCall call) { staged_.calls.push_back(std::move(call)); }
   void closeBatch();
   // Answers the clients and makes the calls whose records are durable.
@@ -52,7 +52,7 @@
   // A sync hangs: more batches wait for it than a second brings.
   bool isFull() const { return waiting_.size() >= kMaxWaitingBatches; }
 
-  // The decision module cancels a call. false: none with that request waits here.
+  // The decision module cancels a call, or its request is closed. false: none with that request waits here.
   bool cancelCall(const std::string& id);
   // Calls that have not left, here and in `outbound`, to the endpoints for which `affected` holds, are
   // reported as not sent.
@@ -66,12 +66,12 @@
 
   struct Batch {
     std::uint64_t position = 0;  // of the journal, behind its last record
-    std::vector<std::string> accepted;
+    std::vector<RequestHandle> accepted;
     std::vector<PlannedCall> calls;
   };
 
-  void answerAccepted(const std::string& id);
-  void rejectAccepted(const std::string& id);
+  void answerAccepted(const RequestHandle& handle);
+  void rejectAccepted(const RequestHandle& handle);
   void makeCall(PlannedCall& call);
   // By when the last byte of a call with it must have left, on the loop's clock in ms, so that the endpoint
   // still knows the key of an attempt that may have been executed; infinite: nothing binds it.
--- a/src/exchange/request_manager.cpp
+++ b/src/exchange/request_manager.cpp
@@ -62,6 +62,8 @@
     quotas_.refundRequest(request->charge, request->pending.classIndex);
     scheduler_.push(ClientDisconnectEvent{id});
   }
+  // Its call waits for the same sync. The module hears of it before it may see another request of that id.
+  commit_.cancelCall(id);
   completions_.close(id);  // its client has no 202
 }
 
@@ -92,7 +94,7 @@
 
 void RequestManager::carryOut(const std::vector<Action>& actions) {
   // What comes in from here on, by an answer that lets a client send its next request, is of the next batch.
-  const std::vector<std::string> newIds = admission_.takeNew();
+  const std::vector<RequestHandle> newRequests = admission_.takeNew();
   std::vector<const SendAction*> sends;
   for (const Action& action : actions) {
     const auto* const send = std::get_if<SendAction>(&action);
@@ -102,8 +104,8 @@
       carryOutUnlessSend(action);
     }
   }
-  for (const std::string& id : newIds)
-    if (admission_.recordAccepted(id)) commit_.stageAccepted(id);
+  for (const RequestHandle& request : newRequests)
+    if (admission_.recordAccepted(request)) commit_.stageAccepted(request);
   for (PlannedCall& call : sends_.record(sends, scheduler_.batchMs())) commit_.stageCall(std::move(call));
   commit_.closeBatch();
   parts_.journal.sync();
--- a/src/exchange/request_table.h
+++ b/src/exchange/request_table.h
@@ -45,6 +45,12 @@
   kGivenUp      // given up after the 202: the platform is notified
 };
 
+// One particular request: after it is closed, its id may come again with another.
+struct RequestHandle {
+  std::string id;
+  std::uint64_t number = 0;
+};
+
 struct OpenRequest {
   PendingRequest pending;
   RequestSink::AnswerCallback answer;  // until the client has its answer
@@ -58,6 +64,7 @@
   void answerClient(const Answer& text) {
     if (const RequestSink::AnswerCallback callback = std::exchange(answer, nullptr)) callback(text);
   }
+  RequestHandle handle() const { return {pending.id, number_}; }
   RequestPhase phase() const { return phase_; }
   // Whether the decision module has it and has not completed it.
   bool isUndecided() const {
@@ -65,7 +72,8 @@
   }
 
  private:
-  friend class RequestTable;  // which alone changes it
+  friend class RequestTable;  // which alone changes these
+  std::uint64_t number_ = 0;
   RequestPhase phase_ = RequestPhase::kUnanswered;
 };
 
@@ -80,11 +88,18 @@
     const auto at = requests_.find(id);
     return at == requests_.end() ? nullptr : &at->second;
   }
+  // Nothing where it has been closed, even if another request has its id now.
+  OpenRequest* find(const RequestHandle& handle) {
+    OpenRequest* const request = find(handle.id);
+    return request != nullptr && request->number_ == handle.number ? request : nullptr;
+  }
   // Throws std::out_of_range unless it is open.
   OpenRequest& at(const std::string& id) { return requests_.at(id); }
   // A new request in that phase; its id must not be open.
   OpenRequest& add(const std::string& id, RequestPhase phase) {
     OpenRequest& request = requests_[id];
+    request.pending.id = id;
+    request.number_ = ++lastNumber_;
     request.phase_ = phase;
     undecided_ += request.isUndecided() ? 1 : 0;
     return request;
@@ -132,6 +147,7 @@
 
   Counters& counters_;
   Requests requests_;
+  std::uint64_t lastNumber_ = 0;
   std::size_t undecided_ = 0;
 };
 
--- a/tests/exchange/given_up_while_syncing_test.cpp
+++ b/tests/exchange/given_up_while_syncing_test.cpp
@@ -1,5 +1,6 @@
 // Level `group`: requests that the decision module gives up while their 202 waits for a sync, on a disk that
-// cannot record their completion. Guards against a 202 for what is forgotten, and against capacity lost for good.
+// cannot record their completion. Guards against a 202 for what is forgotten, and against capacity lost for
+// good.
 #include <doctest/doctest.h>
 
 #include <algorithm>
