--- a/lab/faulty_files.cpp
+++ b/lab/faulty_files.cpp
@@ -47,7 +47,11 @@
   }
   std::optional<FileError> sync() override {
     std::size_t partly = 0;
-    if (const int error = files_.begin("sync", path_, 0, partly)) return FileError{"sync", path_, error};
+    if (const int error = files_.begin("sync", path_, 0, partly)) {
+      pagesLost_ = true;
+      return FileError{"sync", path_, error};
+    }
+    if (pagesLost_) return std::nullopt;  // the system counts the pages as clean, and stores nothing
     const auto at = files_.disk_.files.find(path_);
     if (at != files_.disk_.files.end()) files_.disk_.synced[path_] = at->second;  // else removed meanwhile
     return std::nullopt;
@@ -60,6 +64,7 @@
  private:
   FaultyFiles& files_;
   std::string path_;
+  bool pagesLost_ = false;  // a sync of it has failed
 };
 
 namespace {
--- a/lab/faulty_files.h
+++ b/lab/faulty_files.h
@@ -10,6 +10,8 @@
 //   }
 //   FaultyFiles again(disk);                     // the next process
 //
+// After a failed sync, what the file had not stored is lost, and later syncs of it succeed all the same.
+//
 // Operations that change the disk are counted from 1: create, append, truncate, sync, rename, remove. Reading
 // operations are counted apart, for faults in them.
 #pragma once
--- a/src/journal/compaction.cpp
+++ b/src/journal/compaction.cpp
@@ -1,6 +1,8 @@
 #include "journal/compaction.h"
 
 #include <algorithm>
+#include <deque>
+#include <limits>
 
 #include "journal/records.h"
 #include "journal/segment.h"
@@ -10,6 +12,8 @@
 
 constexpr std::size_t kMostDeletedSegments = 4;  // in one step
 constexpr std::size_t kRecordsPerClockCheck = 16;
+// LiveRecords::Segment::rewrittenAt of a segment whose rewritten records stand in uncertain segments.
+constexpr std::uint64_t kUncertain = std::numeric_limits<std::uint64_t>::max();
 
 }  // namespace
 
@@ -18,38 +22,72 @@
 }
 
 bool Compaction::step() {
+  std::size_t most = parts_.planner.tuning().mostStepBytes;
+  LiveRecords::Segment* source = nullptr;
   if (distrusts()) {
-    ++parts_.statistics.compactSteps;
-    return rewrite(*parts_.records.firstLiveUpTo(uncertainUpTo_), parts_.planner.tuning().mostStepBytes);
+    source = &nextUncertain();
+  } else {
+    most = parts_.planner.stepBytes(parts_.writer.usage());
+    if (most == 0) return true;
+    parts_.writer.restartStepCount();
+    if (parts_.records.oldest().hasLive()) source = &parts_.records.oldest();
   }
-  const std::size_t most = parts_.planner.stepBytes(parts_.writer.usage());
-  if (most == 0) return true;
-  parts_.writer.restartStepCount();
   ++parts_.statistics.compactSteps;
+  const bool rewritten = source == nullptr || rewrite(*source, most);
+  // Also where there was no space to rewrite to: this makes some.
+  const bool deleted = deleteRewritten();
+  parts_.records.measureLargestLive();
+  return rewritten && deleted;
+}
+
+bool Compaction::deleteRewritten() {
   LiveRecords& records = parts_.records;
-  bool good = true;
-  if (records.oldest().hasLive()) good = rewrite(records.oldest(), most);
-  for (std::size_t i = 0; good && i < kMostDeletedSegments; ++i) {
-    if (records.size() < 2 || records.oldest().hasLive()) break;
+  for (std::size_t i = 0; i < kMostDeletedSegments; ++i) {
+    if (records.size() < 2 || records.oldest().hasLive()) return true;
     // What was rewritten must be as safe as what it came from, before that goes.
-    if (records.oldest().rewrittenAt > parts_.commit.durable()) break;
-    good = parts_.writer.deleteOldest();
+    if (records.oldest().rewrittenAt > parts_.commit.durable()) return true;
+    if (!parts_.writer.deleteOldest()) return false;
   }
-  records.measureLargestLive();
-  return good;
+  return true;
 }
 
 void Compaction::distrustAll() {
   // After a failed fdatasync the kernel may count the pages as clean: another one would report success for
   // bytes that are nowhere. Which requests had a record there is not known, so it is all that is pending, and
   // it goes to another file.
+  const std::uint64_t durable = parts_.commit.durable();
+  std::uint64_t endsAt = parts_.commit.position();
+  std::uint64_t from = parts_.records.newest().sequence;
+  std::deque<LiveRecords::Segment>& segments = parts_.records.segments();
+  for (auto segment = segments.rbegin(); segment != segments.rend(); ++segment) {
+    if (endsAt > durable) from = segment->sequence;
+    endsAt = segment->beganAt;
+    if (segment->rewrittenAt > durable) segment->rewrittenAt = kUncertain;
+  }
+  // What an earlier failed sync left uncertain may still stand where it did.
+  uncertainFrom_ = distrusted() ? std::min(uncertainFrom_, from) : from;
   uncertainUpTo_ = parts_.records.newest().sequence;
   parts_.writer.abandonSegment();
 }
 
 bool Compaction::distrusts() {
-  if (uncertainUpTo_ != 0 && !parts_.records.firstLiveUpTo(uncertainUpTo_)) uncertainUpTo_ = 0;
-  return uncertainUpTo_ != 0;
+  if (uncertainUpTo_ == 0 || parts_.records.firstLive(0, uncertainUpTo_) != nullptr) return distrusted();
+  releaseUncertain();
+  uncertainUpTo_ = 0;
+  trustedFrom_ = parts_.commit.position();
+  return false;
+}
+
+LiveRecords::Segment& Compaction::nextUncertain() {
+  LiveRecords::Segment* const unsynced = parts_.records.firstLive(uncertainFrom_, uncertainUpTo_);
+  if (unsynced != nullptr) return *unsynced;
+  releaseUncertain();
+  return *parts_.records.firstLive(0, uncertainUpTo_);
+}
+
+void Compaction::releaseUncertain() {
+  for (LiveRecords::Segment& segment : parts_.records.segments())
+    if (segment.rewrittenAt == kUncertain) segment.rewrittenAt = parts_.commit.position();
 }
 
 bool Compaction::rewrite(LiveRecords::Segment& segment, std::size_t most) {
@@ -61,7 +99,8 @@
   const std::vector<Rewritten> rewritten = encodeLive(first, most);
   if (!parts_.writer.appendFrames(frames_)) return false;
   parts_.statistics.rewrittenBytes += frames_.size();
-  records.find(sequence)->rewrittenAt = parts_.commit.position();
+  std::uint64_t& rewrittenAt = records.find(sequence)->rewrittenAt;
+  rewrittenAt = std::max(rewrittenAt, parts_.commit.position());  // kUncertain stays
   for (const Rewritten& each : rewritten) {
     records.place(each.entry, records.newest(), each.bytes);
     refillReserve(each.entry);
--- a/src/journal/compaction.h
+++ b/src/journal/compaction.h
@@ -1,6 +1,10 @@
 // Compaction in bounded steps: what is still live in the oldest segment is written anew at the end of the
-// log, and the segment is removed. After a failed sync of the disk, what the files written before it hold is
-// uncertain, and is written anew first of all.
+// log, and the segment is removed.
+//
+// After a failed sync of the disk, what the files that it was to cover hold is uncertain, and all that is
+// live is written anew, in two parts. First what stands in those files: it is where earlier compaction moved
+// records from segments that must not go before these are safe again. Then the rest, from the oldest segment
+// on; each goes once a sync has covered what was written anew of it, which makes space for the next.
 //
 //   if (compaction.wanted()) good = compaction.step();
 //
@@ -47,6 +51,8 @@
   bool distrusts();
   // The same as last looked at: nothing new may be accepted meanwhile.
   bool distrusted() const { return uncertainUpTo_ != 0; }
+  // From which durable position on what was written before is no longer in doubt for an earlier failed sync.
+  std::uint64_t trustedFrom() const { return trustedFrom_; }
 
  private:
   struct Rewritten {
@@ -54,6 +60,13 @@
     std::size_t bytes = 0;
   };
 
+  // The segment to rewrite next while there are uncertain ones.
+  LiveRecords::Segment& nextUncertain();
+  // What stands in the uncertain segments has been written anew, so that where it came from waits for the
+  // next sync alone.
+  void releaseUncertain();
+  // Removes the oldest segments as far as nothing of them is needed any more. false: the disk refused.
+  bool deleteRewritten();
   // Rewrites the segment's first live requests, `most` bytes of them.
   bool rewrite(LiveRecords::Segment& segment, std::size_t most);
   // Encodes them for the newest segment, into `frames_`.
@@ -62,7 +75,10 @@
   void refillReserve(std::uint32_t entry);
 
   Parts parts_;
-  std::uint64_t uncertainUpTo_ = 0;  // the newest segment that a failed sync left uncertain; 0: none
+  // The oldest and the newest segment that a failed sync was to cover; uncertainUpTo_ 0: none.
+  std::uint64_t uncertainFrom_ = 0;
+  std::uint64_t uncertainUpTo_ = 0;
+  std::uint64_t trustedFrom_ = 0;
   std::string frames_;
 };
 
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -161,7 +161,9 @@
   writeCompletions();
   const bool distrusted = compaction_.distrusts();
   const bool good = compaction_.step();
-  if (distrusted && !compaction_.distrusts()) sync();
+  // Segments go only after a sync of what was written anew, and their space is needed for more of it. It
+  // promises nothing until all of that is done.
+  if (distrusted && !faults_.pausing()) commit_.submit();
   return good;
 }
 
@@ -178,6 +180,7 @@
     if (!done->error) continue;
     good = false;
     faults_.report({"sync", options_.folder, done->error->number});
+    durableBeforeFault_ = durable();
     compaction_.distrustAll();
   }
   sync();
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -118,7 +118,10 @@
   // record promises (a 202, a call) waits until `durable` has come to the position after it. At the level
   // `process` both are always the same.
   std::uint64_t position() const { return commit_.position(); }
-  std::uint64_t durable() const { return commit_.durable(); }
+  std::uint64_t durable() const {
+    const bool trusted = !compaction_.distrusted() && commit_.durable() >= compaction_.trustedFrom();
+    return trusted ? commit_.durable() : durableBeforeFault_;
+  }
   // Sends what is written and not yet stored to be synced, unless a sync is running. Cheap; once per round of
   // the event loop.
   void sync();
@@ -157,6 +160,7 @@
   LiveRecords records_;
   SegmentWriter writer_;
   Compaction compaction_;
+  std::uint64_t durableBeforeFault_ = 0;           // what the latest failed sync found durable
   std::size_t unattached_ = 0;                     // requests from `open` without a place
   std::deque<std::string> unrecordedCompletions_;  // ids
   std::string frame_;
--- a/src/journal/live_records.cpp
+++ b/src/journal/live_records.cpp
@@ -12,9 +12,9 @@
   return at != segments_.end() && at->sequence == sequence ? &*at : nullptr;
 }
 
-LiveRecords::Segment* LiveRecords::firstLiveUpTo(std::uint64_t sequence) {
+LiveRecords::Segment* LiveRecords::firstLive(std::uint64_t from, std::uint64_t to) {
   for (Segment& segment : segments_)
-    if (segment.sequence <= sequence && segment.hasLive()) return &segment;
+    if (segment.sequence >= from && segment.sequence <= to && segment.hasLive()) return &segment;
   return nullptr;
 }
 
--- a/src/journal/live_records.h
+++ b/src/journal/live_records.h
@@ -30,6 +30,7 @@
     std::size_t bytes = 0;          // up to the end of the last complete record
     std::size_t fileBytes = 0;      // more, where half a record could not be cut off
     std::size_t live = 0;           // bytes of the newest complete records that stand in it
+    std::uint64_t beganAt = 0;      // the position of the log at which it began
     std::uint64_t rewrittenAt = 0;  // from this position of the log on, nothing of it is needed any more
     std::uint32_t firstEntry = kNone;
     std::uint32_t lastEntry = kNone;
@@ -54,8 +55,10 @@
   const Segment& newest() const { return segments_.back(); }
   // Null: there is none of that number.
   Segment* find(std::uint64_t sequence);
-  // The oldest segment with live records among those up to that number; null: there is none.
-  Segment* firstLiveUpTo(std::uint64_t sequence);
+  // The oldest segment with live records among those from one number to another, both included; null: there
+  // is none.
+  Segment* firstLive(std::uint64_t from, std::uint64_t to);
+  std::deque<Segment>& segments() { return segments_; }
   Segment& addSegment(std::uint64_t sequence, std::size_t bytes, std::size_t fileBytes);
   // It has no entries any more.
   void dropOldest() { segments_.pop_front(); }
--- a/src/journal/segment_writer.cpp
+++ b/src/journal/segment_writer.cpp
@@ -90,7 +90,9 @@
   used_ += inBlocks(bytes);
   active_ = std::move(file);
   parts_.commit.namedFile();
-  return parts_.records.addSegment(sequence, bytes, bytes);
+  LiveRecords::Segment& segment = parts_.records.addSegment(sequence, bytes, bytes);
+  segment.beganAt = parts_.commit.position();
+  return segment;
 }
 
 bool SegmentWriter::ready(std::size_t bytes) {
--- a/tests/journal/group_commit_test.cpp
+++ b/tests/journal/group_commit_test.cpp
@@ -117,3 +117,107 @@
   CHECK(after->pending.size() == 19);
   CHECK(after->pending.find("f3")->pending.ambiguousAttempts.size() == 1);
 }
+
+namespace {
+
+// Requests pending on a nearly full disk, each with an attempt that no sync has covered yet.
+struct NearlyFullJournal {
+  NearlyFullJournal() {
+    REQUIRE(journal.open());
+    // Every third request completes, so that live records are spread over many segments.
+    for (int i = 0; i < 60; ++i) {
+      accept(i);
+      if (i % 3 == 0) complete(requests.back());
+      for (int syncs = 0; syncs < 2; ++syncs) {
+        journal.sync();
+        syncer.work();
+        REQUIRE(journal.collect());
+      }
+    }
+    complete(requests.back());  // there is a place for another
+    for (PendingRequest& request : requests) REQUIRE(journal.recordAttempt(request, {"E1", 0, 1000, 0}));
+    // All that is live does not fit beside what is there: each further segment costs its head and its last
+    // block.
+    const DiskUsage usage = journal.usage();
+    const std::size_t more = usage.live / usage.segmentBytes + 1;
+    REQUIRE(usage.used + usage.live + more * (usage.headBytes + kDiskBlock) > kSmallDisk);
+  }
+
+  void accept(int number) {
+    PendingRequest& request = requests.emplace_back(pendingRequest(numbered('n', number), 2));
+    request.body.resize(700);
+    if (!journal.recordAccepted(request)) requests.pop_back();
+  }
+  void complete(PendingRequest& request) {
+    journal.recordCompleted(request);
+    requests.pop_back();
+  }
+  // false: it failed.
+  bool syncOnce() {
+    syncer.work();
+    return journal.collect();
+  }
+  void failNextSync() {
+    files.failAt(files.operations() + 1, 1, EIO);
+    journal.sync();
+    REQUIRE(syncer.jobs.size() == 1);
+    CHECK_FALSE(syncOnce());
+  }
+  // A loss of power at this moment leaves all that is pending.
+  void checkNothingLost(std::size_t attempts) {
+    Disk lost = disk;
+    lost.losePower();
+    FaultyFiles lostFiles(lost);
+    const auto found = recover(lostFiles, "/s");
+    REQUIRE(found);
+    for (const PendingRequest& request : requests) {
+      const RecoveredRequest* const recovered = found->pending.find(request.id);
+      REQUIRE(recovered);
+      REQUIRE(recovered->pending.ambiguousAttempts.size() >= attempts);
+    }
+  }
+
+  Disk disk;
+  FaultyFiles files{disk};
+  lab::HandSyncer syncer{files};
+  HandClock clock;
+  std::ostringstream log;
+  std::deque<PendingRequest> requests;
+  Journal journal{{files, clock, log, &syncer}, {"/s", kSmallDisk, 4096, {}, "first", 5}};
+};
+
+}  // namespace
+
+// Guards against a journal that accepts nothing more: on a nearly full disk, what a failed sync left
+// uncertain fits beside it only when older segments go, and those may go only after a sync.
+TEST_CASE("group commit: after a failed sync on a nearly full disk it accepts again, and loses nothing") {
+  constexpr int kNoSecondFault = -1;
+  for (int secondFault = kNoSecondFault; secondFault < 12; ++secondFault) {
+    CAPTURE(secondFault);
+    NearlyFullJournal site;
+    site.failNextSync();
+    PendingRequest fresh = pendingRequest("fresh");
+    bool accepted = false;
+    int syncs = 0;
+    for (int step = 0; step < 400 && !accepted; ++step) {
+      CAPTURE(step);
+      site.clock.nowMs += 5;
+      site.journal.compactStep();
+      if (!site.syncer.jobs.empty()) {
+        if (syncs == secondFault) site.files.failAt(site.files.operations() + 1, 1, EIO);
+        CHECK(site.syncOnce() == (syncs != secondFault));
+        ++syncs;
+      }
+      site.checkNothingLost(0);
+      accepted = site.journal.recordAccepted(fresh);
+    }
+    CHECK(accepted);
+    CHECK(syncs > 1);
+    for (int i = 0; i < 3; ++i) {
+      site.journal.sync();
+      CHECK(site.syncOnce());
+    }
+    CHECK(site.journal.durable() == site.journal.position());
+    site.checkNothingLost(1);
+  }
+}
