Eject an upstream that states a longer wait than its limit's window

In sparse traffic a first rejection is taken for the limit of all relays together: it was not noted as a failure, so slow start did not bound what followed, and a token was saved through the wait. Bulk calls counted one each. Why it works: a limit counts over a window, so a longer stated wait is no limit's. It ejects: what follows goes by slow start's tokens, which lapse, count a call of several requests by weight, and add up to half of the bound over any number of relays; no free probe is granted during the wait, and answers to calls from before say nothing (docs/design/slow-start.md, A stated shutdown).

--- a/lab/cold_fleet.cpp
+++ b/lab/cold_fleet.cpp
@@ -143,12 +143,17 @@
   r.window.clear();
 }
 
+std::int64_t ColdFleet::shutWaitMs(const Receiver& r, double t) {
+  if (shutWait_ == ShutWait::kUntilReturn) return static_cast<std::int64_t>(std::ceil(r.toMs - t));
+  return r.tells ? 300 + below(700) : 0;
+}
+
 ColdFleet::Fate ColdFleet::fate(Receiver& r, double t) {
   const double took = between(0.5, 1.5) * r.tookMs;
   if (r.out(t)) {
     if (r.outage == Outage::kDown) return {Outcome::kConnectFailed, unit() < 0.5 ? 20.0 : 1500.0, 0};
     if (r.outage == Outage::kSilent) return {Outcome::kTimeout, 1e9, 0};
-    if (r.outage == Outage::kShut) return {Outcome::kRejected, 30, r.tells ? 300 + below(700) : 0};
+    if (r.outage == Outage::kShut) return {Outcome::kRejected, 30, shutWaitMs(r, t)};
     if (unit() < 0.9) return {Outcome::kFailure, took, 0};
     return {Outcome::kSuccess, took, 0};
   }
--- a/lab/cold_fleet.h
+++ b/lab/cold_fleet.h
@@ -25,6 +25,10 @@
 inline double coldTicks(double ms) { return std::ceil(ms / kColdTickMs) * kColdTickMs; }
 
 enum class Outage { kDown, kSilent, kShut, kErrors };
+// What a receiver that is shut states as Retry-After, if it states something: a short wait, time and again,
+// or how long it stays shut, so that all who were told come back at one moment. Each outage is a shut one
+// then.
+enum class ShutWait { kShort, kUntilReturn };
 
 struct ColdVerdict {
   Outage outage = Outage::kDown;
@@ -36,7 +40,7 @@
 
 class ColdFleet {
  public:
-  ColdFleet(int forwarders, std::uint64_t seed);
+  ColdFleet(int forwarders, std::uint64_t seed, ShutWait shutWait = ShutWait::kShort);
   ColdVerdict run();
 
  private:
@@ -89,9 +93,11 @@
   void call(int forwarder, Place& place, const std::vector<Sent>& items, double t);
   void arrive(Receiver& r, double t, double weight, bool told);
   Fate fate(Receiver& r, double t);
+  std::int64_t shutWaitMs(const Receiver& r, double t);
   void put(double atMs, int forwarder, Event e);
 
   std::mt19937_64 random_;
+  ShutWait shutWait_;
   Settings settings_;
   std::vector<Receiver> receivers_;
   std::map<std::string, Place> places_;
--- a/lab/cold_fleet_drawn.cpp
+++ b/lab/cold_fleet_drawn.cpp
@@ -6,7 +6,8 @@
 
 namespace myrtleloft::lab {
 
-ColdFleet::ColdFleet(int forwarders, std::uint64_t seed) : random_(seed) {
+ColdFleet::ColdFleet(int forwarders, std::uint64_t seed, ShutWait shutWait)
+    : random_(seed), shutWait_(shutWait) {
   settings_.instanceCount = forwarders;
   drawSettings();
   drawReceivers();
@@ -83,7 +84,9 @@
   verdict_.several = unit() < 0.3;
   const double fromMs = between(12000, 18000), toMs = fromMs + between(5000, 16000);
   const auto fail = [&](Receiver& r) {
-    r.outage = verdict_.outage = static_cast<Outage>(below(4));
+    r.outage = static_cast<Outage>(below(4));
+    if (shutWait_ == ShutWait::kUntilReturn) r.outage = Outage::kShut;
+    verdict_.outage = r.outage;
     r.fromMs = fromMs, r.toMs = toMs;
     if (unit() < 0.3) r.lowered = between(0.4, 0.8);
     verdict_.busy = r.perS * 0.6 / settings_.instanceCount * settings_.slowStartMs >= 1000;
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -150,7 +150,7 @@
   if (event.outcome != kNotSent && retryAfterMs > 0) upstream.setRetryAfter(batch_.nowMs() + retryAfterMs);
   if (!call.recorded) recorder_.record(batch_, call, event.outcome);
   if (event.outcome == kRejected && retryAfterMs > batch_.settings.overloadWindowMs)
-    upstream.setFreeProbe(false);
+    upstream.recordShutdown(batch_, call.sentMs);
 }
 
 double Dispatcher::Impl::nextWakeMs() const {
--- a/src/policy/endpoint_registry.cpp
+++ b/src/policy/endpoint_registry.cpp
@@ -32,7 +32,8 @@
 void EndpointRegistry::grantProbeForArrival(BatchContext& batch, const Destination& destination) {
   Upstream* failed = nullptr;
   for (const Endpoint* endpoint : destination.endpoints) {
-    if (!endpoint->open) continue;
+    // A probe granted while it is shut would wait, and leave with those of all other relays.
+    if (!endpoint->open || endpoint->upstream->statesShutdown(batch.nowMs())) continue;
     if (!endpoint->upstream->letsArrivalsProbe(batch)) return;
     if (!endpoint->upstream->slowStarted() || !failed) failed = endpoint->upstream;
   }
--- a/src/policy/outlier_detector.h
+++ b/src/policy/outlier_detector.h
@@ -42,6 +42,8 @@
   // Whether the rejections in a row are more than chance brings (share of calls in [0, 1] that are rejected
   // elsewhere): the upstream is shut, not merely above its limit.
   bool rejectsAll(const BatchContext& batch, double backgroundRejectionRate) const;
+  // Its earlier successes say nothing any more.
+  void restartSuccesses() { successes_ = 0; }
   // Marks it as ejected from now on.
   void eject(double nowMs) { ejectedAtMs_ = nowMs; }
   // Marks it as in use again; the odds stay.
--- a/src/policy/upstream.cpp
+++ b/src/policy/upstream.cpp
@@ -71,8 +71,11 @@
   outliers_.recordSuccess(batch, backgroundFailureRate);
   if (!ejected())
     delivered_.add(batch.nowMs(), batch.settings.slowStartMs, 1 + kFurtherRequestWeight * (size - 1));
-  // Answered, though sent before the ejection: calls get lost, but nothing was ever down. The bound stays.
-  if (awaitsRecovery() && outliers_.ejectedAfter(sentMs) && !outliers_.outageLikely()) outliers_.readmit();
+  // Answered, though sent before the ejection: calls get lost, but nothing was ever down. The bound stays. Of
+  // what has stated to be out, such an answer says nothing.
+  if (awaitsRecovery() && outliers_.ejectedAfter(sentMs) && !outliers_.outageLikely() &&
+      !statesShutdown(batch.nowMs()))
+    outliers_.readmit();
   if (slowStart_.provenBy(sentMs)) slowStart_.recordRecovery(batch, ejected());
   limiter_.increase(batch, traffic_->queue.empty(), sent_);
 }
@@ -87,6 +90,15 @@
   if (ejected() && outliers_.rejections() >= 3) slowStart_.restart();
 }
 
+void Upstream::recordShutdown(BatchContext& batch, double sentMs) {
+  shutUntilMs_ = retryAfterUntilMs_;
+  noteFailure(batch, sentMs);
+  eject(batch);
+  outliers_.restartSuccesses();
+  slowStart_.restart();
+  slowStart_.setFreeProbe(false);
+}
+
 void Upstream::recordFailure(BatchContext& batch, double sentMs, bool connected, double expectedFailureRate) {
   if (connected) slowStart_.setBack(batch.nowMs());
   outliers_.recordFailure(batch, expectedFailureRate);
--- a/src/policy/upstream.h
+++ b/src/policy/upstream.h
@@ -49,6 +49,8 @@
   bool bounded(const BatchContext& batch) const { return slowStart_.bounds(batch.nowMs(), ejected()); }
   // Whether a call that was sent after the failures has succeeded.
   bool slowStarted() const { return slowStart_.started(); }
+  // Whether it has stated to be out until a later time.
+  bool statesShutdown(double nowMs) const { return nowMs < shutUntilMs_; }
   // Whether a request that arrives may be allowed to probe without a token.
   bool letsArrivalsProbe(const BatchContext& batch) const {
     return slowStart_.failurePending() && !slowStart_.freeProbe() && !slowStart_.busy(batch);
@@ -89,6 +91,9 @@
   // A call was rejected as full; `backgroundRejectionRate`: share of calls in [0, 1] that are rejected
   // elsewhere.
   void recordRejection(BatchContext& batch, double sentMs, double backgroundRejectionRate);
+  // A call sent at `sentMs` was rejected for longer than a limit takes to have capacity again: the upstream
+  // is out, and all relays that were told so may call at one moment.
+  void recordShutdown(BatchContext& batch, double sentMs);
   // A call failed, with or without a connection; `expectedFailureRate`: share of calls in [0, 1] that fail
   // that way without an outage.
   void recordFailure(BatchContext& batch, double sentMs, bool connected, double expectedFailureRate);
@@ -106,6 +111,7 @@
   bool callsAreRare_ = false;
   int callsInFlight_ = 0;
   double retryAfterUntilMs_ = -kNever;
+  double shutUntilMs_ = -kNever;  // by its latest rejection that no limit explains
   DecayedRate sent_;
   DecayedRate delivered_;
   OutlierDetector outliers_;
--- a/tests/policy/slow_start_fleet_test.cpp
+++ b/tests/policy/slow_start_fleet_test.cpp
@@ -136,5 +136,43 @@
                       FleetCase{"WaitsEndTogether", 40, false, Outcome::kRejected, 0, true}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against a fleet that was told to wait until one moment and calls all at once at it. Traffic is
+// sparse: a relay's part of what the upstream takes at its slowest is less than a call in a window.
+TEST(SlowStartOfAFleet, RelaysToldToWaitUntilOneMomentDoNotAllCallAtIt) {
+  constexpr int kRelays = 30, kWaiting = 10;
+  constexpr double kRejectedMs = 1000, kWaitMs = 9000;
+  Settings s = plainSettings();
+  s.instanceCount = kRelays;
+  s.ratingKind = RatingKind::kNominal;
+  s.kindBatchSize = {kWaiting};
+  EndpointInfo target = entry("a");
+  target.rating = 30;
+  double sent = 0;  // in the window that begins with the end of the wait
+  for (int i = 0; i < kRelays; ++i) {
+    s.seed = static_cast<std::uint64_t>(i) + 1, s.instanceIndex = i;
+    DispatcherFixture relay(s);
+    relay.at(0, {snapshot({target})});
+    for (double t = 0; t < kRejectedMs; t += 50) relay.at(t);
+    relay.at(kRejectedMs, {relay.message("first")});
+    for (double t = kRejectedMs; relay.sends.empty() && t < kRejectedMs + 5000; t += 5) relay.at(t);
+    ASSERT_EQ(relay.sends.size(), 1u);
+    const double toldMs = relay.now + 30;
+    relay.at(toldMs, {relay.outcome("first", Outcome::kRejected,
+                                    static_cast<std::int64_t>(kRejectedMs + kWaitMs - toldMs))});
+    for (int n = 0; n < kWaiting; ++n) relay.at(toldMs + 5, {relay.message(numbered(n))});
+    relay.sends.clear();
+    for (double t = toldMs + 10; t < kRejectedMs + kWaitMs; t += 5) relay.at(t);
+    ASSERT_TRUE(relay.sends.empty());
+    for (double t = kRejectedMs + kWaitMs; t < kRejectedMs + kWaitMs + s.overloadWindowMs; t += 5) {
+      const std::size_t before = relay.sends.size();
+      relay.at(t);
+      const double items = static_cast<double>(relay.sends.size() - before);
+      if (items > 0) sent += 1 + 0.2 * (items - 1);  // what a call of several requests weighs
+    }
+  }
+  const double takes = s.overloadFactor * target.rating * s.slowStartShare * s.overloadWindowMs / 1000;
+  EXPECT_LE(sent, takes + 3 * std::sqrt(takes) + 3);
+}
+
 }  // namespace
 }  // namespace myrtleloft
--- a/tests/policy/slow_start_test.cpp
+++ b/tests/policy/slow_start_test.cpp
@@ -12,6 +12,7 @@
 
 using myrtleloft::lab::ColdFleet;
 using myrtleloft::lab::ColdVerdict;
+using myrtleloft::lab::ShutWait;
 
 namespace {
 
@@ -43,3 +44,19 @@
     for (const int drawn : outages) CHECK(drawn > few);
   }
 }
+
+// Guards against relays that were all told to wait until one moment, and all call at it: sparse traffic took
+// a rejection for a limit's, whatever it stated, and saved a call through the wait.
+TEST_CASE("no drawn return of a fleet is overrun when what is shut states how long it stays so") {
+  for (const Fleet& fleet : kFleets) {
+    int handedIn = 0, delivered = 0;
+    for (std::uint64_t seed = 1; seed <= fleet.days; ++seed) {
+      const ColdVerdict day = ColdFleet(fleet.forwarders, seed, ShutWait::kUntilReturn).run();
+      INFO("fleet of ", fleet.forwarders, ", seed ", seed, ": ", day.fall);
+      CHECK(!day.broken);
+      handedIn += day.handedIn, delivered += day.delivered;
+    }
+    INFO("fleet of ", fleet.forwarders, ": ", delivered, " of ", handedIn, " delivered");
+    CHECK(delivered > 0.75 * handedIn);
+  }
+}
