--- a/src/policy/upstream.cpp
+++ b/src/policy/upstream.cpp
@@ -93,6 +93,7 @@
 void Upstream::recordShutdown(BatchContext& batch, double sentMs) {
   shutUntilMs_ = retryAfterUntilMs_;
   noteFailure(batch, sentMs);
+  slowStart_.recordFailure(std::max(batch.nowMs(), shutUntilMs_), sentMs);  // it lasts until then
   eject(batch);
   outliers_.restartSuccesses();
   slowStart_.restart();
