--- a/src/journal/compaction.cpp
+++ b/src/journal/compaction.cpp
@@ -59,11 +59,12 @@
   std::uint64_t endsAt = parts_.commit.position();
   std::uint64_t from = parts_.records.newest().sequence;
   std::deque<LiveRecords::Segment>& segments = parts_.records.segments();
-  for (auto segment = segments.rbegin(); segment != segments.rend(); ++segment) {
-    if (endsAt > durable) from = segment->sequence;
-    endsAt = segment->beganAt;
-    if (segment->rewrittenAt > durable) segment->rewrittenAt = kUncertain;
-  }
+  const auto distrust = [&](LiveRecords::Segment& segment) {
+    if (endsAt > durable) from = segment.sequence;
+    endsAt = segment.beganAt;
+    if (segment.rewrittenAt > durable) segment.rewrittenAt = kUncertain;
+  };
+  std::for_each(segments.rbegin(), segments.rend(), distrust);
   // What an earlier failed sync left uncertain may still stand where it did.
   uncertainFrom_ = distrusted() ? std::min(uncertainFrom_, from) : from;
   uncertainUpTo_ = parts_.records.newest().sequence;
