Keep what two tests of given-up requests share in one header

Cause: decided_once_test and same_id_test had the same set-up twice. Change: tests/exchange/given_up_requests.h has it; cases and checks are the same.

--- a/tests/exchange/decided_once_test.cpp
+++ b/tests/exchange/decided_once_test.cpp
@@ -6,34 +6,10 @@
 #include <string>
 #include <vector>
 
-#include "tests/exchange/exchange_site.h"
+#include "tests/exchange/given_up_requests.h"
 
 using namespace myrtleloft;
-using myrtleloft::testing::Site;
-
-namespace {
-
-using Kinds = std::vector<Answer::Kind>;
-
-constexpr std::array<const char*, 4> kShortLived = {"short-0", "short-1", "short-2", "short-3"};
-
-void syncOnce(Site& site) {
-  site.syncer.work();
-  site.manager->onSynced();
-}
-
-// Four requests whose sync runs when the disk begins to fail. The decision module gives up those that get no
-// call, and the records of that wait for the disk.
-void submitAndGiveUp(Site& site) {
-  for (const char* id : kShortLived) site.submit(id, 200);
-  site.advance(10);
-  syncOnce(site);  // of what was written before
-  site.failDisk();
-  site.advance(300);
-  REQUIRE(site.counters.failFast >= kShortLived.size() - 1);
-}
-
-}  // namespace
+using namespace myrtleloft::testing;
 
 // Guards against a 202 for a request that the journal has as completed: nobody owes it any more. A record
 // that fails later makes the journal rest beyond the first retry of the rejections, and not up to the next.
--- a/tests/exchange/same_id_test.cpp
+++ b/tests/exchange/same_id_test.cpp
@@ -7,22 +7,13 @@
 #include <string>
 #include <vector>
 
-#include "tests/exchange/exchange_site.h"
+#include "tests/exchange/given_up_requests.h"
 
 using namespace myrtleloft;
-using myrtleloft::testing::Site;
+using namespace myrtleloft::testing;
 
 namespace {
 
-using Kinds = std::vector<Answer::Kind>;
-
-constexpr std::array<const char*, 4> kShortLived = {"short-0", "short-1", "short-2", "short-3"};
-
-void syncOnce(Site& site) {
-  site.syncer.work();
-  site.manager->onSynced();
-}
-
 // Long enough for all that waits for the disk.
 void advanceAndSync(Site& site) {
   for (int i = 0; i < 20; ++i) {
@@ -31,17 +22,6 @@
   }
 }
 
-// Four requests whose sync runs when the disk begins to fail. The decision module gives up those that get no
-// call, and the records of that wait for the disk.
-void submitAndGiveUp(Site& site) {
-  for (const char* id : kShortLived) site.submit(id, 200);
-  site.advance(10);
-  syncOnce(site);  // of what was written before
-  site.failDisk();
-  site.advance(300);
-  REQUIRE(site.counters.failFast >= kShortLived.size() - 1);
-}
-
 }  // namespace
 
 // Guards against a request that is recorded and counted twice because its id came twice in one batch.
