Read all that has come before a call is written, however old the poll is

Callers saw: an endpoint that had answered 429 with Retry-After: 0.300 got another request of the same relay 102 to 200 ms later. Cause: Loop::runOnce served descriptors in the order of their numbers and wrote by a poll of any age, so that a call decided before a stall was written ahead of an answer, or a list, that lay unread. Ruled out: an order alone does not do; a process that stands between its poll and the write breaks the wait all the same (three of the cases). Change: one turn reads, then writes, then runs timers; a poll older than 20 ms is made once more before the writes and before the timers, as is one that has itself taken so long; a call is not written while the poll is old. The loop's header has the argument.

--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -121,7 +121,7 @@
 
 void Link::onEvents(short revents) {
   if (phase_ == Phase::kConnecting) {
-    if (pendingError(fd_) != 0 || !(revents & POLLOUT)) return end(LinkEnd::kUnreachable);
+    if (pendingError(fd_) != 0 || !(revents & (POLLIN | POLLOUT))) return end(LinkEnd::kUnreachable);
     phase_ = Phase::kIntroducing;
     beganMs_ = loop_.nowMs();
     owner_.onConnected(*this);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -41,7 +41,8 @@
 
 void ClientConnection::onEvents(short revents) {
   if (!connected_) {
-    if (pendingError(fd_) != 0 || !(revents & POLLOUT)) return finish(End::kNotSent);
+    // Some failures leave no error, only a hang-up.
+    if (pendingError(fd_) != 0 || !(revents & (POLLIN | POLLOUT))) return finish(End::kNotSent);
     connected_ = true;
   }
   if (!done_) {  // idle: whatever comes, it is not the answer to a call
@@ -51,18 +52,16 @@
       loop_.setEvents(fd_.get(), POLLIN);
     return;
   }
-  // Reading comes first: an endpoint may answer and close before it has read the whole call.
-  if (revents & (POLLIN | POLLHUP | POLLERR)) {
-    // What comes between two calls answers neither; a fresh connection's may be a refusal of what it will
-    // bring.
-    if (carried_ && !begun()) return finish(End::kNotSent);
-    read();
-  } else if (revents & POLLOUT) {
-    write();
-  }
+  if (revents & POLLOUT) return write();
+  // What comes between two calls answers neither; a fresh connection's may be a refusal of what it will
+  // bring.
+  if (carried_ && !begun()) return finish(End::kNotSent);
+  read();
 }
 
 void ClientConnection::write() {
+  // An answer that lies unread may state a wait, and a list that the endpoint drains.
+  if (loop_.pollIsOld()) return;
   if (!begun() && mayLeave_ && !mayLeave_()) return finish(End::kHeldBack);
   const Io io = writeSome(fd_, out_, written_);
   // An endpoint may have answered what it had of the call, and gone, in the instant of this write: a wait
@@ -85,19 +84,16 @@
     over = true;
     done(std::move(result));
   };
-  read(false);
+  read();
   if (!over) done_ = done;
   return over;
 }
 
-void ClientConnection::read(bool writesOn) {
+void ClientConnection::read() {
   for (int i = 0; i < kReadsInTurn; ++i) {
     const Io io = readSome(fd_, reader_.buffer());
     if (io == Io::kWouldBlock && writeFailed_) return finish(End::kNotSent);
-    if (io == Io::kWouldBlock) {
-      if (writesOn && !lastByteWritten()) write();
-      return;
-    }
+    if (io == Io::kWouldBlock) return;
     auto state = io == Io::kProgress ? reader_.advance() : HttpReader::State::kBad;
     if (io == Io::kClosed) state = reader_.finish();
     if (state == HttpReader::State::kMore) {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -59,7 +59,7 @@
  private:
   void onEvents(short revents);
   void write();
-  void read(bool writesOn = true);
+  void read();
   void armRest();
   void finish(End end, HttpMessage answer = {}, bool stalled = false);
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -7,7 +7,8 @@
 namespace myrtleloft {
 namespace {
 constexpr double kLongestWaitMs = 1000;
-constexpr int kAgainMs = 10;
+constexpr int kAfterErrorMs = 10;
+constexpr short kReadEvents = static_cast<short>(~POLLOUT);  // errors and hang-ups show by reading
 }  // namespace
 
 void Loop::watch(int fd, short events, Handler handler) {
@@ -39,25 +40,46 @@
 }
 
 void Loop::runOnce() {
+  poll(waitMs());
+  if (pollIsOld()) poll(0);
+  dispatch(kReadEvents);
+  readIfPollIsOld();
+  dispatch(POLLOUT);
+  readIfPollIsOld();
+  runTimers();
+}
+
+void Loop::poll(int timeoutMs) {
   polled_.clear();
   serials_.clear();
   for (const auto& [fd, watch] : watches_) {
     polled_.push_back({fd, watch.events, 0});
     serials_.push_back(watch.serial);
   }
-  const int ready = ::poll(polled_.data(), polled_.size(), waitMs());
-  if (ready < 0 && errno != EINTR) ::poll(nullptr, 0, kAgainMs);  // no memory for it: not to spin
-  if (ready > 0) {
-    for (std::size_t i = 0; i < polled_.size(); ++i) {
-      if (polled_[i].revents == 0) continue;
-      // An earlier handler may have closed this descriptor, and its number may already name another one.
-      const auto at = watches_.find(polled_[i].fd);
-      if (at == watches_.end() || at->second.serial != serials_[i]) continue;
-      const Handler handler = at->second.handler;  // a copy: the handler may forget itself
-      handler(polled_[i].revents);
-    }
+  polledAtMs_ = nowMs();
+  const int ready = poll_(polled_.data(), polled_.size(), timeoutMs);
+  if (ready < 0 && errno != EINTR) ::poll(nullptr, 0, kAfterErrorMs);  // no memory for it: not to spin
+  if (ready <= 0) polled_.clear();
+}
+
+void Loop::readIfPollIsOld() {
+  if (!pollIsOld()) return;
+  poll(0);
+  dispatch(kReadEvents);
+}
+
+void Loop::dispatch(short mask) {
+  for (std::size_t i = 0; i < polled_.size(); ++i) {
+    const auto events = static_cast<short>(polled_[i].revents & mask);
+    if (events == 0) continue;
+    // An earlier handler may have closed this descriptor, and its number may already name another one.
+    const auto at = watches_.find(polled_[i].fd);
+    if (at == watches_.end() || at->second.serial != serials_[i]) continue;
+    // It may have ended the wish to write, too.
+    if (mask == POLLOUT && (at->second.events & POLLOUT) == 0) continue;
+    const Handler handler = at->second.handler;  // a copy: the handler may forget itself
+    handler(events);
   }
-  runTimers();
 }
 
 void Loop::runTimers() {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -1,4 +1,22 @@
-// One poll(2) loop: descriptors, timers, nothing else. Handlers run one at a time and must not throw.
+// One poll(2) loop: descriptors and timers, nothing else. Handlers run one at a time and must not throw.
+//
+//   Loop loop(clock);
+//   loop.watch(fd, POLLIN | POLLOUT, [&](short events) { ... });
+//   loop.after(100, [&] { ... });
+//   while (running) loop.runOnce();
+//
+// One turn polls, hands out all that can be read, then all that can be written, then runs the timers that are
+// due. So what a handler writes, and what a timer decides, takes account of all that had come by the poll,
+// whatever the numbers of the descriptors. The process may stand still at any point of a turn; what has come
+// meanwhile lies unread. Two things bound how old the poll may be by which something is written:
+// - before the writes and before the timers, a poll that is older than kMaxPollAgeMs is made once more,
+//   without waiting, and what it reports is read. So is a poll that has itself taken so long: the process may
+//   have stood between the kernel's look at the descriptors and its return.
+// - whoever writes what an unread message might forbid asks `pollIsOld` just before; if so it writes nothing,
+//   stays watched for POLLOUT, and is called again in the next turn, after the reads.
+// What comes between that question and the system call that follows it is not seen.
+//
+// Cost of a turn: O(watched descriptors), and O(log n) for each descriptor that is ready and each timer.
 #pragma once
 
 #include <poll.h>
@@ -13,26 +31,44 @@
 
 namespace myrtleloft {
 
+// Used from one thread only. A handler or an action may watch, forget, set and cancel anything, itself
+// included.
 class Loop {
  public:
-  using Handler = std::function<void(short revents)>;
-  using Timer = std::pair<double, std::uint64_t>;  // when it is due, and its number
+  // Called with the events that were reported: first with those that are about reading (all but POLLOUT), and
+  // later in the same turn with POLLOUT.
+  using Handler = std::function<void(short events)>;
+  using Timer = std::pair<double, std::uint64_t>;  // when it is due, in ms, and its number
   static constexpr Timer kNoTimer{0, 0};
+  // The protocol lets a call through that arrives within 100 ms of an answer that forbids it; the rest of
+  // that is for the way.
+  static constexpr double kMaxPollAgeMs = 20;
+  // As poll(2).
+  using PollFunction = int (*)(pollfd* descriptors, nfds_t count, int timeoutMs);
 
-  explicit Loop(const Clock& clock) : clock_(clock) {}
+  // `clock` must outlive it.
+  explicit Loop(const Clock& clock, PollFunction poll = &::poll) : clock_(clock), poll_(poll) {}
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
+  // From now on `handler` gets the descriptor's events, of those asked for, and its errors.
   void watch(int fd, short events, Handler handler);
+  // Changes the events asked for; nothing where the descriptor is not watched.
   void setEvents(int fd, short events);
+  // To be called before the descriptor is closed.
   void forget(int fd);
 
+  // Runs `action` once, in that many ms or a little later.
   Timer after(double delayMs, std::function<void()> action);
+  // Nothing where it has run already. `timer` is kNoTimer afterwards.
   void cancel(Timer& timer);
 
   // Waits for the next events or timers and handles them.
   void runOnce();
+  // On the clock that only goes forward.
   double nowMs() const { return clock_.steadyMs(); }
+  // Whether the last poll began longer ago than kMaxPollAgeMs: something may have come that nobody has read.
+  bool pollIsOld() const { return nowMs() - polledAtMs_ > kMaxPollAgeMs; }
 
  private:
   struct Watch {
@@ -42,13 +78,20 @@
   };
 
   int waitMs() const;
+  void poll(int timeoutMs);
+  // Hands out the last poll's events, of those in `mask`.
+  void dispatch(short mask);
+  // Where the last poll is old: polls without waiting, and hands out what can be read.
+  void readIfPollIsOld();
   void runTimers();
 
   const Clock& clock_;
+  PollFunction poll_;
   std::map<int, Watch> watches_;
   std::map<Timer, std::function<void()>> timers_;
   std::vector<pollfd> polled_;
-  std::vector<std::uint64_t> serials_;
+  std::vector<std::uint64_t> serials_;  // of the watches in `polled_`
+  double polledAtMs_ = 0;               // when the last poll began
   std::uint64_t lastSerial_ = 0;
 };
 
--- /dev/null
+++ b/tests/exchange/stalled_turn_test.cpp
@@ -0,0 +1,168 @@
+// A process that stands still within a turn of its loop, while something comes that forbids what was decided
+// before. The clock jumps where it stands; sockets are real.
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "tests/exchange/exchange_site.h"
+
+using namespace myrtleloft;
+using myrtleloft::testing::Site;
+
+namespace {
+
+constexpr double kStandsMs = 140;
+constexpr const char* kWaits = "HTTP/1.1 429 Wait\r\nRetry-After: 0.300\r\nContent-Length: 0\r\n\r\n";
+
+// One descriptor that its loop watches, and the other end of it.
+struct Pipe {
+  Pipe() {
+    std::array<int, 2> ends{};
+    REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, ends.data()) == 0);
+    here = Fd(ends[0]);
+    there = Fd(ends[1]);
+  }
+  void fill() const { REQUIRE(::send(there.get(), "x", 1, 0) == 1); }
+  Fd here, there;
+};
+
+// Two endpoints that share their destination's limit. One call is at its endpoint, and a second one has been
+// decided; its descriptor has a lower number than that of the first.
+struct TwoCalls {
+  TwoCalls() : site(false, 1, 8, false) {
+    std::optional<Pipe> lowNumbers(std::in_place);
+    site.submit("first");
+    site.advance(10);
+    firstPeer = accept();
+    readAll(firstPeer);
+    lowNumbers.reset();
+    site.submit("second");
+    for (int i = 0; i < 100 && site.outbound.callsOut() < 2; ++i) site.advance(5);
+    REQUIRE(site.outbound.callsOut() == 2);
+    secondPeer = accept();
+  }
+  Fd accept() const {
+    int error = 0;
+    Fd fd = acceptFrom(site.endpoint, error);
+    REQUIRE(fd);
+    return fd;
+  }
+  static std::string readAll(const Fd& fd) {
+    std::string bytes;
+    while (readSome(fd, bytes) == Io::kProgress) {
+    }
+    return bytes;
+  }
+  void answerFirst() const {
+    std::size_t written = 0;
+    REQUIRE(writeSome(firstPeer, kWaits, written) == Io::kProgress);
+  }
+  void turn() {
+    site.loop.after(0, [] {});
+    site.loop.runOnce();
+  }
+  // The process stands in a handler of the next turn that reads, or writes.
+  void standIn(const Pipe& pipe, short events, const std::function<void()>& meanwhile) {
+    if (events & POLLIN) pipe.fill();
+    site.loop.watch(pipe.here.get(), events, [this, &pipe, meanwhile](short) {
+      site.loop.forget(pipe.here.get());
+      site.clock.nowMs += kStandsMs;
+      meanwhile();
+    });
+  }
+
+  Site site;
+  Fd firstPeer, secondPeer;
+};
+
+}  // namespace
+
+// Guards against a call that breaks a stated wait which the poll of the same turn has reported.
+TEST_CASE("a call does not leave ahead of an answer with Retry-After that has a higher descriptor") {
+  TwoCalls calls;
+  calls.answerFirst();
+  calls.turn();
+  calls.site.advance(50);
+  CHECK(TwoCalls::readAll(calls.secondPeer).empty());
+  CHECK(calls.site.counters.outcomes.at(static_cast<std::size_t>(Outcome::kRejected)) == 1);
+}
+
+// Guards against a call that breaks a wait which was stated while the process stood, behind its poll.
+TEST_CASE("a call does not leave ahead of an answer that came while a reader of its turn stood still") {
+  TwoCalls calls;
+  const Pipe stands;
+  calls.standIn(stands, POLLIN, [&] { calls.answerFirst(); });
+  calls.turn();
+  calls.site.advance(50);
+  CHECK(TwoCalls::readAll(calls.secondPeer).empty());
+}
+
+TEST_CASE("a call does not leave ahead of an answer that came while a writer of its turn stood still") {
+  std::optional<Pipe> stands(std::in_place);  // its descriptors are lower than those of the calls
+  TwoCalls calls;
+  calls.standIn(*stands, POLLOUT, [&] { calls.answerFirst(); });
+  calls.turn();
+  calls.site.advance(50);
+  CHECK(TwoCalls::readAll(calls.secondPeer).empty());
+}
+
+// Guards against a call to an endpoint that drains, as a list says which lies unread.
+TEST_CASE("a call does not leave ahead of a list that came while its turn stood still") {
+  std::optional<Pipe> stands(std::in_place);
+  TwoCalls calls;
+  const Pipe list;
+  calls.site.loop.watch(list.here.get(), POLLIN, [&](short) {
+    calls.site.loop.forget(list.here.get());
+    calls.site.setEndpointState(EndpointState::kDraining);
+  });
+  calls.standIn(*stands, POLLOUT, [&] { list.fill(); });
+  calls.turn();
+  calls.site.advance(50);
+  CHECK(TwoCalls::readAll(calls.secondPeer).empty());
+}
+
+TEST_CASE("a call that nothing forbids leaves in the turn after one that stood still") {
+  std::optional<Pipe> stands(std::in_place);
+  TwoCalls calls;
+  calls.standIn(*stands, POLLOUT, [] {});
+  calls.turn();
+  CHECK(TwoCalls::readAll(calls.secondPeer).empty());
+  calls.turn();
+  CHECK(TwoCalls::readAll(calls.secondPeer).find("X-Request-ID: second") != std::string::npos);
+}
+
+// Guards against a notification that is sent again though its confirmation lies unread.
+TEST_CASE("a confirmation that came while a turn stood still is read before the notification's time-out") {
+  lab::HandClock clock;
+  Loop loop(clock);
+  Counters counters;
+  std::ostringstream log;
+  std::string error;
+  const Fd listener = listenOn(*parseAddress("127.0.0.1:0"), error);
+  const Address platform = *parseAddress(localAddress(listener));
+  Notices notifications(loop, platform, counters, log);
+  notifications.onConfirmed([](const std::string&) {});
+  const auto turn = [&] {
+    loop.after(0, [] {});
+    loop.runOnce();
+  };
+  notifications.add("m", FinalStatus::kFailed, 0);
+  for (int i = 0; i < 5; ++i) turn();
+  int code = 0;
+  const Fd peer = acceptFrom(listener, code);
+  REQUIRE(peer);
+  const Pipe stands;
+  loop.watch(stands.here.get(), POLLOUT, [&](short) {
+    loop.forget(stands.here.get());
+    clock.nowMs += 600;  // more than a notification waits for its answer
+    std::size_t written = 0;
+    REQUIRE(writeSome(peer, "HTTP/1.1 204 No Content\r\n\r\n", written) == Io::kProgress);
+  });
+  turn();
+  CHECK(counters.notices == 1);
+  CHECK(counters.noticeRetries == 0);
+}
