Say of a request after its deadline only what the next process will say

Cause: where neither the record that an attempt did not run nor the final status could be written, recordFinalStatus said after the deadline what memory knew; the next process found the attempt alone. Ruled out: no other order of missing records does it; the test has a fault at each operation of the first process. Change: PendingRequest::recordedAsAmbiguous marks such a request until compaction has rewritten it, and it fails in place of being returned. No proof is recorded of a request that has its final status: dead and then bounced cannot come.

--- a/src/exchange/completions.cpp
+++ b/src/exchange/completions.cpp
@@ -37,11 +37,19 @@
 }
 
 void Completions::recordFinalStatus(OpenRequest& request, FinalStatus status, double retryAfterMs) {
-  const std::string& id = request.pending.id;
   const double nowMs = parts_.loop.nowMs();
-  const bool recorded = parts_.journal.recordFinalStatus(request.pending, status, retryAfterMs);
-  parts_.trace.ended(id, wordOf(status), retryAfterMs, recorded);
-  if (recorded || nowMs >= request.deadlineMs) return parts_.notifications.add(id, status, retryAfterMs);
+  const bool isOverdue = nowMs >= request.deadlineMs;
+  bool recorded = parts_.journal.recordFinalStatus(request.pending, status, retryAfterMs);
+  if (!recorded && isOverdue && status == FinalStatus::kReturned &&
+      !parts_.guard.mayNextProcessReject(request.pending)) {
+    --parts_.counters.bounced;
+    ++parts_.counters.dead;
+    status = FinalStatus::kFailed;
+    retryAfterMs = 0;
+    recorded = parts_.journal.recordFinalStatus(request.pending, status, retryAfterMs);
+  }
+  parts_.trace.ended(request.pending.id, wordOf(status), retryAfterMs, recorded);
+  if (recorded || isOverdue) return parts_.notifications.add(request.pending.id, status, retryAfterMs);
   ++parts_.counters.journalFaults;
   unnotified_.push_back(request.handle());
   const double retryMs = std::min(nowMs + parts_.journal.restMs(), request.deadlineMs);
--- a/src/exchange/completions.h
+++ b/src/exchange/completions.h
@@ -42,8 +42,9 @@
   void giveUp(const std::string& id, FinalStatus status, double retryAfterMs);
   // Records an accepted request's final status and notifies the platform. Where it cannot be recorded, the
   // notification waits until it can be, or until the deadline: the next process would know neither, and send
-  // what the platform takes for over. After the deadline it sends nothing, and a second notification does no
-  // harm.
+  // what the platform takes for over. After the deadline it sends nothing, and notifies a second time: so
+  // what is said without a record says no more than that process will, by the records that there are. A
+  // request that never ran fails then, where the disk has an attempt of it that may have been executed.
   void recordFinalStatus(OpenRequest& request, FinalStatus status, double retryAfterMs);
   // A request whose client has no 202 yet is over: the client gets `answer` once no process will find the
   // request pending. Until then it stays open, unanswered. It may be gone afterwards.
--- a/src/exchange/rule_guard.cpp
+++ b/src/exchange/rule_guard.cpp
@@ -52,7 +52,14 @@
 }
 
 bool RuleGuard::mayReject(const PendingRequest& pending) const {
-  if (pending.ambiguousAttempts.empty()) return true;
+  return pending.ambiguousAttempts.empty() || mayRunAgain(pending);
+}
+
+bool RuleGuard::mayNextProcessReject(const PendingRequest& pending) const {
+  return mayReject(pending) && (!pending.recordedAsAmbiguous || mayRunAgain(pending));
+}
+
+bool RuleGuard::mayRunAgain(const PendingRequest& pending) const {
   const ClassSettings& requestClass = settings_.classes.at(static_cast<std::size_t>(pending.classIndex));
   return requestClass.idempotency == Idempotency::kIdempotent ||
          (requestClass.idempotency == Idempotency::kIdempotentWithKey &&
--- a/src/exchange/rule_guard.h
+++ b/src/exchange/rule_guard.h
@@ -67,6 +67,8 @@
   std::optional<Violation> violationOfSend(const SendFacts& facts) const;
   // Whether it may be promised that the request had no effect.
   bool mayReject(const PendingRequest& pending) const;
+  // Whether the next process may promise so, by the records that there are.
+  bool mayNextProcessReject(const PendingRequest& pending) const;
   // An endpoint has stated to take nothing for that many ms.
   void onRetryAfter(const EndpointRecord& endpoint, double nowMs, double retryAfterMs);
   // A request that an earlier process left; `nowMs` is the journal's time now.
@@ -77,6 +79,8 @@
  private:
   // The name of the upstream whose limit covers that endpoint.
   std::string upstreamOf(const EndpointRecord& endpoint) const;
+  // Whether another execution at its destination would do no harm.
+  bool mayRunAgain(const PendingRequest& pending) const;
   std::optional<Violation> violationOfRetry(const SendFacts& facts, const ClassSettings& requestClass) const;
 
   const Settings& settings_;
--- a/src/journal/compaction.cpp
+++ b/src/journal/compaction.cpp
@@ -104,6 +104,7 @@
   rewrittenAt = std::max(rewrittenAt, parts_.commit.position());  // kUncertain stays
   for (const Rewritten& each : rewritten) {
     records.place(each.entry, records.newest(), each.bytes);
+    records[each.entry].request->recordedAsAmbiguous = false;
     refillReserve(each.entry);
   }
   return true;
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -106,12 +106,17 @@
 
 bool Journal::recordNotExecuted(PendingRequest& request) {
   const std::uint32_t entry = request.journalEntry;
-  if (request.ambiguousAttempts.empty() || entry == kNone) return request.ambiguousAttempts.empty();
+  const bool isDecided = request.status != FinalStatus::kUndecided;
+  if (request.ambiguousAttempts.empty() || entry == kNone || isDecided)
+    return request.ambiguousAttempts.empty();
   const RecordedAttempt attempt = std::move(request.ambiguousAttempts.back());
   request.ambiguousAttempts.pop_back();
   const std::size_t live = records_[entry].live;
   records_.setLive(entry, live - std::min(live, encodedSize(attempt)));
-  return record(NotExecutedRecord{request.id, attempt.attempt}, entry, 0, planner_.tuning().lastReserve);
+  const NotExecutedRecord proof{request.id, attempt.attempt};
+  if (record(proof, entry, 0, planner_.tuning().lastReserve)) return true;
+  request.recordedAsAmbiguous = true;
+  return false;
 }
 
 bool Journal::recordFinalStatus(PendingRequest& request, FinalStatus status, double retryAfterMs) {
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -88,7 +88,9 @@
   // Before an attempt's first byte. Numbers the attempt itself.
   bool recordAttempt(PendingRequest& request, RecordedAttempt attempt);
   // The newest attempt is known not executed. Withdrawn in memory also where it cannot be recorded: the disk
-  // then has one ambiguous attempt too many, which loses no request and repeats none.
+  // then has one ambiguous attempt too many (PendingRequest::recordedAsAmbiguous), which loses no request and
+  // repeats none. Of a request with a final status nothing is withdrawn: the status may have been said, and
+  // without its record the next process decides by the attempts. false then, unless there is none.
   bool recordNotExecuted(PendingRequest& request);
   // Given up: drops the body. `retryAfterMs`: when the client should come back.
   bool recordFinalStatus(PendingRequest& request, FinalStatus status, double retryAfterMs);
--- a/src/journal/records.h
+++ b/src/journal/records.h
@@ -54,7 +54,10 @@
   FinalStatus status =
       FinalStatus::kUndecided;  // decided, but the platform has not confirmed the notification
   double retryAfterMs = 0;
-  std::uint32_t journalEntry = kNoEntry;  // the journal's own, in no record
+  // These are in no record.
+  std::uint32_t journalEntry = kNoEntry;  // the journal's own
+  // The disk has an attempt as ambiguous that is known not executed: that could not be recorded.
+  bool recordedAsAmbiguous = false;
 };
 
 // The request as it stands: when it is accepted, and again each time that compaction rewrites it.
--- /dev/null
+++ b/tests/exchange/final_status_agreement_test.cpp
@@ -0,0 +1,117 @@
+// Two processes in succession tell the platform the same of a request, whatever the first could not record.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <string>
+
+#include "tests/exchange/successive_processes.h"
+
+using namespace myrtleloft;
+using myrtleloft::testing::SuccessiveProcesses;
+
+namespace {
+
+constexpr std::array<const char*, 3> kIds = {"status", "caption", "billing"};  // one of each class
+constexpr int kBilling = 2;                                                    // non-idempotent
+constexpr double kLifetimeMs = 1500;
+constexpr std::uint64_t kForGood = 1 << 20;
+
+// What becomes of each call.
+enum class Reply { kRejected, kFailed, kBroken, kSilent, kRejectedThenSilent, kSilentThenRejected };
+constexpr std::array<Reply, 6> kReplies = {
+    Reply::kRejected,          Reply::kFailed, Reply::kBroken, Reply::kSilent, Reply::kRejectedThenSilent,
+    Reply::kSilentThenRejected};
+
+void reply(SuccessiveProcesses& relay, Reply kind, lab::Hub::Id call) {
+  const bool isFirst = relay.calls <= static_cast<int>(kIds.size());
+  if (kind == Reply::kRejectedThenSilent) kind = isFirst ? Reply::kRejected : Reply::kSilent;
+  if (kind == Reply::kSilentThenRejected) kind = isFirst ? Reply::kSilent : Reply::kRejected;
+  if (kind == Reply::kRejected) relay.answer(call, "503 Full");
+  if (kind == Reply::kFailed) relay.answer(call, "500 Error");
+  if (kind == Reply::kBroken) relay.breakOff(call);
+}
+
+struct DiskFault {
+  std::uint64_t fromOperation = 0;  // of the first process, from 1
+  std::uint64_t count = 0;
+};
+
+// Plays the first process until past the deadline under that fault, and the next one on a sound disk. False:
+// the first one did not come as far as the fault.
+bool play(SuccessiveProcesses& relay, Reply kind, const DiskFault& fault) {
+  relay.onCall = [&relay, kind](lab::Hub::Id call) { reply(relay, kind, call); };
+  relay.start();
+  const std::uint64_t before = relay.process->files.operations();
+  relay.process->files.failAt(before + fault.fromOperation, fault.count, EIO);
+  for (int i = 0; i < static_cast<int>(kIds.size()); ++i) relay.submit(kIds.at(i), i, kLifetimeMs);
+  relay.advance(kLifetimeMs + 150);
+  const bool failed = relay.process->files.operations() >= before + fault.fromOperation;
+  relay.kill();
+  relay.onCall = nullptr;
+  relay.start();
+  relay.advance(600);
+  return failed;
+}
+
+bool agree(const std::vector<std::string>& statuses) {
+  return std::ranges::adjacent_find(statuses, std::ranges::not_equal_to()) == statuses.end();
+}
+
+}  // namespace
+
+// Guards against a request that is bounced by one process, and dead by the next: its attempt was known not
+// executed, and neither that nor its final status could be recorded.
+TEST_CASE("a request that never ran fails, where its attempt is recorded and nothing after that can be") {
+  SuccessiveProcesses relay;
+  std::vector<lab::Hub::Id> held;
+  relay.onCall = [&](lab::Hub::Id call) { held.push_back(call); };
+  relay.start();
+  relay.submit("m", kBilling, kLifetimeMs);
+  relay.advance(20);
+  REQUIRE(held.size() == 1);
+  relay.process->files.failAt(relay.process->files.operations() + 1, kForGood, EIO);
+  relay.onCall = nullptr;
+  relay.answer(held.front(), "503 Full");
+  relay.advance(kLifetimeMs + 100);
+  CHECK(relay.statuses["m"] == std::vector<std::string>{"dead"});
+  relay.kill();
+  relay.start();
+  relay.advance(600);
+  CHECK(relay.statuses["m"] == std::vector<std::string>{"dead", "dead"});
+}
+
+TEST_CASE(
+    "a request that never ran is bounced all the same, once the disk can be written before its deadline") {
+  SuccessiveProcesses relay;
+  relay.onCall = [&](lab::Hub::Id call) { relay.answer(call, "503 Full"); };
+  relay.start();
+  relay.submit("m", kBilling, kLifetimeMs);
+  relay.process->files.failAt(relay.process->files.operations() + 3, kForGood, EIO);
+  relay.advance(kLifetimeMs / 2);
+  relay.process->files.failAt(0, 0, 0);
+  relay.advance(kLifetimeMs);
+  CHECK(relay.statuses["m"] == std::vector<std::string>{"bounced"});
+}
+
+// The table of records that may be missing: a fault at each operation of the first process, once and for
+// good, with each thing that can become of a call.
+TEST_CASE("two processes tell the same of a request, whichever of its records are missing") {
+  for (const Reply kind : kReplies) {
+    for (const std::uint64_t count : {std::uint64_t{1}, std::uint64_t{3}, kForGood}) {
+      std::uint64_t from = 1;
+      for (bool failed = true; failed; ++from) {
+        SuccessiveProcesses relay;
+        failed = play(relay, kind, {from, count});
+        for (const char* id : kIds) {
+          INFO("reply ", static_cast<int>(kind), ", ", count, " operations fail from ", from, ", ", id);
+          const std::vector<std::string>& statuses = relay.statuses[id];
+          CHECK(agree(statuses));
+          if (relay.answers[id] == Answer::Kind::kAccepted) CHECK_FALSE(statuses.empty());
+        }
+      }
+      CHECK(from > 8);  // three requests, with two records each at least
+    }
+  }
+}
--- /dev/null
+++ b/tests/exchange/successive_processes.h
@@ -0,0 +1,152 @@
+// Processes of one relay in succession, on one disk in memory, with an endpoint and a platform that outlast
+// them: what each process tells the platform of a request can be compared.
+//
+//   SuccessiveProcesses relay;
+//   relay.start();
+//   relay.submit("m", kBilling, 1500);
+//   relay.process->files.failAt(...);     // the disk of this process
+//   relay.advance(2000);
+//   relay.kill();
+//   relay.start();
+//
+// Manual clock, real sockets that nobody waits for. One thread.
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "exchange/request_manager.h"
+#include "lab/faulty_files.h"
+#include "lab/hand_clock.h"
+#include "lab/hub.h"
+#include "lab/module_site.h"
+
+namespace myrtleloft::testing {
+
+class SuccessiveProcesses {
+ public:
+  struct Process {
+    Process(lab::Disk& disk, lab::HandClock& clock, const Address& platformAddress, const Settings& settings)
+        : files(disk),
+          loop(clock),
+          directory({files, clock, share, counters, log}, directoryOptions()),
+          platform(platformAddress),
+          notifications(loop, platform, counters, log),
+          outbound(loop, counters, {1500, 10000, 4, {}}),
+          journal({files, clock, log}, {"/s", 1000000, 0, {}, "the test", 5}),
+          manager({loop, directory, journal, notifications, outbound, counters, nullptr, Log(log)},
+                  settings) {}
+
+    lab::FaultyFiles files;
+    Loop loop;
+    Counters counters;
+    std::ostringstream log;
+    lab::CountedShare share;
+    EndpointDirectory directory;
+    Address platform;
+    Notices notifications;
+    Outbound outbound;
+    Journal journal;
+    RequestManager manager;
+  };
+
+  SuccessiveProcesses() {
+    endpoint_ = hub_.listen({[this](lab::Hub::Id from, const lab::Message&) {
+                               ++calls;
+                               if (onCall) onCall(from);
+                             },
+                             {},
+                             {}});
+    platform_ = hub_.listen(
+        {[this](lab::Hub::Id from, const lab::Message& message) { onNotifications(from, message); }, {}, {}});
+  }
+
+  void start() {
+    process = std::make_unique<Process>(disk, clock, *parseAddress(platform_), lab::moduleSettings(5));
+    process->outbound.listen(process->manager);
+    process->notifications.onConfirmed([this](const std::string& id) { process->manager.onConfirmed(id); });
+    auto found = process->journal.open();
+    REQUIRE(found);
+    process->manager.recover(std::move(*found), process->directory.begin(endpointList(), clock.wallMs()));
+  }
+  // As by SIGKILL: nothing more reaches the disk.
+  void kill() {
+    process->files.crashAt(process->files.operations() + 1);
+    process.reset();
+  }
+  void submit(const std::string& id, int classIndex, double timeLeftMs) {
+    IncomingRequest request;
+    request.id = id;
+    request.key = "key-" + id;
+    request.body = "body";
+    request.classIndex = classIndex;
+    request.destination = 7;
+    request.timeLeftMs = timeLeftMs;
+    process->manager.onRequest(std::move(request),
+                               [this, id](const Answer& answer) { answers[id] = answer.kind; });
+  }
+  // In steps of 5 ms.
+  void advance(double ms) {
+    for (const double until = clock.nowMs + ms; clock.nowMs < until;) {
+      clock.nowMs += 5;
+      for (int i = 0; i < 3; ++i) {
+        process->loop.after(0, [] {});
+        process->loop.runOnce();
+        hub_.turn(0);
+      }
+    }
+  }
+  // An answer of the endpoint.
+  void answer(lab::Hub::Id call, const std::string& head) {
+    hub_.send(call, "HTTP/1.1 " + head + "\r\nContent-Length: 0\r\n\r\n");
+  }
+  void breakOff(lab::Hub::Id call) { hub_.close(call, true); }
+
+  lab::HandClock clock;
+  lab::Disk disk;
+  std::unique_ptr<Process> process;
+  std::function<void(lab::Hub::Id)> onCall;  // none: calls stay without an answer
+  int calls = 0;
+  std::map<std::string, Answer::Kind> answers;
+  // What the platform was told of each request, in order: "dead" or "bounced".
+  std::map<std::string, std::vector<std::string>> statuses;
+
+ private:
+  static EndpointDirectory::Options directoryOptions() {
+    EndpointDirectory::Options options;
+    options.cacheEnabled = false;
+    options.classes = lab::kThreeClasses;
+    return options;
+  }
+  EndpointList endpointList() {
+    EndpointRecord record;
+    record.info.endpoint = "a";
+    record.info.destination = 7;
+    record.info.state = EndpointState::kRunning;
+    record.address = *parseAddress(endpoint_);
+    return {++revision_, true, {record}};
+  }
+  static std::string valueOf(const std::string& line, const std::string& name) {
+    const std::size_t at = line.find("\"" + name + "\":\"") + name.size() + 4;
+    return line.substr(at, line.find('"', at) - at);
+  }
+  void onNotifications(lab::Hub::Id from, const lab::Message& message) {
+    std::istringstream lines(message.body);
+    for (std::string line; std::getline(lines, line);)
+      statuses[valueOf(line, "ref")].push_back(valueOf(line, "result"));
+    hub_.send(from, "HTTP/1.1 204 No Content\r\n\r\n");
+  }
+
+  lab::Hub hub_;
+  std::string endpoint_;
+  std::string platform_;
+  std::int64_t revision_ = 0;
+};
+
+}  // namespace myrtleloft::testing
