Post a notification again soon where a connection to the platform hangs

Callers would see: no final answer 300 ms after the deadline. Cause: a post waited 500 ms for its answer and 100 ms more for the next one, and held up all behind it. Change: the first answer is waited for 75 ms, the next twice as long, up to 600; the first failure in a row is posted again at once.

--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -8,9 +8,20 @@
 namespace myrtleloft {
 namespace {
 
-constexpr double kAnswerMs = 500, kRetryMs = 100;
+// The protocol's platform answers at once, and allows 300 ms from a request's deadline to its notification.
+// A call to an endpoint that is given up at the deadline takes 50 ms of that; two posts in a row that hang
+// leave time for a third.
+constexpr double kFirstAnswerMs = 75;
+constexpr double kMaxAnswerMs = 600;  // a platform that is slow for everybody is not posted to without end
+constexpr double kFirstRetryMs = 10;
+constexpr double kMaxRetryMs = 100;
 constexpr std::size_t kMostAtOnce = 200;
 
+// Twice as long with each failure in a row.
+double backoff(double firstMs, double maxMs, int failures) {
+  return std::min(maxMs, std::ldexp(firstMs, std::min(failures, 16)));
+}
+
 }  // namespace
 
 void Notices::add(const std::string& id, FinalStatus verdict, double waitMs) {
@@ -46,12 +57,12 @@
     connection_ = std::make_unique<ClientConnection>(loop_, platform_);
   if (!connection_->open()) {
     posted_ = 0;
-    return again(kRetryMs);
+    return again(kMaxRetryMs);
   }
   const Headers headers = {{"Content-Type", "application/x-ndjson"}};
   connection_->send(writeRequest("POST", "/v1/outcomes", platform_.text, headers, body),
                     [this](const ClientConnection::Result& result) { onResult(result); });
-  timer_ = loop_.after(kAnswerMs, [this] {
+  timer_ = loop_.after(backoff(kFirstAnswerMs, kMaxAnswerMs, failuresInRow_), [this] {
     connection_->close();
     onResult({});
   });
@@ -65,6 +76,7 @@
   // One notice that cannot be read must not hold back the others: alone it is set aside.
   const bool unreadable = status == 400 && posted == 1;
   if (confirmed || unreadable) {
+    failuresInRow_ = 0;
     if (unreadable) {
       const std::string& line = waiting_.front().line;
       log_.write(LogLevel::kError, "notice.refused",
@@ -82,7 +94,10 @@
   }
   oneByOne_ = oneByOne_ || status == 400;
   ++counters_.noticeRetries;
-  again(kRetryMs);
+  // The first failure may be the connection's alone: the next post, on a new one, goes at once.
+  const double retryMs = failuresInRow_ == 0 ? 0 : backoff(kFirstRetryMs, kMaxRetryMs, failuresInRow_);
+  ++failuresInRow_;
+  again(retryMs);
 }
 
 }  // namespace myrtleloft
