Look at a send that is put off when its timeout comes, not a quarter of a second later

Callers would see: a final answer up to 250 ms late where the folder cannot be written. Change: the next look is at the earliest timeout, if that is sooner. Measured: a new case of unrecorded_sends_test with six deadlines: on none has its status within 15 ms, now all do.

--- a/src/exchange/journaled_sends.cpp
+++ b/src/exchange/journaled_sends.cpp
@@ -92,9 +92,12 @@
 }
 
 void JournaledSends::putOff(UnrecordedSend send) {
+  const double nowMs = parts_.loop.nowMs();
+  const double lookMs = std::min(nowMs + parts_.journal.restMs(), send.untilMs);
   putOff_.push_back(std::move(send));
-  if (timer_ == Loop::kNoTimer)
-    timer_ = parts_.loop.after(parts_.journal.restMs(), [this] { retryRecords(); });
+  if (timer_ != Loop::kNoTimer && timer_.first <= lookMs) return;
+  parts_.loop.cancel(timer_);
+  timer_ = parts_.loop.after(lookMs - nowMs, [this] { retryRecords(); });
 }
 
 // A send whose attempt can be recorded now does not leave all the same: the module chose its endpoint before
--- a/src/exchange/journaled_sends.h
+++ b/src/exchange/journaled_sends.h
@@ -4,9 +4,9 @@
 //   for (PlannedCall& call : sends.record(actions, scheduler.batchMs())) ...   // to leave once durable
 //
 // An attempt that the journal cannot record is put off, and keeps its call slot until it can be recorded, its
-// request is completed or, at the next look, its timeout has passed or the module has cancelled it. Reported
-// at once, the module would try again in each batch and use up the request's attempts within a moment of a
-// fault of the disk.
+// request is completed, its timeout has passed or, at the next look, the module has cancelled it. Reported at
+// once, the module would try again in each batch and use up the request's attempts within a moment of a fault
+// of the disk; reported after its timeout, the request would have its final status late.
 //
 // One thread; O(sends) plus a record of the journal for each.
 #pragma once
--- a/tests/exchange/unrecorded_sends_test.cpp
+++ b/tests/exchange/unrecorded_sends_test.cpp
@@ -52,6 +52,18 @@
   CHECK(site.outbound.callsOut() == 1);
 }
 
+// Guards against a notification that is late because the send was next looked at a journal's rest later.
+TEST_CASE("a request whose send is put off has its final status at its deadline, not at the next look") {
+  for (const double leftMs : {600.0, 700.0, 800.0, 900.0, 1000.0, 1100.0}) {
+    Site site;
+    const double submittedMs = site.clock.nowMs;
+    acceptAndPutOff(site, "m", leftMs);
+    site.advance(submittedMs + leftMs + 15 - site.clock.nowMs);
+    INFO(leftMs);
+    CHECK_FALSE(site.notifications.empty());
+  }
+}
+
 TEST_CASE("group: a client that disconnects drops its put-off send; the same id again is another request") {
   Site site(true);
   acceptAndPutOff(site, "m");
