Keep posts of one notification 100 ms apart, as they were

Change: a failed post is repeated 110 ms after it began, whatever its failure; two in a row still leave time inside the 300 ms.

--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -8,20 +8,21 @@
 namespace myrtleloft {
 namespace {
 
-// The protocol's platform answers at once, and allows 300 ms from a request's deadline to its notification.
-// A call to an endpoint that is given up at the deadline takes 50 ms of that; two posts in a row that hang
-// leave time for a third.
-constexpr double kFirstAnswerMs = 75;
-constexpr double kMaxAnswerMs = 600;  // a platform that is slow for everybody is not posted to without end
-constexpr double kFirstRetryMs = 10;
-constexpr double kMaxRetryMs = 100;
-constexpr std::size_t kMostAtOnce = 200;
+// The protocol's platform answers at once, and allows 300 ms from a request's deadline to its notification. A
+// call to an endpoint that is given up at the deadline takes 50 ms of that; with posts so far apart, two in a
+// row may fail in any way.
+constexpr double kPostIntervalMs = 110;  // the platform sees them 100 ms apart or more
+constexpr int kPostsWithoutPatience = 2;
+constexpr double kMaxAnswerMs = 600;  // of a platform that is slow for everybody
 
-// Twice as long with each failure in a row.
-double backoff(double firstMs, double maxMs, int failures) {
-  return std::min(maxMs, std::ldexp(firstMs, std::min(failures, 16)));
+// How long a post may stay without an answer, behind so many failures in a row.
+double answerTimeoutMs(int failures) {
+  const int doublings = std::clamp(failures + 1 - kPostsWithoutPatience, 0, 16);
+  return std::min(kMaxAnswerMs, std::ldexp(kPostIntervalMs, doublings));
 }
 
+constexpr std::size_t kMostAtOnce = 200;
+
 }  // namespace
 
 void Notices::add(const std::string& id, FinalStatus verdict, double waitMs) {
@@ -57,12 +58,13 @@
     connection_ = std::make_unique<ClientConnection>(loop_, platform_);
   if (!connection_->open()) {
     posted_ = 0;
-    return again(kMaxRetryMs);
+    return again(kPostIntervalMs);
   }
+  postedAtMs_ = loop_.nowMs();
   const Headers headers = {{"Content-Type", "application/x-ndjson"}};
   connection_->send(writeRequest("POST", "/v1/outcomes", platform_.text, headers, body),
                     [this](const ClientConnection::Result& result) { onResult(result); });
-  timer_ = loop_.after(backoff(kFirstAnswerMs, kMaxAnswerMs, failuresInRow_), [this] {
+  timer_ = loop_.after(answerTimeoutMs(failuresInRow_), [this] {
     connection_->close();
     onResult({});
   });
@@ -94,10 +96,8 @@
   }
   oneByOne_ = oneByOne_ || status == 400;
   ++counters_.noticeRetries;
-  // The first failure may be the connection's alone: the next post, on a new one, goes at once.
-  const double retryMs = failuresInRow_ == 0 ? 0 : backoff(kFirstRetryMs, kMaxRetryMs, failuresInRow_);
   ++failuresInRow_;
-  again(retryMs);
+  again(postedAtMs_ + kPostIntervalMs - loop_.nowMs());
 }
 
 }  // namespace myrtleloft
--- a/src/notices/notices.h
+++ b/src/notices/notices.h
@@ -1,5 +1,5 @@
 // Notifications to the platform: what was accepted and will not be delivered. Kept until they are confirmed,
-// posted again after a failure: at once after the first in a row, with a growing backoff after the others.
+// posted again after a failure, 110 ms after the failed post or later.
 #pragma once
 
 #include <deque>
@@ -46,6 +46,7 @@
   std::deque<Notice> waiting_;  // those posted first, then those that came since
   std::size_t posted_ = 0;      // 0: no call is out
   bool oneByOne_ = false;
+  double postedAtMs_ = 0;  // the last post
   int failuresInRow_ = 0;  // posts without a usable answer since the last confirmation
   std::unique_ptr<ClientConnection> connection_;
   Loop::Timer timer_ = Loop::kNoTimer;
