Keep what has its 202 until no call can arrive in its time

Cause: LoadShedder::shedLoad and returnUnattempted decided in every batch on all that waits, accepted or not, and a new process begins with a low rate and a full table. Change: both decide only on what came with the batch.

--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -84,7 +84,7 @@
   shedder_.expireDue(batch_);
   shedder_.shedLoad(batch_);
   scheduler_.send(batch_);
-  shedder_.returnUnattempted(batch_);
+  shedder_.rejectUnattempted(batch_);
   watch_.pollIfDue(batch_);
   timer_.arm(batch_, nextWakeMs());
   return batch_.takeActions();
@@ -96,9 +96,11 @@
   Request* request = requests_.add(event, classes[number], batch_.nowMs());
   if (!request) return;
   requests_.setDestination(*request, registry_.destination(event.destination));
-  shedder_.recordArrival(event.isRetry);
   registry_.grantProbeForArrival(batch_, *request->destination);
-  if (!recovering_) request->destination->arrivals.add(batch_.nowMs(), batch_.settings.slowStartMs);
+  if (!recovering_) {
+    request->arrivalBatch = batch_.number();
+    request->destination->arrivals.add(batch_.nowMs(), batch_.settings.slowStartMs);
+  }
   for (const AmbiguousAttempt& earlier : event.ambiguousAttempts)
     recordAmbiguousAttempt(batch_, *request, earlier.sentMs, earlier.zone);
   requests_.enqueue(*request);
--- a/src/policy/load_shedder.cpp
+++ b/src/policy/load_shedder.cpp
@@ -17,15 +17,19 @@
 void LoadShedder::shedLoad(BatchContext& batch) {
   if (batch.settings.maxPendingRequests <= 0) return;
   const int limit = std::max(1, static_cast<int>(batch.settings.maxPendingRequests * kShedThresholdShare));
-  const auto weightNow = [&batch](const auto& due) { return weightAt(batch, *due.second, batch.nowMs()); };
-  while (requests_.pendingCount() > limit && !requests_.due().empty()) {
-    Request& lightest = *std::ranges::min_element(requests_.due(), {}, weightNow)->second;
-    giveUp(batch, lightest, batch.settings.maxRetryAfterMs);
+  if (requests_.pendingCount() <= limit) return;
+  std::vector<Request*> arrived;
+  for (const auto& [key, request] : requests_.due())
+    if (arrivedNow(batch, *request)) arrived.push_back(request);
+  std::ranges::stable_sort(
+      arrived, {}, [&batch](const Request* request) { return weightAt(batch, *request, batch.nowMs()); });
+  for (Request* lightest : arrived) {
+    if (requests_.pendingCount() <= limit) return;
+    giveUp(batch, *lightest, batch.settings.maxRetryAfterMs);
   }
 }
 
-void LoadShedder::returnUnattempted(BatchContext& batch) {
-  const double comeAgain = std::min(1.0, retriesSeen_ / rejected_);
+void LoadShedder::rejectUnattempted(BatchContext& batch) {
   std::vector<Request*> hopeless;
   const auto rare = [](const Endpoint* endpoint) { return endpoint->upstream->callsAreRare(); };
   for (const auto& [id, destination] : requests_.waiting()) {
@@ -33,7 +37,7 @@
     double ahead = 0;
     for (const QueuedRequest& queued : byUrgency(batch, latency_, *destination)) {
       const double attempts = attemptsInTime(batch, *queued.request);
-      if (mayReject(*queued.request) && attempts < (ahead + 1) * comeAgain)
+      if (arrivedNow(batch, *queued.request) && mayReject(*queued.request) && attempts < ahead + 1)
         hopeless.push_back(queued.request);
       else
         ++ahead;
@@ -42,6 +46,10 @@
   for (Request* request : hopeless) giveUp(batch, *request, batch.settings.maxRetryAfterMs);
 }
 
+bool LoadShedder::arrivedNow(const BatchContext& batch, const Request& request) {
+  return request.arrivalBatch == batch.number();
+}
+
 double LoadShedder::retryAfterMs(const BatchContext& batch, const Destination& destination) const {
   double at = batch.nowMs() + batch.settings.overloadWindowMs;
   for (const Endpoint* endpoint : destination.endpoints)
@@ -52,7 +60,6 @@
 
 void LoadShedder::giveUp(BatchContext& batch, Request& request, double retryAfterMs) {
   if (mayReject(request)) {
-    ++rejected_;
     batch.emit(RejectAction{request.id, std::min(retryAfterMs, batch.settings.maxRetryAfterMs)});
   } else {
     batch.emit(FailAction{request.id});
--- a/src/policy/load_shedder.h
+++ b/src/policy/load_shedder.h
@@ -1,4 +1,5 @@
-// Ends requests without a delivery: when due, above the limit, without an attempt in time, or exhausted.
+// Ends requests without a delivery: on arrival, above the limit or where no attempt is to be had in time;
+// when due; or exhausted. What has been accepted is kept for an attempt as long as one may arrive in time.
 // Cost: expiring is linear in what is due, shedding in all requests that wait for each that is shed,
 // returning in all requests that wait times the endpoints of their destination.
 #pragma once
@@ -18,30 +19,28 @@
   LoadShedder(RequestTable& requests, const LatencyTracker& latency)
       : requests_(requests), latency_(latency) {}
 
-  // A request arrived; `isRetry`: its client sent it before.
-  void recordArrival(bool isRetry) { retriesSeen_ += isRetry ? 1 : 0; }
   // Ends the request, which must wait, where no further attempt is permitted.
   void giveUpIfExhausted(BatchContext& batch, Request& request);
   // Ends the requests that wait and would be too late by the batch after the next.
   void expireDue(BatchContext& batch);
-  // Ends those of the least weight among the requests that wait, until a share of the limit is pending at
-  // most.
+  // Ends those of the least weight among the requests that came with this batch, until a share of the limit
+  // is pending at most.
   void shedLoad(BatchContext& batch);
-  // Ends the requests that will not be attempted in their time: all attempts go to requests that lose more,
-  // and their clients may come to another relay.
-  void returnUnattempted(BatchContext& batch);
+  // Ends the requests that came with this batch and will not be attempted in their time: all attempts go to
+  // requests that lose more.
+  void rejectUnattempted(BatchContext& batch);
 
  private:
   // When to come again, in ms from now.
   double retryAfterMs(const BatchContext& batch, const Destination& destination) const;
   void giveUp(BatchContext& batch, Request& request, double retryAfterMs);
+  // Whether it came with this batch: its client has no 202 yet.
+  static bool arrivedNow(const BatchContext& batch, const Request& request);
   // How many requests may be attempted before the deadline; kNever: calls are not rationed.
   static double attemptsInTime(BatchContext& batch, const Request& request);
 
   RequestTable& requests_;
   const LatencyTracker& latency_;
-  double retriesSeen_ = 1;  // requests that came again here
-  double rejected_ = 1;     // requests that were rejected here
 };
 
 }  // namespace myrtleloft::policy
--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -6,6 +6,7 @@
                                      double arrivalsPerSecond) {
   const double spanMs = batch.settings.slowStartMs;
   firstFailureMs_ = batch.nowMs();
+  firstFailureBatch_ = batch.number();
   restart();
   healthyRate_ = std::max(deliveredPerSecond, healthyRate_ * kHealthyRateDecay);
   drawProbeToken(batch);
--- a/src/policy/slow_start.h
+++ b/src/policy/slow_start.h
@@ -19,6 +19,8 @@
  public:
   // Whether a failure was seen from which the upstream has not yet recovered.
   bool failurePending() const { return lastFailureMs_ >= 0; }
+  // The number of the batch in which the first failure since the last recovery was seen.
+  std::uint64_t firstFailureBatch() const { return firstFailureBatch_; }
   // Whether a call that was sent after the failures has succeeded.
   bool started() const { return startedAtMs_ >= 0; }
   // Whether the rate is bounded at that time: a busy upstream that is not ejected goes on unbounded for a
@@ -70,6 +72,7 @@
   double healthyRate_ = 0;     // calls a second that were delivered before the failures
   double lastFailureMs_ = -1;  // since the last recovery; -1: none
   double firstFailureMs_ = 0;
+  std::uint64_t firstFailureBatch_ = 0;
   double newestFailedSentMs_ = -kNever;
   double boundFromMs_ = 0;
   double probeToken_ = 1;
--- a/src/policy/upstream.cpp
+++ b/src/policy/upstream.cpp
@@ -1,5 +1,7 @@
 #include "policy/upstream.h"
 
+#include "state/request.h"
+
 namespace myrtleloft::policy {
 
 void Upstream::attach(DestinationTraffic& traffic, bool isOneEndpoint, double nowMs) {
@@ -21,13 +23,22 @@
 }
 
 double Upstream::rateOfSlowStart(const BatchContext& batch, double share) const {
-  const double queued = static_cast<double>(traffic_->queue.size()) / sharers();
+  const double queued = slowStart_.busy(batch) ? 0 : waitingSinceFailure() / sharers();
   const double capacity = slowStart_.capacityShare(batch, limiter_.fairShare(batch), queued);
   const double windowMs = batch.settings.overloadWindowMs;
   return std::max(capacity * batch.settings.overloadFactor * share * slowStart_.budget(batch),
                   kMinProbesPerWindow * 1000 / (windowMs * batch.settings.instanceCount));
 }
 
+double Upstream::waitingSinceFailure() const {
+  double count = 0;
+  for (auto at = traffic_->queue.rbegin(); at != traffic_->queue.rend(); ++at) {
+    if (at->second->arrivalBatch < slowStart_.firstFailureBatch()) break;
+    ++count;
+  }
+  return count;
+}
+
 double Upstream::availableAtMs(BatchContext& batch) {
   const double rate = currentRate(batch);
   const double nowMs = batch.nowMs();
--- a/src/policy/upstream.h
+++ b/src/policy/upstream.h
@@ -104,6 +104,8 @@
   void eject(const BatchContext& batch);
   void readmit();
   void drawProbeToken(BatchContext& batch);
+  // How many requests wait that came since the first failure.
+  double waitingSinceFailure() const;
   double rateOfSlowStart(const BatchContext& batch, double share) const;
 
   DestinationTraffic* traffic_ = nullptr;
--- a/src/state/batch_context.h
+++ b/src/state/batch_context.h
@@ -26,12 +26,15 @@
   const Settings settings;  // with a default for all that was not given
 
   void begin(double nowMs) {
+    ++number_;
     nowMs_ = nowMs;
     wakeAtMs_ = kNever;
     actions_.clear();
   }
   double longestLifetimeMs() const { return longestLifetimeMs_; }
   double nowMs() const { return nowMs_; }
+  // Of this batch, counted from 1: two batches may have the same time.
+  std::uint64_t number() const { return number_; }
   // Of a kind or a zone, by its number; a negative one has none.
   template <class Value>
   static Value settingOf(const std::vector<Value>& settings, int number, Value otherwise) {
@@ -52,6 +55,7 @@
   std::mt19937_64 random_;
   double longestLifetimeMs_ = 0;
   double nowMs_ = 0;
+  std::uint64_t number_ = 0;
   double wakeAtMs_ = kNever;
   std::vector<Action> actions_;
 };
--- a/src/state/request.h
+++ b/src/state/request.h
@@ -21,6 +21,7 @@
   std::uint64_t sequence = 0;
   const ClassSettings* settings = nullptr;
   OrderedQueue* orderedQueue = nullptr;  // none: not ordered
+  std::uint64_t arrivalBatch = 0;        // the number of the batch that it came with; 0: before a restart
   double deadlineMs = 0;
   double objectiveMs = 0;  // the moment until which it has its full weight, and the span until then
   double objectiveSpanMs = 0;
--- a/tests/policy/dispatcher_fixture.h
+++ b/tests/policy/dispatcher_fixture.h
@@ -61,6 +61,7 @@
       if (const auto* s = std::get_if<SendAction>(&a)) {
         sends.push_back(*s);
         attempts[s->id]++;
+        inFlight.push_back(s->id);
       }
       if (const auto* r = std::get_if<RejectAction>(&a)) refused.push_back(r->id);
       if (const auto* f = std::get_if<FailAction>(&a)) failed.push_back(f->id);
@@ -100,6 +101,7 @@
   std::vector<SendAction> sends;
   std::map<std::string, int> attempts;
   std::vector<std::string> refused, failed;
+  std::vector<std::string> inFlight;  // sent; whoever answers the calls empties it
 };
 
 inline std::string numbered(int i) { return std::string("m").append(std::to_string(i)); }
