--- a/lab/auditor.cpp
+++ b/lab/auditor.cpp
@@ -71,6 +71,8 @@
       case Saw::kTrouble:
       case Saw::kCalm:
         if (r.status == kNetworkTrouble) troubled_[r.relay] = r.saw == Saw::kTrouble;
+        if (r.status == kHeldUpTrouble)
+          heldUpUntilMs_[r.relay] = r.saw == Saw::kTrouble ? kForEver : r.atMs + kLongestHoldMs;
         break;
       case Saw::kCall:
         m ? judgeCall(r, *m) : found(Rule::kStranger, r.id, {});
@@ -84,6 +86,8 @@
         if (m) outcome(r, *m);
         break;
       case Saw::kNotice:
+        if (m && m->notice && at(*m->notice).status != r.status)
+          found(Rule::kStatusesDiffer, r.id, {m->handed, *m->notice});
         if (m && !m->notice) m->notice = line_;
         if (m && !m->end) m->end = line_;
         break;
@@ -122,7 +126,9 @@
     if (const auto left = leaving_.find({r.relay, r.endpoint}); left != leaving_.end())
       if (late(r, at(left->second).atMs, rules_.drainMs)) found(Rule::kDrained, r.id, {left->second});
     const std::size_t* const wait = waitFor(r);
-    if (wait && r.atMs < at(*wait).atMs + at(*wait).ms && late(r, at(*wait).atMs, rules_.waitGraceMs))
+    if (wait && r.atMs < at(*wait).atMs + at(*wait).ms &&
+        r.atMs > at(*wait).atMs + rules_.waitGraceMs + waitSlackMs(r) +
+                     time_.excusedMs(r.relay, at(*wait).atMs, r.atMs))
       found(Rule::kWaitBroken, r.id, {*wait});
     // A notice ends it for all relays; of a delivery, the relay that had the answer must know.
     if (m.notice &&
@@ -198,6 +204,12 @@
   bool late(const FleetRecord& r, double sinceMs, double mostMs) const {
     return r.atMs > sinceMs + mostMs + rules_.slackMs + time_.excusedMs(r.relay, sinceMs, r.atMs);
   }
+  // Who is held up between its last look and its write cannot know what comes in between.
+  double waitSlackMs(const FleetRecord& call) const {
+    const auto heldUp = heldUpUntilMs_.find(call.relay);
+    const bool isHeldUp = heldUp != heldUpUntilMs_.end() && call.atMs <= heldUp->second;
+    return rules_.waitSlackMs < 0 || isHeldUp ? rules_.slackMs : rules_.waitSlackMs;
+  }
   bool restartedSince(std::size_t line, const std::string& relay) const {
     return std::any_of(history_.records.begin() + static_cast<std::ptrdiff_t>(line),
                        history_.records.begin() + static_cast<std::ptrdiff_t>(line_),
@@ -225,26 +237,14 @@
   std::map<std::pair<std::string, std::string>, std::size_t> leaving_, waits_;  // by relay and endpoint
   std::map<std::string, Cold> cold_;
   std::map<std::string, bool> troubled_;
+  std::map<std::string, double> heldUpUntilMs_;
   std::vector<AuditFinding> findings_;
 };
 
-constexpr std::array<const char*, 15> kRuleNames = {
-    "lost",          "unanswered",        "stranger", "other destination", "once twice",
-    "keyed outside", "two out",           "drained",  "wait broken",       "cold overrun",
-    "after its end", "after a fail-fast", "exited",   "not ready",         "half kept"};
-
 }  // namespace
 
-const char* nameOf(Rule rule) { return kRuleNames.at(static_cast<std::size_t>(rule)); }
-
 std::vector<AuditFinding> audit(const AuditRules& rules, const FleetHistory& history) {
   return Audit(rules, history).run();
 }
 
-std::string describe(const AuditFinding& finding, const FleetHistory& history) {
-  std::string text = std::string("broken: ") + nameOf(finding.rule) + " " + finding.id + "\n";
-  for (const std::size_t line : finding.lines) text += "  " + history.line(line) + "\n";
-  return text;
-}
-
 }  // namespace myrtleloft::lab
--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -29,12 +29,13 @@
   kTwoOut,            // a call while another of that message was out
   kDrained,           // a call at an endpoint that the relay was told drains or is gone
   kWaitBroken,        // a call before a told wait was over
-  kColdOverrun,   // a cold endpoint got more than its budget, two thirds from relays that knew of its outage
-  kAfterEnd,      // a call of a message whose end was known to the relay, or told to the platform
-  kAfterRefusal,  // a call of a message that was answered with a fail-fast
-  kExited,        // a process ended by itself, without having been told to
-  kNotReady,      // a process was not ready in time
-  kHalfKept       // a client that stopped in the middle of a request got no error in time
+  kColdOverrun,    // a cold endpoint got more than its budget, two thirds from relays that knew of its outage
+  kAfterEnd,       // a call of a message whose end was known to the relay, or told to the platform
+  kAfterRefusal,   // a call of a message that was answered with a fail-fast
+  kExited,         // a process ended by itself, without having been told to
+  kNotReady,       // a process was not ready in time
+  kHalfKept,       // a client that stopped in the middle of a request got no error in time
+  kStatusesDiffer  // the platform was told two different ends of one message
 };
 const char* nameOf(Rule rule);
 
@@ -51,6 +52,7 @@
   double takeoverMs = 3000;      // after a folder was lost and its relay does not come back
   double drainMs = 2050;         // 2 s, and the 50 ms of real sockets
   double waitGraceMs = 100;      // of calls that were on their way
+  double waitSlackMs = -1;       // in place of slackMs for them, of a relay that is not held up; -1: slackMs
   double fallMs = 2000, coldMs = 11000, overload = 2.5;
   double shortOutageMs = 0;   // returns from shorter ones are not judged
   double coldSlackCalls = 3;  // "a little slack for chance"
--- a/lab/auditor_processes.cpp
+++ b/lab/auditor_processes.cpp
@@ -31,6 +31,7 @@
       if (troubles == 0 && r.atMs > dueMs(started.relay, fromMs, rules_.readyMs)) break;
       if (r.relay != started.relay) continue;
       if (r.saw == Saw::kReady || r.saw == Saw::kDown || r.saw == Saw::kExited) return;
+      if (r.status == kHeldUpTrouble) continue;
       if (r.saw == Saw::kTrouble) ++troubles;
       if (r.saw == Saw::kCalm) --troubles, fromMs = r.atMs;
     }
@@ -41,7 +42,7 @@
     int troubles = 0;
     for (std::size_t i = 0; i < line_; ++i) {
       const FleetRecord& r = history_.records[i];
-      if (r.relay != started.relay) continue;
+      if (r.relay != started.relay || r.status == kHeldUpTrouble) continue;
       troubles += r.saw == Saw::kTrouble ? 1 : r.saw == Saw::kCalm ? -1 : 0;
     }
     return troubles;
--- a/lab/auditor_processes.h
+++ b/lab/auditor_processes.h
@@ -11,6 +11,9 @@
 
 // `FleetRecord::status` of kTrouble and kCalm: what it is that fails.
 inline constexpr int kNetworkTrouble = 1, kDiskTrouble = 2;
+// ... of one whose writes may begin late, which excuses no start.
+inline constexpr int kHeldUpTrouble = 3;
+inline constexpr double kLongestHoldMs = 150;
 
 // Appends what it finds. O(records x relays).
 void judgeProcesses(const AuditRules& rules, const FleetHistory& history, const AuditorTimeline& time,
--- a/lab/fault_plan.h
+++ b/lab/fault_plan.h
@@ -51,6 +51,7 @@
   kDiskFails,     // changes below its folder fail; `amount`: a DiskFault
   kCallsFail,     // `amount` thousandths of its network calls fail
   kHeldUp,        // `amount` thousandths of its writes begin up to 150 ms late
+  kStands,        // it stands in `amount` thousandths of its polls that have something to write
   // Of a relay's surroundings.
   // Its configuration moves discovery to another address, and SIGHUP; `amount` 2: it cannot be read at first,
   // 3: and
@@ -58,13 +59,15 @@
   kReload,
   kDiscovery,  // its directory is silent, slow or spoilt, by `amount`; as platform it takes notices all the
                // same
+  kSignals,    // a series of them: `amount` 1: SIGTERM, SIGHUP, SIGTERM; 2: five SIGHUP
+  kCrowd,      // `amount` messages at once, with 1 to 5 s
   kRude,       // `amount` hundredths of its clients misbehave
   // Of an endpoint.
   kSpoilt,  // serves, and its answers end half-way
   kHalts,   // serves, begins its answers and never ends them
   kForgets  // serves, and ends its connections soon after their answers
 };
-inline constexpr int kFaultKinds = 33;
+inline constexpr int kFaultKinds = 36;
 const char* nameOf(FaultKind kind);
 // Whether two faults of one target may be on at the same time.
 bool mayOverlap(FaultKind a, FaultKind b);
--- a/lab/fault_shim.h
+++ b/lab/fault_shim.h
@@ -37,10 +37,11 @@
   std::atomic<std::int64_t> wallStepMs{0};        // added to CLOCK_REALTIME; the other clocks stay
   std::atomic<std::uint32_t> networkPerMille{0};  // of socket, accept4, connect, poll, recv, send
   std::atomic<std::uint32_t> delayPerMille{0};    // of send and write: they begin up to 150 ms late
+  std::atomic<std::uint32_t> standsPerMille{0};   // of poll: the process stands before or behind the real one
   std::atomic<DiskFault> disk{DiskFault::kNone};
   std::atomic<ShimCall> scripted{ShimCall::kNone};
   std::atomic<int> scriptedError{0}, scriptedLeft{0};
-  std::atomic<std::uint64_t> failedCalls{0}, failedDisk{0}, delays{0};  // what the shim did
+  std::atomic<std::uint64_t> failedCalls{0}, failedDisk{0}, delays{0}, stands{0};  // what the shim did
 };
 static_assert(std::atomic<std::uint64_t>::is_always_lock_free);
 
@@ -65,6 +66,8 @@
   }
   int scriptedLeft() const { return page_->scriptedLeft; }
   void delayWrites(std::uint32_t perMille) { page_->delayPerMille = perMille; }
+  // In so many of its turns with something to write, the process stands still for 200 to 300 ms.
+  void standInPoll(std::uint32_t perMille) { page_->standsPerMille = perMille; }
   const FaultPage& page() const { return *page_; }
 
   // What a process needs in its environment to run with the shim at that path.
--- a/lab/fault_shim_network.cpp
+++ b/lab/fault_shim_network.cpp
@@ -80,7 +80,13 @@
 int poll(pollfd* fds, nfds_t count, int timeoutMs) {
   static const auto next = real<int(pollfd*, nfds_t, int)>("poll");
   if (networkFails()) return failWith(std::array{EINTR, ENOMEM});
-  return next(fds, count, timeoutMs);
+  const bool writes = std::any_of(fds, fds + count, [](const pollfd& each) { return each.events & POLLOUT; });
+  const bool stands = writes && page() && drawn(page()->standsPerMille);
+  const bool standsBefore = stands && nextRandom() % 2 == 0;
+  if (standsBefore) stand();
+  const int ready = next(fds, count, timeoutMs);
+  if (stands && !standsBefore) stand();
+  return ready;
 }
 
 ssize_t recv(int fd, void* into, size_t size, int flags) {
--- a/lab/fault_shim_state.cpp
+++ b/lab/fault_shim_state.cpp
@@ -11,6 +11,20 @@
 
 constexpr int kMostFds = 65536;
 constexpr std::uint64_t kMostDelayMs = 150;
+constexpr std::uint64_t kLeastStandMs = 200, kMostStandMs = 300;
+// One stand is a stall; several in a row would be an outage of the process, which no rule allows for.
+constexpr std::int64_t kBetweenStandsMs = 1000;
+
+std::int64_t monotonicMs() {
+  timespec now{};
+  ::clock_gettime(CLOCK_MONOTONIC, &now);
+  return static_cast<std::int64_t>(now.tv_sec) * 1000 + now.tv_nsec / 1'000'000;
+}
+
+void pauseMs(std::uint64_t ms) {
+  const timespec pause{0, static_cast<long>(ms) * 1'000'000};
+  ::nanosleep(&pause, nullptr);
+}
 std::array<std::atomic<FdKind>, kMostFds> fdKinds;
 
 FaultPage* mapPage() {
@@ -55,8 +69,15 @@
 void maybeDelay() {
   if (!page() || !drawn(page()->delayPerMille)) return;
   ++page()->delays;
-  const timespec pause{0, static_cast<long>(nextRandom() % kMostDelayMs) * 1'000'000};
-  ::nanosleep(&pause, nullptr);
+  pauseMs(nextRandom() % kMostDelayMs);
+}
+
+void stand() {
+  static std::atomic<std::int64_t> nextMs{0};
+  if (monotonicMs() < nextMs) return;
+  ++page()->stands;
+  pauseMs(kLeastStandMs + nextRandom() % (kMostStandMs - kLeastStandMs));
+  nextMs = monotonicMs() + kBetweenStandsMs;
 }
 
 }  // namespace myrtleloft::lab::shim
--- a/lab/fault_shim_state.h
+++ b/lab/fault_shim_state.h
@@ -30,6 +30,9 @@
 
 // A process may be held up at any moment, here between reading its clock and writing.
 void maybeDelay();
+// Stands still long enough that a call which leaves by what was known before comes too late for an answer
+// from the beginning of it; nothing within a second of the last time.
+void stand();
 
 // Sets errno to one of these, and returns -1.
 template <std::size_t N>
--- a/lab/fleet_clients.cpp
+++ b/lab/fleet_clients.cpp
@@ -16,11 +16,18 @@
   // The front, or the client itself, finds one that is there; where none is, it waits.
   std::size_t at =
       static_cast<std::size_t>(std::find(relays_.begin(), relays_.end(), relay) - relays_.begin());
-  for (std::size_t i = 0; i < relays_.size() && addressOf_(relays_[at % relays_.size()]).empty(); ++i) ++at;
+  for (std::size_t i = 0; i < relays_.size() && !reachable(relays_[at % relays_.size()]); ++i) ++at;
   const std::string to = relays_[at % relays_.size()];
-  if (addressOf_(to).empty()) return again_.push_back({now + patienceMs, std::move(letter), relay});
+  if (!reachable(to)) return again_.push_back({now + patienceMs, std::move(letter), relay});
   ++letter.tries;
-  write(std::move(letter), id, to, next_ % 10 >= reusedOfTen);
+  write(std::move(letter), id, to, next_ % 10 >= reusedOfTen && !addressOf_(to).empty());
+}
+
+bool FleetClients::reachable(const std::string& relay) {
+  if (!addressOf_(relay).empty()) return true;
+  std::vector<Hub::Id>& resting = resting_[relay];
+  std::erase_if(resting, [this](Hub::Id id) { return !witness_.hub.open(id); });
+  return !resting.empty();
 }
 
 Hub::Id FleetClients::connectionTo(const std::string& relay, bool fresh, bool& reused) {
@@ -62,7 +69,8 @@
 void FleetClients::onClosed(Hub::Id from) {
   const auto at = waiting_.find(from);
   if (at == waiting_.end()) return;
-  if (!at->second.reused || addressOf_(at->second.relay).empty()) return over(from, Saw::kCutOff, "again", 0);
+  if (!at->second.reused) return over(from, Saw::kCutOff, "again", 0);
+  if (addressOf_(at->second.relay).empty()) return over(from, Saw::kUnread, "again", 0);
   Waiting waiting = std::move(at->second);
   waiting_.erase(at);
   witness_.see({.saw = Saw::kUnread, .relay = waiting.relay, .id = waiting.id});
@@ -85,7 +93,8 @@
   Waiting waiting = std::move(at->second);
   waiting_.erase(at);
   // Whoever has given up waiting must not take the answer for the next one's.
-  const bool rests = reusedOfTen > 0 && saw != Saw::kCutOff && saw != Saw::kLeft && !closes_;
+  const bool rests =
+      reusedOfTen > 0 && saw != Saw::kCutOff && saw != Saw::kUnread && saw != Saw::kLeft && !closes_;
   if (rests)
     resting_[waiting.relay].push_back(from);
   else
--- a/lab/fleet_clients.h
+++ b/lab/fleet_clients.h
@@ -57,6 +57,8 @@
     Letter letter;
     std::string relay;
   };
+  // Whether it can be asked: it has an address, or a connection to it rests that is open.
+  bool reachable(const std::string& relay);
   // On a resting connection to that relay, or a new one.
   Hub::Id connectionTo(const std::string& relay, bool fresh, bool& reused);
   void write(Letter letter, const std::string& id, const std::string& relay, bool fresh);
--- a/lab/fleet_faults.cpp
+++ b/lab/fleet_faults.cpp
@@ -43,11 +43,7 @@
   }
   if (fault.kind >= FaultKind::kClockBack) return onMachine(relay, fault, begins);
   if (fault.kind == FaultKind::kTerm) {
-    if (!begins || relay.phase != Phase::kUp) return;
-    relay.phase = Phase::kDraining;
-    relay.drainsMs = witness_.nowMs();
-    witness_.see({.saw = Saw::kDown, .relay = relay.name, .status = kToldToEnd});
-    return relay.program->signal(SIGTERM);
+    return begins ? drain(relay) : void();
   }
   if (fault.kind == FaultKind::kDisk) relay.diskMb = begins ? fault.amount / 1024 : options_.diskMb;
   if (relay.phase != Phase::kAway && (begins || fault.kind == FaultKind::kDisk)) {
--- a/lab/fleet_machines.cpp
+++ b/lab/fleet_machines.cpp
@@ -102,9 +102,16 @@
       relay.shim->failNetwork(amount);
       return trouble(relay, kNetworkTrouble, begins);
     case FaultKind::kHeldUp:
-      return relay.shim->delayWrites(amount);
+      relay.shim->delayWrites(amount);
+      return trouble(relay, kHeldUpTrouble, begins);
+    case FaultKind::kStands:
+      return relay.shim->standInPoll(amount);
     case FaultKind::kReload:
       return reload(relay, fault, begins);
+    case FaultKind::kSignals:
+      return begins ? signalInSeries(relay, static_cast<int>(fault.amount)) : void();
+    case FaultKind::kCrowd:
+      return begins ? crowd(relay, static_cast<int>(fault.amount)) : void();
     case FaultKind::kDiscovery:
       relay.directory->become(begins ? directoryMode(fault.amount) : Directory::Mode::kUp);
       if (!begins) relay.otherDirectory->become(Directory::Mode::kUp);
@@ -137,22 +144,63 @@
   hangUp(relay);
 }
 
+void FleetOfProcesses::drain(Relay& relay) {
+  if (relay.phase != Phase::kUp) return;
+  relay.phase = Phase::kDraining;
+  relay.drainsMs = witness_.nowMs();
+  witness_.see({.saw = Saw::kDown, .relay = relay.name, .status = kToldToEnd});
+  relay.program->signal(SIGTERM);
+}
+
+void FleetOfProcesses::signalInSeries(Relay& relay, int series) {
+  constexpr double kTermSeriesMs = 25, kHangUpSeriesMs = 10;
+  const double now = witness_.nowMs();
+  if (series == 1) {
+    if (relay.phase != Phase::kUp) return;
+    drain(relay);
+    relay.signals = {{now + kTermSeriesMs, SIGHUP}, {now + 2 * kTermSeriesMs, SIGTERM}};
+    return;
+  }
+  for (int i = 0; i < 5; ++i) relay.signals.emplace(now + i * kHangUpSeriesMs, SIGHUP);
+}
+
+void FleetOfProcesses::sendDueSignals(Relay& relay) {
+  while (!relay.signals.empty() && relay.signals.begin()->first <= witness_.nowMs()) {
+    const int signal = relay.signals.extract(relay.signals.begin()).mapped();
+    const bool runs = relay.phase == Phase::kUp || relay.phase == Phase::kDraining;
+    if (runs) relay.program->signal(signal);
+  }
+}
+
+void FleetOfProcesses::crowd(const Relay& relay, int messages) {
+  constexpr std::uint64_t kLeastMs = 1000, kSpreadMs = 4000;
+  for (int i = 0; i < messages; ++i) {
+    const std::uint64_t drawn = random_();
+    FleetClients::Letter letter;
+    letter.cls = kClasses.at(drawn % kClasses.size());
+    letter.destination = kFirstDestination + static_cast<int>((drawn >> 8) % kDestinations);
+    letter.timeMs = static_cast<double>(kLeastMs + (drawn >> 16) % kSpreadMs);
+    clients_->hand(std::move(letter), relay.name);
+  }
+}
+
 void FleetOfProcesses::hangUp(const Relay& relay) const {
   if (relay.phase == Phase::kUp || relay.phase == Phase::kStarting || relay.phase == Phase::kDraining)
     relay.program->signal(SIGHUP);
 }
 
 std::string FleetOfProcesses::shimCounts() const {
-  std::uint64_t calls = 0, disk = 0, delays = 0;
+  std::uint64_t calls = 0, disk = 0, delays = 0, stands = 0;
   for (const auto& relay : relays_) {
     if (!relay->shim) continue;
     calls += relay->shim->page().failedCalls;
     disk += relay->shim->page().failedDisk;
     delays += relay->shim->page().delays;
+    stands += relay->shim->page().stands;
   }
   std::ostringstream text;
   text << "shims: calls failed " << calls << ", changes of the disk failed " << disk << ", writes delayed "
-       << delays << '\n';
+       << delays << ", stood in polls " << stands << '\n';
   return text.str();
 }
 
--- a/lab/fleet_of_processes.cpp
+++ b/lab/fleet_of_processes.cpp
@@ -19,8 +19,6 @@
 
 namespace fs = std::filesystem;
 
-constexpr std::array<const char*, 3> kClasses = {"status-update", "caption-order", "billing-charge"};
-constexpr int kFirstDestination = 7, kDestinations = 3;
 constexpr double kStartMs = 20000, kMostMs = 600000;
 constexpr double kKillAfterMs = 3700;  // PROTOCOL's
 constexpr double kFrontMs = 300, kProxyOrderMs = 50;
@@ -36,6 +34,7 @@
                     {kClasses[1], {Idempotency::kIdempotentWithKey, false, options_.windowMs}},
                     {kClasses[2], {Idempotency::kNonIdempotent, false, 0}}};  // as kSiteSettings has them
   rules_.slackMs = options_.slackMs;
+  rules_.waitSlackMs = options_.waitSlackMs;
   rules_.shortOutageMs = options_.shortOutageMs;
   if (options_.proxies) rules_.proxyOrderMs = kProxyOrderMs;
   for (int i = 1; i <= options_.relays; ++i) names_.push_back("n" + std::to_string(i));
@@ -139,6 +138,7 @@
     end(relay);
     relay.startAtMs = now + kStartAfterMs;
   }
+  sendDueSignals(relay);
   lookAfter(relay);
   if (relay.phase == Phase::kAway && relay.startAtMs > 0 && now >= relay.startAtMs) start(relay);
 }
--- a/lab/fleet_of_processes.h
+++ b/lab/fleet_of_processes.h
@@ -42,6 +42,7 @@
   double trafficMs = 5000, perSecond = 60;  // messages of all three classes, at any relay and destination
   double messageMs = 6000;                  // their time
   double slackMs = 1500;                    // AuditRules::slackMs
+  double waitSlackMs = -1;                  // AuditRules::waitSlackMs
   double perEndpoint = 60;                  // calls a second that an endpoint takes from all relays together
   double endpointMs = 0;                    // above 0: endpoints answer after so long
   double diskMb = 16;
@@ -87,6 +88,8 @@
  private:
   static constexpr double kToldMs = 6000, kStartAfterMs = 600;  // PROTOCOL's
   static constexpr double kAskEveryMs = 20;
+  static constexpr std::array<const char*, 3> kClasses = {"status-update", "caption-order", "billing-charge"};
+  static constexpr int kFirstDestination = 7, kDestinations = 3;
   static std::string freeAddress();
   enum class Phase : std::uint8_t { kAway, kStarting, kUp, kStopped, kDraining };
   struct Relay {
@@ -102,7 +105,8 @@
     std::unique_ptr<RudeClients> rude;
     std::unique_ptr<Program> program;
     double drainsMs = 0, startAtMs = 0, toldAtMs = 0;
-    std::set<std::string> untold;  // endpoints that its directory tells to drain
+    std::multimap<double, int> signals;  // still to be sent, by when
+    std::set<std::string> untold;        // endpoints that its directory tells to drain
   };
 
   std::string config(const Relay& relay) const;
@@ -115,6 +119,11 @@
   void reload(Relay& relay, const Fault& fault, bool begins);
   void moveDirectory(Relay& relay);
   void hangUp(const Relay& relay) const;
+  // SIGTERM, unless it is not up.
+  void drain(Relay& relay);
+  void signalInSeries(Relay& relay, int series);
+  void sendDueSignals(Relay& relay);
+  void crowd(const Relay& relay, int messages);
   void onEndpoint(FleetEndpoint& endpoint, const Fault& fault, bool begins);
   // Its process may have ended by itself.
   void lookAfter(Relay& relay);
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kSlackMs = 500, kWindowMs = 2500;
+constexpr double kWaitSlackMs = 50;  // PROTOCOL's of every time limit on sockets
 constexpr double kLeastMessageMs = 700, kMostMessageMs = 6000;
 constexpr int kReusedOfTen = 6, kBurst = 5, kHastyOfHundred = 8;
 // A wait counts from the moment in which it was told. Behind a proxy, or a proxy's reset, it may not have
@@ -20,6 +21,7 @@
     FaultKind::kTerm,      FaultKind::kStop,         FaultKind::kClockBack, FaultKind::kClockBack,
     FaultKind::kClockBack, FaultKind::kClockForward, FaultKind::kDiskFails, FaultKind::kDiskFails,
     FaultKind::kDiskFails, FaultKind::kCallsFail,    FaultKind::kCallsFail, FaultKind::kHeldUp,
+    FaultKind::kStands,    FaultKind::kStands,       FaultKind::kSignals,   FaultKind::kSignals,
     FaultKind::kReload,    FaultKind::kDiscovery,    FaultKind::kRude,      FaultKind::kRefuse,
     FaultKind::kDrop,      FaultKind::kSilent,       FaultKind::kSlow,      FaultKind::kError,
     FaultKind::kTurnAway,  FaultKind::kWait,         FaultKind::kDrain,     FaultKind::kSpoilt,
@@ -77,6 +79,51 @@
     plan.faults.push_back({fromMs, FaultKind::kSilent, endpoint, kAwayMs, 0});
 }
 
+// While an endpoint states waits, relays stand in their polls: an answer that lies unread must forbid a call.
+constexpr double kStandsOfThousand = 500;
+constexpr std::size_t kStandingRelays = 3;
+constexpr double kWaitEveryMs = 600, kWaitForMs = 400;
+
+void addWaits(FaultPlan& plan, double lengthMs) {
+  std::erase_if(plan.faults, [](const Fault& fault) { return fault.kind == FaultKind::kWait; });
+  for (double atMs = kWaitEveryMs; atMs + kWaitForMs <= lengthMs; atMs += kWaitEveryMs)
+    plan.faults.push_back({atMs, FaultKind::kWait, kWaitingEndpoint, kWaitForMs, 0});
+}
+
+std::vector<Fault> standsDuringWaits(const FaultPlan& plan, const std::vector<std::string>& relays) {
+  std::vector<Fault> stands;
+  for (const Fault& wait : plan.faults) {
+    if (wait.kind != FaultKind::kWait) continue;
+    for (std::size_t i = 0; i < std::min(kStandingRelays, relays.size()); ++i)
+      stands.push_back({wait.atMs, FaultKind::kStands, relays.at((plan.seed + i) % relays.size()), wait.forMs,
+                        kStandsOfThousand});
+  }
+  return stands;
+}
+
+// In every third play a crowd comes to one relay, whose folder fails before their time is up, and which is
+// killed soon after.
+constexpr std::uint64_t kCrowdOfSeeds = 3;
+constexpr double kCrowdMessages = 200;
+constexpr double kCrowdFromMs = 3000, kFolderFailsAfterMs = 700, kFolderFailsForMs = 2500;
+constexpr double kCrowdKillAfterMs = 2600;
+constexpr std::uint64_t kCrowdSpreadMs = 3000;
+
+void addCrowd(FaultPlan& plan, const std::vector<std::string>& relays) {
+  if (plan.seed % kCrowdOfSeeds != 0) return;
+  const std::string& relay = relays.at(plan.seed / kCrowdOfSeeds % relays.size());
+  const double fromMs = kCrowdFromMs + static_cast<double>(plan.seed * 613 % kCrowdSpreadMs);
+  const double toMs = fromMs + kCrowdKillAfterMs + kKilledForMs;
+  std::erase_if(plan.faults, [&](const Fault& fault) {
+    return fault.target == relay && fault.atMs <= toMs && fromMs <= fault.atMs + fault.forMs;
+  });
+  const auto fails = static_cast<double>(DiskFault::kIoError);
+  plan.faults.push_back({fromMs, FaultKind::kCrowd, relay, 0, kCrowdMessages});
+  plan.faults.push_back(
+      {fromMs + kFolderFailsAfterMs, FaultKind::kDiskFails, relay, kFolderFailsForMs, fails});
+  plan.faults.push_back({fromMs + kCrowdKillAfterMs, FaultKind::kKill, relay, kKilledForMs, 0});
+}
+
 bool isLink(const Fault& fault) { return fault.target.find('>') != std::string::npos; }
 bool reaches(const Fault& fault, const std::string& endpoint) {
   return fault.target == endpoint || fault.target.ends_with(">" + endpoint);
@@ -100,8 +147,6 @@
 
 FaultPlan soakPlan(const FleetOfProcesses& fleet, std::uint64_t seed, int faults) {
   FaultPlan plan = drawPlan(seed, fleet.shape(kKinds, faults));
-  for (Fault& fault : plan.faults)
-    if (fault.kind == FaultKind::kWait) fault.target = kWaitingEndpoint;
   std::erase_if(plan.faults, [](const Fault& fault) {
     const bool mayLoseWaits =
         isLink(fault) || (fault.kind != FaultKind::kWait && fault.kind != FaultKind::kDrain);
@@ -109,6 +154,11 @@
   });
   takeAway(plan);
   for (const Fault& kill : killsUnderTrouble(plan)) plan.faults.push_back(kill);
+  const PlanShape shape = fleet.shape(kKinds, faults);
+  const std::vector<std::string>& relays = shape.relays;
+  addWaits(plan, shape.lengthMs);
+  addCrowd(plan, relays);
+  for (const Fault& stand : standsDuringWaits(plan, relays)) plan.faults.push_back(stand);
   std::stable_sort(plan.faults.begin(), plan.faults.end(),
                    [](const Fault& a, const Fault& b) { return a.atMs < b.atMs; });
   return plan;
@@ -122,6 +172,7 @@
                           .perSecond = options.perSecond,
                           .messageMs = kMostMessageMs,
                           .slackMs = kSlackMs,
+                          .waitSlackMs = kWaitSlackMs,
                           .perEndpoint = options.perSecond,
                           .shim = options.shim,
                           .proxies = true,
