--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -107,9 +107,8 @@
   }
 }
 
-// An answer that began and does not go on holds a slot of the endpoint and one of ours, up to 28 s for a
-// request that is never called off: a length that promises more than comes was seen to shut a route for so
-// long.
+// An answer that began and does not go on, as behind a length that promises more than comes, holds a slot of
+// the endpoint and one of ours.
 void ClientConnection::armRest() {
   if (!answerBegun())
     return loop_.cancel(restTimer_);  // an interim answer at most: the real one may take long
--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -26,10 +26,10 @@
 }  // namespace
 
 void Notices::add(const std::string& id, FinalStatus verdict, double waitMs) {
-  std::string line = "{\"ref\":" + json::quote(id);
-  line += verdict == FinalStatus::kFailed ? ",\"result\":\"dead\"" : ",\"result\":\"bounced\"";
+  std::string line = R"({"ref":)" + json::quote(id);
+  line += verdict == FinalStatus::kFailed ? R"(,"result":"dead")" : R"(,"result":"bounced")";
   if (verdict == FinalStatus::kReturned && waitMs > 0)
-    line += ",\"wait_ms\":" + std::to_string(static_cast<std::int64_t>(std::ceil(waitMs)));
+    line += R"(,"wait_ms":)" + std::to_string(static_cast<std::int64_t>(std::ceil(waitMs)));
   waiting_.push_back({id, line + "}\n"});
   if (posted_ == 0 && timer_ == Loop::kNoTimer) again(0);  // those of one batch go together
 }
--- a/src/notices/notices.h
+++ b/src/notices/notices.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "counters/counters.h"
@@ -21,7 +22,7 @@
   using Confirmed = std::function<void(const std::string& id)>;
 
   Notices(Loop& loop, const Address& platform, Counters& counters, Log log)
-      : loop_(loop), platform_(platform), counters_(counters), log_(log) {}
+      : loop_(loop), platform_(platform), counters_(counters), log_(std::move(log)) {}
 
   void onConfirmed(Confirmed confirmed) { confirmed_ = std::move(confirmed); }
   void add(const std::string& id, FinalStatus verdict, double waitMs);
--- a/src/outbound/answers.cpp
+++ b/src/outbound/answers.cpp
@@ -43,9 +43,9 @@
   std::string out = "[";
   for (const CallItem& item : items) {
     if (out.size() > 1) out += ',';
-    out += "{\"id\":" + json::quote(item.id);
-    if (!item.key.empty()) out += ",\"key\":" + json::quote(item.key);
-    out += ",\"body\":\"" + base64(item.body) + "\"}";
+    out += R"({"id":)" + json::quote(item.id);
+    if (!item.key.empty()) out += R"(,"key":)" + json::quote(item.key);
+    out += R"(,"body":")" + base64(item.body) + R"("})";
   }
   return out += ']';
 }
--- a/src/outbound/idle_connections.cpp
+++ b/src/outbound/idle_connections.cpp
@@ -40,9 +40,10 @@
     at = at->second.empty() ? idle_.erase(at) : std::next(at);
   }
   for (; count > most_; --count) {
-    const auto longest = std::min_element(idle_.begin(), idle_.end(), [](const auto& a, const auto& b) {
-      return a.second.front().sinceMs < b.second.front().sinceMs;
-    });
+    const auto longest =
+        std::min_element(idle_.begin(), idle_.end(), [](const auto& left, const auto& right) {
+          return left.second.front().sinceMs < right.second.front().sinceMs;
+        });
     longest->second.erase(longest->second.begin());
     if (longest->second.empty()) idle_.erase(longest);
   }
@@ -51,7 +52,8 @@
 void IdleConnections::reconsider(const EndpointTable& set) {
   for (auto& [uid, idle] : idle_) {
     const EndpointRecord* endpoint = set.find(uid);
-    std::erase_if(idle, [&](const Idle& i) { return !endpoint || i.address != endpoint->address.text; });
+    std::erase_if(idle,
+                  [&](const Idle& each) { return !endpoint || each.address != endpoint->address.text; });
   }
 }
 
--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -39,7 +39,7 @@
 }
 
 // The module counts a call for what it sends to an endpoint in one batch, but bodies that are long together
-// need several. (Six slots, and eight calls out: the endpoints turned the surplus away, which cost attempts.)
+// need several.
 void Outbound::beginNext() {
   const auto out = [this] { return calls_.size() - waiting_.size(); };
   while (!waiting_.empty() && (limits_.callSlots == 0 || out() < limits_.callSlots))
@@ -64,7 +64,7 @@
 void Outbound::write(std::uint64_t number) {
   Call& call = calls_.at(number);
   call.connection->send(
-      bytesOf(call), [this, number](ClientConnection::Result r) { onResult(number, std::move(r)); },
+      bytesOf(call), [this, number](const ClientConnection::Result& result) { onResult(number, result); },
       [this, number] {
         const Call& leaving = calls_.at(number);
         return listener_->mayLeave({number, leaving.uid, leaving.address, leaving.items});
@@ -118,9 +118,7 @@
 }
 
 // A connection may take seconds to come up, or an endpoint to read on, and the wait binds what arrives then.
-// (A call whose first SYN was lost arrived 1.1 s after it was decided, inside a wait that another call had
-// been told meanwhile.) A call counts once its last byte has arrived: of which a byte is missing, nothing has
-// run.
+// A call counts once its last byte has arrived: of which a byte is missing, nothing has run.
 void Outbound::recall(const std::function<bool(const std::string&)>& bound) {
   std::vector<std::uint64_t> back;
   for (const auto& [number, call] : calls_)
@@ -140,7 +138,7 @@
   Call& call = calls_.at(number);
   const auto soonest =
       std::min_element(call.items.begin(), call.items.end(),
-                       [](const auto& a, const auto& b) { return a.leaveByMs < b.leaveByMs; });
+                       [](const auto& left, const auto& right) { return left.leaveByMs < right.leaveByMs; });
   if (soonest->leaveByMs == std::numeric_limits<double>::infinity()) return;
   call.leaveTimer = loop_.after(soonest->leaveByMs - loop_.nowMs(), [this, number] {
     const ClientConnection* connection = calls_.at(number).connection.get();
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -111,7 +111,7 @@
   void armCap(std::uint64_t number);
   void onCap(std::uint64_t number);
   void armLeave(std::uint64_t number);
-  void onResult(std::uint64_t number, ClientConnection::Result result);
+  void onResult(std::uint64_t number, const ClientConnection::Result& result);
   // Ends a call that had no answer; where its last byte was not written it cannot have run. Else it parts: an
   // answer that was written before the endpoint learns of it may tell a wait, which binds, or a delivery.
   void giveUp(std::uint64_t number, Outcome outcome);
--- a/src/outbound/outbound_ends.cpp
+++ b/src/outbound/outbound_ends.cpp
@@ -23,12 +23,13 @@
 
 // A bulk call has one fate. What has not left must not leave any more once its time is up, for its request
 // may be refused to its client: it is taken out of a call of which no byte is written, and the others go on.
-// A call that has begun is given up whole with the first of its requests whose time is up: answered after one
-// of them was ended, it was seen to count as no delivery for the others either, left without an end.
+// A call that has begun is given up whole with the first of its requests whose time is up: its answer would
+// count as no delivery for the others either.
 void Outbound::armCap(std::uint64_t number) {
   Call& call = calls_.at(number);
-  const auto soonest = std::min_element(call.items.begin(), call.items.end(),
-                                        [](const auto& a, const auto& b) { return a.capMs < b.capMs; });
+  const auto soonest =
+      std::min_element(call.items.begin(), call.items.end(),
+                       [](const auto& left, const auto& right) { return left.capMs < right.capMs; });
   const double left = call.startedMs + soonest->capMs - loop_.nowMs();
   call.capTimer = loop_.after(left, [this, number] { onCap(number); });
 }
@@ -90,7 +91,7 @@
   });
 }
 
-void Outbound::onResult(std::uint64_t number, ClientConnection::Result result) {
+void Outbound::onResult(std::uint64_t number, const ClientConnection::Result& result) {
   Call call = takeOff(number);
   if (result.end == ClientConnection::End::kHeldBack)
     return reportAll(call, {"", Outcome::kNotSent, false, 0}, {});
@@ -121,9 +122,9 @@
 }
 
 void Outbound::report(const Call& call, std::vector<CallOutcome> outcomes, const LoadReport& told) {
-  for (CallOutcome& o : outcomes) {
-    o.parted = call.parting.has_value();
-    ++counters_.outcomes.at(static_cast<std::size_t>(o.outcome));
+  for (CallOutcome& outcome : outcomes) {
+    outcome.parted = call.parting.has_value();
+    ++counters_.outcomes.at(static_cast<std::size_t>(outcome.outcome));
   }
   listener_->onOutcomes(call.uid, outcomes, told);
 }
--- a/src/policy/upstream.cpp
+++ b/src/policy/upstream.cpp
@@ -1,5 +1,8 @@
 #include "policy/upstream.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include "state/request.h"
 
 namespace myrtleloft::policy {
@@ -31,12 +34,12 @@
 }
 
 double Upstream::waitingSinceFailure() const {
-  double count = 0;
-  for (auto at = traffic_->queue.rbegin(); at != traffic_->queue.rend(); ++at) {
-    if (at->second->arrivalBatch < slowStart_.firstFailureBatch()) break;
-    ++count;
-  }
-  return count;
+  const auto& queue = traffic_->queue;
+  const auto isOlder = [this](const auto& waiting) {
+    return waiting.second->arrivalBatch < slowStart_.firstFailureBatch();
+  };
+  return static_cast<double>(
+      std::distance(queue.rbegin(), std::find_if(queue.rbegin(), queue.rend(), isOlder)));
 }
 
 double Upstream::availableAtMs(BatchContext& batch) {
