Log for how long a request lay unread, its time left, and how late its notification was

Cause: a relay's log could not tell a request that was read late from one whose notification was posted late. Change: request.received and request.notified, left_ms in request.completed; a line "counters times" with requests read late, the longest that one lay unread, the longest delay of a timer and overdue notifications. When a request came is known by TCP_INFO (tcpi_last_data_recv), also of what waited in the backlog; by the last poll that saw its connection quiet where the system does not tell or more bytes stand behind it. Nothing is decided by it yet.

--- a/src/exchange/completions.cpp
+++ b/src/exchange/completions.cpp
@@ -8,6 +8,9 @@
 namespace myrtleloft {
 namespace {
 
+// PROTOCOL, "The rules on sockets": how long after its deadline a request may be without its final status.
+constexpr double kNotificationLimitMs = 300;
+
 // The log's word for a final status.
 const char* wordOf(FinalStatus status) { return status == FinalStatus::kFailed ? "dead" : "bounced"; }
 
@@ -48,7 +51,7 @@
     retryAfterMs = 0;
     recorded = parts_.journal.recordFinalStatus(request.pending, status, retryAfterMs);
   }
-  parts_.trace.ended(request.pending.id, wordOf(status), retryAfterMs, recorded);
+  parts_.trace.ended(request.pending.id, wordOf(status), retryAfterMs, recorded, request.deadlineMs - nowMs);
   if (recorded || isOverdue) return parts_.notifications.add(request.pending.id, status, retryAfterMs);
   ++parts_.counters.journalFaults;
   unnotified_.push_back(request.handle());
@@ -106,6 +109,16 @@
   parts_.sends.drop(id);
 }
 
+void Completions::onConfirmed(const std::string& id) {
+  if (const OpenRequest* const request = parts_.requests.find(id)) {
+    const double lateMs = parts_.loop.nowMs() - request->deadlineMs;
+    if (lateMs > kNotificationLimitMs) ++parts_.counters.overdueNotices;
+    parts_.counters.maxNoticeLateMs = std::max(parts_.counters.maxNoticeLateMs, lateMs);
+    parts_.trace.notified(id, lateMs);
+  }
+  close(id);
+}
+
 void Completions::answerPendingRejections() {
   for (const PendingRejection& rejection : std::exchange(unrejected_, {})) {
     OpenRequest* const request = parts_.requests.find(rejection.request);
--- a/src/exchange/completions.h
+++ b/src/exchange/completions.h
@@ -49,6 +49,8 @@
   // A request whose client has no 202 yet is over: the client gets `answer` once no process will find the
   // request pending. Until then it stays open, unanswered. It may be gone afterwards.
   void rejectOnceRecorded(OpenRequest& request, FinalStatus status, const Answer& answer);
+  // The platform has confirmed the notification of that request: counts how late it was, and closes it.
+  void onConfirmed(const std::string& id);
   // Nothing is left to do for an open request: records that and forgets it. `id` must not be a part of it.
   void close(const std::string& id);
   // The process ends: clients whose rejection still waits for its record get a 202, as the next process will
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -18,7 +18,8 @@
   int classIndex = 0;
   int tenant = 0;
   std::int64_t destination = 0;
-  double timeLeftMs = 0;  // until its deadline
+  double arrivedMs = 0;   // when its last byte came, on the loop's clock; it may have lain unread since
+  double timeLeftMs = 0;  // from then until its deadline
   bool isRetry = false;   // the client says that it has sent it before
 };
 
--- a/src/exchange/request_manager.h
+++ b/src/exchange/request_manager.h
@@ -54,7 +54,7 @@
   void recover(Recovered found, EndpointListEvent known);
   void onList(EndpointListEvent event);
   // The platform has confirmed the notification of that request.
-  void onConfirmed(const std::string& id) { completions_.close(id); }
+  void onConfirmed(const std::string& id) { completions_.onConfirmed(id); }
   // The journal's syncer has something to collect.
   void onSynced();
   // From now on the module decides nothing more, and no call leaves: calls in flight are seen to their
--- a/src/inbound/inbound.cpp
+++ b/src/inbound/inbound.cpp
@@ -74,6 +74,7 @@
     loop_.watch(fd.get(), POLLIN, [this, number](short revents) { onEvents(number, revents); });
     Connection& c = connections_[number];
     c.fd = std::move(fd);
+    c.arrivals = ArrivalTimes(loop_.quietAtMs(listener_.get()));
     c.sinceMs = loop_.nowMs();
   }
 }
--- a/src/inbound/inbound.h
+++ b/src/inbound/inbound.h
@@ -10,6 +10,7 @@
 
 #include "counters/counters.h"
 #include "exchange/request.h"
+#include "inbound/arrival_times.h"
 #include "inbound/close_reason.h"
 #include "inbound/read_request.h"
 #include "log/request_trace.h"
@@ -55,6 +56,8 @@
     double sinceMs = 0;       // when its present patience began
     std::string waiting;      // id of the request that is not answered yet
     std::size_t held = 0;     // bytes of its request
+    ArrivalTimes arrivals;
+    double requestMs = 0;  // when the last byte of its latest whole request came
     // A whole request, and since when, while what has come behind it may be one more or the rest of a body.
     std::optional<HttpMessage> unsure;
     double unsureMs = 0;
--- a/src/inbound/inbound_serving.cpp
+++ b/src/inbound/inbound_serving.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr const char* kFullComeBackS = "1.000";  // with no memory for a request
+// A request that lay unread for longer counts as read late: as long as the loop's poll may be old.
+constexpr double kReadLateMs = Loop::kMaxPollAgeMs;
 
 }  // namespace
 
@@ -38,8 +40,10 @@
   Connection& c = connections_.at(number);
   // A request's time runs from its first bytes: a client that trickles must not hold a connection for ever.
   if (c.stage() == Stage::kIdle) c.sinceMs = loop_.nowMs();
+  c.arrivals.beforeRead({loop_.nowMs(), loop_.quietAtMs(c.fd.get()), lastArrivalAgeMs(c.fd)});
   const Io io = readSome(c.fd, c.reader.buffer());
   if (io == Io::kWouldBlock) return;
+  c.arrivals.afterRead(!hasUnreadBytes(c.fd));
   if (io == Io::kFailed) return onReset(number);
   if (io == Io::kClosed) return onHalfClose(number);
   if (c.lingering) {
@@ -108,6 +112,7 @@
     }
     if (state == HttpReader::State::kBad) return refuse(number, c.reader.errorStatus());
     c.unsureMs = loop_.nowMs();
+    c.requestMs = c.arrivals.requestMs(c.reader.buffer().empty());
     onMessage(number, c.reader.take());
     if (!connections_.count(number) || !c.unsure) return;
   }
@@ -147,12 +152,17 @@
       break;
   }
   request->timeLeftMs = std::max(0.0, request->timeLeftMs - (loop_.nowMs() - c.unsureMs));
+  request->arrivedMs = c.requestMs;
   offer(number, std::move(*request));
 }
 
 void Inbound::offer(Number number, IncomingRequest request) {
   Connection& c = connections_.at(number);
   ++counters_.requests;
+  const double unreadMs = loop_.nowMs() - request.arrivedMs;
+  if (unreadMs > kReadLateMs) ++counters_.readLate;
+  counters_.maxUnreadMs = std::max(counters_.maxUnreadMs, unreadMs);
+  if (trace_) trace_->received(request.id, unreadMs, request.timeLeftMs - unreadMs);
   c.waiting = request.id;
   // One request is held of a client, and what was read with it, no more.
   loop_.setEvents(c.fd.get(), c.halfClosed || !c.reader.buffer().empty() ? 0 : POLLIN);
--- a/src/log/request_trace.cpp
+++ b/src/log/request_trace.cpp
@@ -4,6 +4,10 @@
 
 namespace myrtleloft {
 
+void RequestTrace::received(std::string_view id, double unreadMs, double leftMs) const {
+  if (on_) write("request.received", id, {{"unread_ms", unreadMs}, {"left_ms", leftMs}});
+}
+
 void RequestTrace::taken(std::string_view id) const {
   if (on_) write("request.accepted", id, {});
 }
@@ -21,8 +25,15 @@
   if (on_) write("request.outcome", id, {{"endpoint", endpoint}, {"outcome", outcome}, {"detail", detail}});
 }
 
-void RequestTrace::ended(std::string_view id, std::string_view status, double waitMs, bool recorded) const {
-  if (on_) write("request.completed", id, {{"status", status}, {"wait_ms", waitMs}, {"recorded", recorded}});
+void RequestTrace::ended(std::string_view id, std::string_view status, double waitMs, bool recorded,
+                         double leftMs) const {
+  if (!on_) return;
+  write("request.completed", id,
+        {{"status", status}, {"wait_ms", waitMs}, {"recorded", recorded}, {"left_ms", leftMs}});
+}
+
+void RequestTrace::notified(std::string_view id, double lateMs) const {
+  if (on_) write("request.notified", id, {{"late_ms", lateMs}});
 }
 
 void RequestTrace::closed(std::uint64_t connection, std::string_view reason, std::string_view id) const {
--- a/src/log/request_trace.h
+++ b/src/log/request_trace.h
@@ -6,11 +6,13 @@
 //   trace.outcome("9b1f", "s-5be2", "full", 250);
 //
 //   event             fields
+//   request.received  id, unread_ms, left_ms        how long it had lain unread; its time left
 //   request.accepted  id
 //   request.rejected  id, reason, wait_ms           before it was accepted
 //   request.called    id, endpoint, attempt         attempt > 0: a retry; why is in the outcome before it
 //   request.outcome   id, endpoint, outcome, detail
-//   request.completed id, status, wait_ms, recorded
+//   request.completed id, status, wait_ms, recorded, left_ms   of its time; below 0: after its deadline
+//   request.notified  id, late_ms                   the platform has confirmed it, so long after the deadline
 //   connection.closed connection, reason, id        a client's; id: of the request on it that is not answered
 //
 // No body and no idempotency key is in any of them. One thread; O(text).
@@ -28,12 +30,14 @@
  public:
   explicit RequestTrace(Log log) : log_(std::move(log)), on_(log_.writes(LogLevel::kDebug)) {}
 
+  void received(std::string_view id, double unreadMs, double leftMs) const;
   void taken(std::string_view id) const;
   void refused(std::string_view id, std::string_view reason, double waitMs) const;
   void called(std::string_view id, std::string_view endpoint, int attempt) const;
   void outcome(std::string_view id, std::string_view endpoint, std::string_view outcome,
                std::int64_t detail) const;
-  void ended(std::string_view id, std::string_view status, double waitMs, bool recorded) const;
+  void ended(std::string_view id, std::string_view status, double waitMs, bool recorded, double leftMs) const;
+  void notified(std::string_view id, double lateMs) const;
   void closed(std::uint64_t connection, std::string_view reason, std::string_view id) const;
 
  private:
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -12,7 +12,7 @@
 }  // namespace
 
 void Loop::watch(int fd, short events, Handler handler) {
-  watches_[fd] = Watch{events, ++lastSerial_, std::move(handler)};
+  watches_[fd] = Watch{events, ++lastSerial_, std::move(handler), kNeverMs};
 }
 
 void Loop::setEvents(int fd, short events) {
@@ -59,9 +59,22 @@
   polledAtMs_ = nowMs();
   const int ready = poll_(polled_.data(), polled_.size(), timeoutMs);
   if (ready < 0 && errno != EINTR) ::poll(nullptr, 0, kAfterErrorMs);  // no memory for it: not to spin
+  if (ready >= 0) recordQuiet();
   if (ready <= 0) polled_.clear();
 }
 
+void Loop::recordQuiet() {
+  for (const pollfd& polled : polled_) {
+    if ((polled.events & POLLIN) == 0 || (polled.revents & kReadEvents) != 0) continue;
+    watches_.at(polled.fd).quietAtMs = polledAtMs_;
+  }
+}
+
+double Loop::quietAtMs(int fd) const {
+  const auto at = watches_.find(fd);
+  return at == watches_.end() ? kNeverMs : at->second.quietAtMs;
+}
+
 void Loop::readIfPollIsOld() {
   if (!pollIsOld()) return;
   poll(0);
@@ -85,6 +98,8 @@
 void Loop::runTimers() {
   // Only those due now: a timer that sets itself again at once must not starve the descriptors.
   const Timer limit{nowMs(), lastSerial_};
+  if (!timers_.empty())
+    maxTimerDelayMs_ = std::max(maxTimerDelayMs_, limit.first - timers_.begin()->first.first);
   while (!timers_.empty() && timers_.begin()->first <= limit) {
     const auto action = std::move(timers_.begin()->second);
     timers_.erase(timers_.begin());
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -24,6 +24,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <utility>
 #include <vector>
@@ -44,6 +45,7 @@
   // The protocol lets a call through that arrives within 100 ms of an answer that forbids it; the rest of
   // that is for the way.
   static constexpr double kMaxPollAgeMs = 20;
+  static constexpr double kNeverMs = -std::numeric_limits<double>::infinity();
   // As poll(2).
   using PollFunction = int (*)(pollfd* descriptors, nfds_t count, int timeoutMs);
 
@@ -68,6 +70,11 @@
   void runOnce();
   // On the clock that only goes forward.
   double nowMs() const { return clock_.steadyMs(); }
+  // The latest moment of which it is known that nothing lay unread at `fd`: when the last poll began that
+  // watched it for reading and did not report it; before the first, kNeverMs.
+  double quietAtMs(int fd) const;
+  // The longest by which a timer ran late, in ms: the process stood still, or a turn took long.
+  double maxTimerDelayMs() const { return maxTimerDelayMs_; }
   // Whether the last poll began longer ago than kMaxPollAgeMs: something may have come that nobody has read.
   bool pollIsOld() const { return nowMs() - polledAtMs_ > kMaxPollAgeMs; }
 
@@ -76,10 +83,13 @@
     short events = 0;
     std::uint64_t serial = 0;
     Handler handler;
+    double quietAtMs = kNeverMs;
   };
 
   int waitMs() const;
   void poll(int timeoutMs);
+  // After a poll that did not fail: notes of each descriptor watched for reading that it was quiet.
+  void recordQuiet();
   // Hands out the last poll's events, of those in `mask`.
   void dispatch(short mask);
   // Where the last poll is old: polls without waiting, and hands out what can be read.
@@ -93,6 +103,7 @@
   std::vector<pollfd> polled_;
   std::vector<std::uint64_t> serials_;  // of the watches in `polled_`
   double polledAtMs_ = 0;               // when the last poll began
+  double maxTimerDelayMs_ = 0;
   std::uint64_t lastSerial_ = 0;
 };
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -3,11 +3,13 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <cstddef>
 #include <cstring>
 
 namespace myrtleloft {
@@ -142,6 +144,19 @@
   return Io::kProgress;
 }
 
+std::optional<double> lastArrivalAgeMs(const Fd& fd) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(fd.get(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
+  if (size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv) return std::nullopt;
+  return info.tcpi_last_data_recv;
+}
+
+bool hasUnreadBytes(const Fd& fd) {
+  int bytes = 0;
+  return ::ioctl(fd.get(), FIONREAD, &bytes) != 0 || bytes > 0;
+}
+
 bool hasInput(const Fd& fd) {
   char byte = 0;
   const ssize_t got = ::recv(fd.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -67,6 +67,12 @@
 void discardInput(const Fd& fd, std::size_t most);
 // Writes from `bytes` at `offset`, and moves `offset`.
 Io writeSome(const Fd& fd, std::string_view bytes, std::size_t& offset);
+// How long ago the last bytes of a TCP connection came, in ms, whether they were read or not and whether the
+// connection was accepted by then or lay in the backlog; before any bytes, how long ago it was established.
+// Nothing where the system does not tell. Source: TCP_INFO, tcpi_last_data_recv (man 7 tcp).
+std::optional<double> lastArrivalAgeMs(const Fd& fd);
+// Whether bytes wait to be read; the peer's close alone does not count. true where the system does not tell.
+bool hasUnreadBytes(const Fd& fd);
 // Whether anything waits to be read: bytes, or the peer's close.
 bool hasInput(const Fd& fd);
 
--- a/src/relay/relay_process.h
+++ b/src/relay/relay_process.h
@@ -90,6 +90,7 @@
   bool takeSignals();
   void onSignal();
   void reload();
+  void printTimeCounters(std::ostream& out) const;
   void printJournalCounters(std::ostream& out) const;
   void printEndpointCounters(std::ostream& out) const;
   void printQuotaCounters(std::ostream& out) const;
--- a/src/relay/relay_process_counters.cpp
+++ b/src/relay/relay_process_counters.cpp
@@ -1,5 +1,6 @@
 // The counters as a relay prints them at SIGUSR1 and at its end. Operators' tools read their names, which
 // docs/operators/log.md lists.
+#include <cmath>
 #include <cstdint>
 #include <sstream>
 
@@ -16,6 +17,7 @@
 void RelayProcess::printCounters() const {
   std::ostringstream out;
   counters_.print(out);
+  printTimeCounters(out);
   printJournalCounters(out);
   printEndpointCounters(out);
   if (quotas_.on()) printQuotaCounters(out);
@@ -23,6 +25,14 @@
   log_.pairs(out.str());
 }
 
+void RelayProcess::printTimeCounters(std::ostream& out) const {
+  out << "counters times: read-late=" << counters_.readLate
+      << " max-unread-ms=" << std::llround(counters_.maxUnreadMs)
+      << " max-timer-delay-ms=" << std::llround(loop_.maxTimerDelayMs())
+      << " overdue-notices=" << counters_.overdueNotices
+      << " max-notice-late-ms=" << std::llround(counters_.maxNoticeLateMs) << '\n';
+}
+
 void RelayProcess::printJournalCounters(std::ostream& out) const {
   const JournalStatistics& statistics = journal_.statistics();
   const DiskUsage usage = journal_.usage();
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -169,3 +169,29 @@
   CHECK(scene.seen == Seen{"read reader"});
   CHECK(polls == 3);
 }
+
+TEST_CASE("a descriptor was quiet when the last poll began that watched it and did not report it") {
+  LoopScene scene;
+  const Pipe pipe;
+  CHECK(scene.loop.quietAtMs(pipe.here.get()) == Loop::kNeverMs);
+  scene.watchReader(pipe, "a");
+  scene.clock.nowMs = 100;
+  scene.turn();
+  CHECK(scene.loop.quietAtMs(pipe.here.get()) == 100);
+  scene.clock.nowMs = 200;
+  pipe.fill();
+  scene.turn();
+  CHECK(scene.loop.quietAtMs(pipe.here.get()) == 100);
+  scene.loop.setEvents(pipe.here.get(), 0);  // not watched for reading, so nothing is known of it
+  scene.clock.nowMs = 300;
+  scene.turn();
+  CHECK(scene.loop.quietAtMs(pipe.here.get()) == 100);
+}
+
+TEST_CASE("the longest delay of a timer tells for how long the process stood") {
+  LoopScene scene;
+  scene.loop.after(10, [] {});
+  scene.clock.nowMs = 10 + kStandsMs;
+  scene.turn();
+  CHECK(scene.loop.maxTimerDelayMs() == kStandsMs);
+}
