Add a failing test: notifications of requests that lay unread are late by that time

Cause: Admission::open counts a request's time from the moment at which it was read. Change: unread_requests plays one real relay with an endpoint that never answers: SIGSTOP for 350 ms, 60 requests meanwhile, half of them on open connections; a request behind another and one whose last half lay unread; 300 silent connections, 256 descriptors and a platform that hangs once; SIGKILL behind the 202. The bound is the protocol's 300 ms.

--- a/lab/stand_ins.cpp
+++ b/lab/stand_ins.cpp
@@ -121,6 +121,10 @@
     asked_[from] = {steadyMs() + (mode_ == Mode::kSlow ? slowMs : 0), argument(m.start, "after")};
     return;
   }
+  if (hangs > 0) {
+    --hangs;
+    return;
+  }
   std::istringstream lines(m.body);
   for (std::string line; std::getline(lines, line);) {
     notices_.emplace(member(line, "ref"), member(line, "result"));
--- a/lab/stand_ins.h
+++ b/lab/stand_ins.h
@@ -96,6 +96,7 @@
 
   double slowMs = 500;
   bool confirms = true;  // as platform; else notices that come get no answer
+  int hangs = 0;         // as platform: so many of the next posts are neither taken nor answered
   // Told of each line that the platform takes, also of one that was there before.
   std::function<void(const std::string& id, const std::string& result)> noticed;
 
--- /dev/null
+++ b/tests/integration/unread_requests_test.cpp
@@ -0,0 +1,153 @@
+// Requests that lie unread for a while, as their relay stands still or has no room for their connections.
+// Their time runs from when their clients sent them, and so does that of their notifications.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "tests/integration/shimmed_site.h"
+
+using namespace myrtleloft::lab;
+
+namespace {
+
+// PROTOCOL: a client waits so long for its 202; so long after a request's time is up its notification is due.
+constexpr int kPatienceMs = 400;
+constexpr double kNotificationLimitMs = 300;
+
+constexpr int kStandsMs = 350;  // 50 ms before clients give up
+constexpr int kRequests = 60;   // half of what the settings allow to be pending
+constexpr double kLeastS = 1.0, kSpreadS = 1.8;
+
+double secondsOf(int request) { return kLeastS + kSpreadS * (request * 7 % kRequests) / kRequests; }
+std::string idOf(int request) { return "m" + std::to_string(request); }
+
+std::string postOf(const std::string& id, double timeS) {
+  return "POST /status-update HTTP/1.1\r\nX-Request-ID: " + id + "\r\nX-Timeout: " + std::to_string(timeS) +
+         "\r\nX-Addressing: dest=7\r\nContent-Length: 5\r\n\r\nhello";
+}
+
+// A relay whose endpoint takes each call and answers none: each accepted request ends with a notification.
+struct UnreadRequests {
+  UnreadRequests() {
+    site.endpoint.holds = true;
+    REQUIRE(site.start());
+  }
+  // A connection on which something was answered, and which is open.
+  Hub::Id openConnection() {
+    bool answered = false;
+    const Hub::Id client =
+        site.hub.connect(site.relay->address(), {[this, &answered](Hub::Id, const Message& m) {
+                                                   answered = true;
+                                                   onAnswer(m);
+                                                 },
+                                                 {},
+                                                 {}});
+    site.hub.send(client, "GET /up HTTP/1.1\r\n\r\n");
+    REQUIRE(site.until([&] { return answered; }));
+    accepted = 0;
+    return client;
+  }
+  Hub::Id newConnection() {
+    return site.hub.connect(site.relay->address(),
+                            {[this](Hub::Id, const Message& m) { onAnswer(m); }, {}, {}});
+  }
+  void onAnswer(const Message& m) {
+    ++answers;
+    accepted += m.start.find(" 202 ") != std::string::npos ? 1 : 0;
+  }
+  void send(Hub::Id client, int request) {
+    dueMs[idOf(request)] = steadyMs() + secondsOf(request) * 1000;
+    site.hub.send(client, postOf(idOf(request), secondsOf(request)));
+  }
+  void stand(const std::function<void()>& meanwhile) {
+    site.relay->signal(SIGSTOP);
+    const double fromMs = steadyMs();
+    site.pass(5);
+    meanwhile();
+    site.until([&] { return steadyMs() >= fromMs + kStandsMs; });
+    site.relay->signal(SIGCONT);
+  }
+  bool allAccepted(int count) {
+    return site.until([&] { return accepted == count; }, 2 * kPatienceMs);
+  }
+  // How long after its time was up the latest notification came; above all limits where one is missing.
+  double latestMs() {
+    if (!site.until([&] { return site.notices.size() >= dueMs.size(); }, 8000)) return 1e9;
+    std::vector<double> late;
+    for (const auto& [id, due] : dueMs) late.push_back(site.notices.at(id).atMs - due);
+    std::sort(late.begin(), late.end());
+    std::printf("%zu notifications, late by %.0f ms (median), %.0f ms (most)\n", late.size(),
+                late[late.size() / 2], late.back());
+    return late.back();
+  }
+
+  ShimmedSite site;
+  int answers = 0, accepted = 0;
+  std::map<std::string, double> dueMs;
+};
+
+}  // namespace
+
+// Guards against a deadline that counts from the reading: the notification would be as late as the request
+// lay unread.
+TEST_CASE("requests that came while the relay stood still are notified by the deadlines their clients gave") {
+  UnreadRequests scene;
+  std::vector<Hub::Id> open;
+  for (int i = 0; i < kRequests / 2; ++i) open.push_back(scene.openConnection());
+  scene.stand([&] {
+    for (int i = 0; i < kRequests / 2; ++i) scene.send(open.at(static_cast<std::size_t>(i)), i);
+    for (int i = kRequests / 2; i < kRequests; ++i) scene.send(scene.newConnection(), i);
+  });
+  REQUIRE(scene.allAccepted(kRequests));
+  CHECK(scene.latestMs() <= kNotificationLimitMs);
+}
+
+// Guards against the same behind another request of its connection, and for one whose first half was read in
+// time.
+TEST_CASE("a request behind another one, or with its last half unread, has its time from its last byte") {
+  UnreadRequests scene;
+  const Hub::Id pipelined = scene.openConnection(), halved = scene.openConnection();
+  const std::string whole = postOf(idOf(2), secondsOf(2));
+  scene.site.hub.send(halved, whole.substr(0, whole.size() / 2));
+  scene.site.pass(20);
+  scene.stand([&] {
+    scene.send(pipelined, 0);
+    scene.send(pipelined, 1);
+    scene.dueMs[idOf(2)] = steadyMs() + secondsOf(2) * 1000;
+    scene.site.hub.send(halved, whole.substr(whole.size() / 2));
+  });
+  REQUIRE(scene.allAccepted(3));
+  CHECK(scene.latestMs() <= kNotificationLimitMs);
+}
+
+// Guards against the same for connections that wait in the backlog: a flood of silent ones takes all room,
+// and the platform hangs once.
+TEST_CASE("requests that waited in the backlog behind silent connections are notified by their deadlines") {
+  constexpr int kSilent = 300;  // the relay has 256 descriptors
+  UnreadRequests scene;
+  std::vector<Hub::Id> silent;
+  for (int i = 0; i < kSilent; ++i) silent.push_back(scene.site.hub.connect(scene.site.relay->address(), {}));
+  for (int i = 0; i < kRequests; ++i) scene.send(scene.newConnection(), i);
+  REQUIRE(scene.allAccepted(kRequests));
+  scene.site.directory.hangs = 1;
+  CHECK(scene.latestMs() <= kNotificationLimitMs);
+}
+
+// Guards against a deadline in the journal that counts from the reading.
+TEST_CASE("the next process notifies by the deadlines their clients gave, too") {
+  UnreadRequests scene;
+  const Hub::Id client = scene.openConnection();
+  scene.stand([&] {
+    scene.dueMs["m"] = steadyMs() + 4000;
+    scene.site.hub.send(client, postOf("m", 4));
+  });
+  REQUIRE(scene.allAccepted(1));
+  scene.site.restart();
+  REQUIRE(scene.site.serves());
+  REQUIRE(steadyMs() + 1500 < scene.dueMs["m"]);  // PROTOCOL's grace of a restart is over by then
+  CHECK(scene.latestMs() <= kNotificationLimitMs);
+}
