Count a request's time from when it came, not from when it was read

What callers saw: a notification up to 0.41 s after the deadline that the client gave, where 0.3 s are allowed, for requests that had lain unread while the relay stood still or had no room for their connections. A request behind another one on its connection lost the wait for that one's answer too. Why it works: arrivedMs is never later than the arrival of the request's last byte, as the system tells it (TCP_INFO), or as the last poll that saw its connection quiet bounds it; at most 400 ms earlier, the time a client waits for its 202.

--- a/src/exchange/admission.cpp
+++ b/src/exchange/admission.cpp
@@ -68,7 +68,7 @@
   event.id = request.id;
   event.classIndex = request.classIndex;
   event.tenant = request.tenant;
-  event.deadlineMs = parts_.loop.nowMs() + timeLeftMs;
+  event.deadlineMs = request.arrivedMs + timeLeftMs;
   event.destination = request.destination;
   event.isRetry = request.isRetry;
 
@@ -78,7 +78,9 @@
   added.charge = charge;
   PendingRequest& pending = added.pending;
   pending.acceptedWallMs = parts_.journal.nowMs();
-  pending.deadlineWallMs = pending.acceptedWallMs + timeLeftMs;
+  // Read behind the journal's clock: where the process stands in between, the recorded deadline is earlier.
+  const double nowMs = parts_.loop.nowMs();
+  pending.deadlineWallMs = pending.acceptedWallMs + event.deadlineMs - nowMs;
   pending.key = std::move(request.key);
   pending.body = std::move(request.body);
   pending.classIndex = request.classIndex;
--- a/src/exchange/admission.h
+++ b/src/exchange/admission.h
@@ -36,8 +36,8 @@
   };
   explicit Admission(const Parts& parts) : parts_(parts) {}
 
-  // As RequestSink::onRequest. The same request again is accepted; another one under its id is malformed, as
-  // is one with much more time than its class allows.
+  // As RequestSink::onRequest; the request's time runs from its arrival. The same request again is accepted;
+  // another one under its id is malformed, as is one with much more time than its class allows.
   void onRequest(IncomingRequest request, RequestSink::AnswerCallback answer);
   // What came in since the last batch, in its order; some of it may be gone again.
   std::vector<RequestHandle> takeNew() { return std::exchange(new_, {}); }
--- a/src/inbound/inbound.h
+++ b/src/inbound/inbound.h
@@ -58,9 +58,8 @@
     std::size_t held = 0;     // bytes of its request
     ArrivalTimes arrivals;
     double requestMs = 0;  // when the last byte of its latest whole request came
-    // A whole request, and since when, while what has come behind it may be one more or the rest of a body.
+    // A whole request, while what has come behind it may be one more or the rest of a body.
     std::optional<HttpMessage> unsure;
-    double unsureMs = 0;
     bool keepAlive = true, answered = false, lingering = false;
     CloseReason why = CloseReason::kAnswered;  // it lingers
     bool halfClosed = false;                   // its client has ended its sending
--- a/src/inbound/inbound_serving.cpp
+++ b/src/inbound/inbound_serving.cpp
@@ -111,7 +111,6 @@
       return flush(number);
     }
     if (state == HttpReader::State::kBad) return refuse(number, c.reader.errorStatus());
-    c.unsureMs = loop_.nowMs();
     c.requestMs = c.arrivals.requestMs(c.reader.buffer().empty());
     onMessage(number, c.reader.take());
     if (!connections_.count(number) || !c.unsure) return;
@@ -151,7 +150,6 @@
     case Behind::kRequest:
       break;
   }
-  request->timeLeftMs = std::max(0.0, request->timeLeftMs - (loop_.nowMs() - c.unsureMs));
   request->arrivedMs = c.requestMs;
   offer(number, std::move(*request));
 }
--- a/tests/exchange/exchange_site.h
+++ b/tests/exchange/exchange_site.h
@@ -66,6 +66,7 @@
     request.id = id;
     request.body = body;
     request.destination = 7;
+    request.arrivedMs = clock.nowMs;
     request.timeLeftMs = timeLeftMs;
     manager->onRequest(std::move(request), [this, id](const Answer& answer) {
       answers.push_back(answer.kind);
--- a/tests/exchange/idempotency_window_test.cpp
+++ b/tests/exchange/idempotency_window_test.cpp
@@ -31,6 +31,7 @@
     request.body = "body";
     request.classIndex = 1;
     request.destination = 7;
+    request.arrivedMs = site.clock.nowMs;
     request.timeLeftMs = 10e3;
     site.manager->onRequest(std::move(request), [](const Answer&) {});
   }
@@ -110,6 +111,7 @@
   request.id = "m";
   request.classIndex = 2;
   request.destination = 7;
+  request.arrivedMs = site.clock.nowMs;
   request.timeLeftMs = 100;
   site.manager->onRequest(std::move(request), [](const Answer&) {});
   site.advance(10);
--- a/tests/exchange/request_manager_properties_test.cpp
+++ b/tests/exchange/request_manager_properties_test.cpp
@@ -96,6 +96,7 @@
         surroundings_.below(8) == 0 ? 9000 + surroundings_.below(9000) : surroundings_.below(900);
     request.body = std::string(static_cast<std::size_t>(bytes), 'b');
     request.destination = 7;
+    request.arrivedMs = clock_.nowMs;
     request.timeLeftMs = surroundings_.below(4) == 0 ? 500 + surroundings_.below(2000) : 16000;
     DrawnRequest& drawn = surroundings_.requests[id];
     drawn.classIndex = request.classIndex;
@@ -115,6 +116,7 @@
     if (pending.empty()) return;
     const int drawn = surroundings_.below(static_cast<int>(pending.size()));
     IncomingRequest request = submitted_.at(pending[static_cast<std::size_t>(drawn)]);
+    request.arrivedMs = clock_.nowMs;
     const bool isOther = surroundings_.below(4) == 0;
     if (isOther) request.key += "x";
     const std::string id = request.id;
--- a/tests/exchange/successive_processes.h
+++ b/tests/exchange/successive_processes.h
@@ -87,6 +87,7 @@
     request.body = "body";
     request.classIndex = classIndex;
     request.destination = 7;
+    request.arrivedMs = clock.nowMs;
     request.timeLeftMs = timeLeftMs;
     process->manager.onRequest(std::move(request),
                                [this, id](const Answer& answer) { answers[id] = answer.kind; });
--- a/tests/integration/unread_requests_test.cpp
+++ b/tests/integration/unread_requests_test.cpp
@@ -17,6 +17,7 @@
 // PROTOCOL: a client waits so long for its 202; so long after a request's time is up its notification is due.
 constexpr int kPatienceMs = 400;
 constexpr double kNotificationLimitMs = 300;
+constexpr double kSocketSlackMs = 50;  // PROTOCOL's of every time limit: no status may come earlier than that
 
 constexpr int kStandsMs = 350;  // 50 ms before clients give up
 constexpr int kRequests = 60;   // half of what the settings allow to be pending
@@ -74,15 +75,16 @@
   bool allAccepted(int count) {
     return site.until([&] { return accepted == count; }, 2 * kPatienceMs);
   }
-  // How long after its time was up the latest notification came; above all limits where one is missing.
-  double latestMs() {
-    if (!site.until([&] { return site.notices.size() >= dueMs.size(); }, 8000)) return 1e9;
+  // Each notification comes in its time: not while the request may still be delivered, nor too late.
+  void checkNotifications() {
+    REQUIRE(site.until([&] { return site.notices.size() >= dueMs.size(); }, 8000));
     std::vector<double> late;
     for (const auto& [id, due] : dueMs) late.push_back(site.notices.at(id).atMs - due);
     std::sort(late.begin(), late.end());
     std::printf("%zu notifications, late by %.0f ms (median), %.0f ms (most)\n", late.size(),
                 late[late.size() / 2], late.back());
-    return late.back();
+    CHECK(late.front() >= -kSocketSlackMs);
+    CHECK(late.back() <= kNotificationLimitMs);
   }
 
   ShimmedSite site;
@@ -103,7 +105,7 @@
     for (int i = kRequests / 2; i < kRequests; ++i) scene.send(scene.newConnection(), i);
   });
   REQUIRE(scene.allAccepted(kRequests));
-  CHECK(scene.latestMs() <= kNotificationLimitMs);
+  scene.checkNotifications();
 }
 
 // Guards against the same behind another request of its connection, and for one whose first half was read in
@@ -121,7 +123,7 @@
     scene.site.hub.send(halved, whole.substr(whole.size() / 2));
   });
   REQUIRE(scene.allAccepted(3));
-  CHECK(scene.latestMs() <= kNotificationLimitMs);
+  scene.checkNotifications();
 }
 
 // Guards against the same for connections that wait in the backlog: a flood of silent ones takes all room,
@@ -134,7 +136,7 @@
   for (int i = 0; i < kRequests; ++i) scene.send(scene.newConnection(), i);
   REQUIRE(scene.allAccepted(kRequests));
   scene.site.directory.hangs = 1;
-  CHECK(scene.latestMs() <= kNotificationLimitMs);
+  scene.checkNotifications();
 }
 
 // Guards against a deadline in the journal that counts from the reading.
@@ -149,5 +151,5 @@
   scene.site.restart();
   REQUIRE(scene.site.serves());
   REQUIRE(steadyMs() + 1500 < scene.dueMs["m"]);  // PROTOCOL's grace of a restart is over by then
-  CHECK(scene.latestMs() <= kNotificationLimitMs);
+  scene.checkNotifications();
 }
