--- a/src/exchange/call_tracker.cpp
+++ b/src/exchange/call_tracker.cpp
@@ -24,7 +24,10 @@
     parts_.guard.report(*violation, item.id);
     return false;
   }
-  for (const CallItem& item : call.items) parts_.requests.at(item.id).callInFlight = call.number;
+  for (const CallItem& item : call.items) {
+    parts_.requests.at(item.id).callInFlight = call.number;
+    parts_.trace.departed(item.id, call.uid, call.number, item.capMs);
+  }
   return true;
 }
 
@@ -58,7 +61,8 @@
   }
   request.callInFlight = 0;
   parts_.trace.outcome(outcome.id, endpoint,
-                       Counters::kOutcomeNames.at(static_cast<std::size_t>(outcome.outcome)), outcome.detail);
+                       Counters::kOutcomeNames.at(static_cast<std::size_t>(outcome.outcome)), outcome.detail,
+                       outcome.parted);
   parts_.scheduler.push(OutcomeEvent{outcome.id, request.pending.attempts - 1, endpoint, outcome.outcome,
                                      outcome.ended, outcome.detail, report});
   const EndpointRecord* const record = statesRetryAfter(outcome) ? parts_.endpoints.find(endpoint) : nullptr;
--- a/src/log/request_trace.cpp
+++ b/src/log/request_trace.cpp
@@ -20,9 +20,16 @@
   if (on_) write("request.called", id, {{"endpoint", endpoint}, {"attempt", attempt}});
 }
 
+void RequestTrace::departed(std::string_view id, std::string_view endpoint, std::uint64_t call,
+                            double capMs) const {
+  if (on_) write("request.departed", id, {{"endpoint", endpoint}, {"call", call}, {"cap_ms", capMs}});
+}
+
 void RequestTrace::outcome(std::string_view id, std::string_view endpoint, std::string_view outcome,
-                           std::int64_t detail) const {
-  if (on_) write("request.outcome", id, {{"endpoint", endpoint}, {"outcome", outcome}, {"detail", detail}});
+                           std::int64_t detail, bool givenUp) const {
+  if (!on_) return;
+  write("request.outcome", id,
+        {{"endpoint", endpoint}, {"outcome", outcome}, {"detail", detail}, {"given_up", givenUp}});
 }
 
 void RequestTrace::ended(std::string_view id, std::string_view status, double waitMs, bool recorded,
--- a/src/log/request_trace.h
+++ b/src/log/request_trace.h
@@ -10,10 +10,12 @@
 //   request.accepted  id
 //   request.rejected  id, reason, wait_ms           before it was accepted
 //   request.called    id, endpoint, attempt         attempt > 0: a retry; why is in the outcome before it
-//   request.outcome   id, endpoint, outcome, detail
-//   request.completed id, status, wait_ms, recorded, left_ms   of its time; below 0: after its deadline
-//   request.notified  id, late_ms                   the platform has confirmed it, so long after the deadline
-//   connection.closed connection, reason, id        a client's; id: of the request on it that is not answered
+//   request.departed  id, endpoint, call, cap_ms    the call's first byte is about to leave; given up after
+//   cap_ms request.outcome   id, endpoint, outcome, detail, given_up   given_up: its call had been, before
+//   this came request.completed id, status, wait_ms, recorded, left_ms   of its time; below 0: after its
+//   deadline request.notified  id, late_ms                   the platform has confirmed it, so long after the
+//   deadline connection.closed connection, reason, id        a client's; id: of the request on it that is not
+//   answered
 //
 // No body and no idempotency key is in any of them. One thread; O(text).
 #pragma once
@@ -34,8 +36,9 @@
   void taken(std::string_view id) const;
   void refused(std::string_view id, std::string_view reason, double waitMs) const;
   void called(std::string_view id, std::string_view endpoint, int attempt) const;
-  void outcome(std::string_view id, std::string_view endpoint, std::string_view outcome,
-               std::int64_t detail) const;
+  void departed(std::string_view id, std::string_view endpoint, std::uint64_t call, double capMs) const;
+  void outcome(std::string_view id, std::string_view endpoint, std::string_view outcome, std::int64_t detail,
+               bool givenUp) const;
   void ended(std::string_view id, std::string_view status, double waitMs, bool recorded, double leftMs) const;
   void notified(std::string_view id, double lateMs) const;
   void closed(std::uint64_t connection, std::string_view reason, std::string_view id) const;
