Count an answer as a delivery only if it came before the deadline, whenever it is read

What callers saw: an accepted request whose endpoint had run it, with no final answer: neither delivered in its time nor notified. Cause: CallTracker took any 200 for a delivery unless its call had been given up. Reads come before timers, so an answer that comes behind the deadline and is read by a relay that is late by a few milliseconds (a stall, a long turn, a request that was read late) ends the request before its time-out runs. To the platform that answer is no delivery, so the request is lost. Change: an outcome says when its answer came, at the latest (TCP_INFO; the reading, where the system does not tell); a delivery that came less than 5 ms before the deadline or later is treated as a time-out, so the platform is notified. Why it works: the arrival does not depend on when this process runs. A notification for what was delivered does no harm.

--- a/src/exchange/call_tracker.cpp
+++ b/src/exchange/call_tracker.cpp
@@ -53,8 +53,8 @@
 
 void CallTracker::onOutcome(const std::string& endpoint, CallOutcome outcome, const LoadReport& report) {
   OpenRequest& request = parts_.requests.at(outcome.id);
-  // Its client has been or will be notified of the failure, which does no harm to what was delivered in time.
-  const bool isTooLate = outcome.parted && parts_.loop.nowMs() > request.deadlineMs - kDeadlineMarginMs;
+  // By its client's clock the deadline may have passed. The notification does no harm to what was delivered.
+  const bool isTooLate = outcome.arrivedMs > request.deadlineMs - kDeadlineMarginMs;
   if (outcome.outcome == Outcome::kSuccess && isTooLate) {
     outcome.outcome = Outcome::kTimeout;
     outcome.ended = false;
--- a/src/exchange/request_table.h
+++ b/src/exchange/request_table.h
@@ -33,9 +33,10 @@
 // limit, a fault of the journal, a relay about to end.
 inline constexpr double kRetryAfterMs = 1000;
 
-// A call is not waited for up to its request's deadline. By the client's clock the deadline is earlier, by
-// what the request took to be read, and the loop's timers are up to a millisecond late. A call that is
-// answered later would count as delivered here only, and its client would get no notification.
+// A call is not waited for up to its request's deadline, and an answer that came later than this before it is
+// no delivery. By the client's clock the deadline is earlier, by the request's way to the relay; the time of
+// an arrival is known to 4 ms. A later answer would count as delivered here only, and its client would get no
+// notification.
 inline constexpr double kDeadlineMarginMs = 5;
 
 enum class RequestPhase : std::uint8_t {
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace myrtleloft {
@@ -93,9 +95,18 @@
   return over;
 }
 
+// The clock is read behind the age: where the process stands in between, the bytes seem to have come later.
+double ClientConnection::unreadArrivedMs() const {
+  const std::optional<double> ageMs = lastArrivalAgeMs(fd_);
+  const double nowMs = loop_.nowMs();
+  return ageMs ? std::clamp(nowMs - *ageMs, std::min(loop_.quietAtMs(fd_.get()), nowMs), nowMs) : nowMs;
+}
+
 void ClientConnection::read() {
   for (int i = 0; i < kReadsInTurn; ++i) {
+    const double arrivedMs = unreadArrivedMs();
     const Io io = readSome(fd_, reader_.buffer());
+    if (io == Io::kProgress) arrivedMs_ = arrivedMs;
     if (io == Io::kWouldBlock && writeFailed_) return finish(End::kNotSent);
     if (io == Io::kWouldBlock) return;
     auto state = io == Io::kProgress ? reader_.advance() : HttpReader::State::kBad;
@@ -131,7 +142,7 @@
   out_ = std::string();
   written_ = 0;
   carried_ = true;
-  if (done) done({end, std::move(answer), stalled});  // may destroy this connection
+  if (done) done({end, std::move(answer), stalled, arrivedMs_});  // may destroy this connection
 }
 
 }  // namespace myrtleloft
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -27,6 +27,7 @@
     End end = End::kBroken;
     HttpMessage answer;
     bool stalled = false;  // of a spoilt one: it had begun, and did not go on
+    double arrivedMs = 0;  // when the last bytes that were read came, at the latest; on the loop's clock
   };
   using Done = std::function<void(Result)>;
 
@@ -49,6 +50,8 @@
   bool answerBegun() const { return reader_.midMessage(); }
   // Of an answer that has only begun; its status is 0 until its first line is in.
   const HttpMessage& answerSoFar() const { return reader_.partial(); }
+  // When its last bytes that were read came, at the latest.
+  double answerArrivedMs() const { return arrivedMs_; }
   void close();
   // Ends its sending, which gives the call up; what the peer had written before it learns so still comes.
   void endSending();
@@ -60,6 +63,8 @@
   void onEvents(short revents);
   void write();
   void read();
+  // When the bytes came that lie unread, at the latest.
+  double unreadArrivedMs() const;
   void armRest();
   void finish(End end, HttpMessage answer = {}, bool stalled = false);
 
@@ -70,7 +75,8 @@
   Loop::Timer restTimer_ = Loop::kNoTimer;
   std::string out_;
   std::size_t written_ = 0;
-  int putOffTurns_ = 0;  // in a row, in which nothing was written because the loop's poll was old
+  double arrivedMs_ = 0;  // when the last bytes that were read came, at the latest
+  int putOffTurns_ = 0;   // in a row, in which nothing was written because the loop's poll was old
   bool connected_ = false, writeFailed_ = false;
   bool carried_ = false;  // an earlier call has been answered on it
   Done done_;
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -33,6 +33,8 @@
   bool ended = false;
   std::int64_t detail = 0;
   bool parted = false;  // its call had been given up, and the answer was on its way
+  // When the answer came, at the latest, on the loop's clock; without one, when the call was over.
+  double arrivedMs = 0;
 };
 
 // A call whose first byte is about to be written, with the requests that it still carries.
@@ -116,8 +118,12 @@
   // answer that was written before the endpoint learns of it may tell a wait, which binds, or a delivery.
   void giveUp(std::uint64_t number, Outcome outcome);
   void part(std::uint64_t number, Outcome outcome);
-  void report(const Call& call, std::vector<CallOutcome> outcomes, const LoadReport& report);
-  void reportAll(const Call& call, const CallOutcome& like, const LoadReport& report);
+  void report(const Call& call, double arrivedMs, std::vector<CallOutcome> outcomes,
+              const LoadReport& report);
+  void reportAll(const Call& call, double arrivedMs, const CallOutcome& like, const LoadReport& report);
+  // Of a call without an answer that can be read to its end.
+  void reportUnanswered(const Call& call, Outcome outcome);
+  void reportSpoilt(const Call& call, double arrivedMs, const HttpMessage& begun);
 
   Loop& loop_;
   Counters& counters_;
--- a/src/outbound/outbound_ends.cpp
+++ b/src/outbound/outbound_ends.cpp
@@ -47,7 +47,7 @@
   call.items.erase(split, call.items.end());
   if (call.connection && call.connection->open()) write(number);  // without them
   armCap(number);
-  report(call, std::move(outcomes), {});
+  report(call, loop_.nowMs(), std::move(outcomes), {});
 }
 
 Outbound::Call Outbound::takeOff(std::uint64_t number) {
@@ -73,8 +73,8 @@
   Call call = takeOff(number);
   // An answer that has begun has something to say, though its time is up before its end.
   if (call.connection && call.connection->answerBegun())
-    return reportAll(call, readSpoiltAnswer(call.connection->answerSoFar(), call.bulk), {});
-  reportAll(call, {"", unanswered(call.connection.get(), outcome), false, 0}, {});
+    return reportSpoilt(call, call.connection->answerArrivedMs(), call.connection->answerSoFar());
+  reportUnanswered(call, unanswered(call.connection.get(), outcome));
 }
 
 void Outbound::part(std::uint64_t number, Outcome outcome) {
@@ -85,44 +85,53 @@
   call.capTimer = loop_.after(kPartingMs, [this, number] {
     if (calls_.at(number).connection->takeArrived()) return;
     const Call parted = takeOff(number);
-    const bool begun = parted.connection->answerBegun();
-    const CallOutcome unheard{"", *parted.parting, false, 0};
-    reportAll(parted, begun ? readSpoiltAnswer(parted.connection->answerSoFar(), parted.bulk) : unheard, {});
+    if (parted.connection->answerBegun())
+      return reportSpoilt(parted, parted.connection->answerArrivedMs(), parted.connection->answerSoFar());
+    reportUnanswered(parted, *parted.parting);
   });
 }
 
 void Outbound::onResult(std::uint64_t number, const ClientConnection::Result& result) {
   Call call = takeOff(number);
-  if (result.end == ClientConnection::End::kHeldBack)
-    return reportAll(call, {"", Outcome::kNotSent, false, 0}, {});
+  if (result.end == ClientConnection::End::kHeldBack) return reportUnanswered(call, Outcome::kNotSent);
   if (result.end == ClientConnection::End::kSpoilt) {
     ++counters_.spoilt;
-    return reportAll(call, readSpoiltAnswer(result.answer, call.bulk), {});
+    return reportSpoilt(call, result.arrivedMs, result.answer);
   }
   if (result.end != ClientConnection::End::kAnswered && call.parting)
-    return reportAll(call, {"", *call.parting, false, 0}, {});
+    return reportUnanswered(call, *call.parting);
   if (result.end != ClientConnection::End::kAnswered) {
     const bool neverRan = result.end == ClientConnection::End::kNotSent;
-    reportAll(call, {"", neverRan ? Outcome::kConnectFailed : Outcome::kReset, false, 0}, {});
-    return;
+    return reportUnanswered(call, neverRan ? Outcome::kConnectFailed : Outcome::kReset);
   }
   if (!call.parting) idle_.keep(call.uid, call.address, std::move(call.connection));
   const LoadReport told = readReport(result.answer, limits_.reportColumns);
   if (call.bulk && result.answer.status == 200)
-    report(call, readBulkAnswer(result.answer, call.items), told);
+    report(call, result.arrivedMs, readBulkAnswer(result.answer, call.items), told);
   else
-    reportAll(call, readAnswer(result.answer), told);
+    reportAll(call, result.arrivedMs, readAnswer(result.answer), told);
 }
 
-void Outbound::reportAll(const Call& call, const CallOutcome& like, const LoadReport& told) {
+void Outbound::reportUnanswered(const Call& call, Outcome outcome) {
+  reportAll(call, loop_.nowMs(), {"", outcome, false, 0}, {});
+}
+
+void Outbound::reportSpoilt(const Call& call, double arrivedMs, const HttpMessage& begun) {
+  reportAll(call, arrivedMs, readSpoiltAnswer(begun, call.bulk), {});
+}
+
+void Outbound::reportAll(const Call& call, double arrivedMs, const CallOutcome& like,
+                         const LoadReport& told) {
   std::vector<CallOutcome> outcomes;
   for (const CallItem& item : call.items)
     outcomes.push_back({item.id, like.outcome, like.ended, like.detail});
-  report(call, std::move(outcomes), told);
+  report(call, arrivedMs, std::move(outcomes), told);
 }
 
-void Outbound::report(const Call& call, std::vector<CallOutcome> outcomes, const LoadReport& told) {
+void Outbound::report(const Call& call, double arrivedMs, std::vector<CallOutcome> outcomes,
+                      const LoadReport& told) {
   for (CallOutcome& outcome : outcomes) {
+    outcome.arrivedMs = arrivedMs;
     outcome.parted = call.parting.has_value();
     ++counters_.outcomes.at(static_cast<std::size_t>(outcome.outcome));
   }
