Bound a request's arrival by the polls around it where TCP_INFO is not filled in

Change: a structure without a retransmission timeout tells nothing; what a poll finds at once came after the poll before returned, and what ends a poll's waiting came just then.

--- a/src/inbound/arrival_times.h
+++ b/src/inbound/arrival_times.h
@@ -2,12 +2,13 @@
 // have stood still, or the connection have waited in the backlog for room. A request's time runs from then.
 //
 //   ArrivalTimes times(acceptedMs);
-//   times.beforeRead({loop.nowMs(), loop.quietAtMs(fd), lastArrivalAgeMs(fd)});
+//   times.beforeRead({nowMs, loop.quietAtMs(fd), lastArrivalAgeMs(fd)});
 //   const Io io = readSome(fd, buffer);
 //   times.afterRead(!hasUnreadBytes(fd));
 //   const double ms = times.requestMs(nothingBehind);   // of a request that was complete with that read
 //
-// No moment that it tells is later than the true one, wherever the process stands still meanwhile. Times are
+// No moment that it tells is later than the true one, wherever the process stands still meanwhile; but where
+// the system does not tell when bytes came, a stand within a poll is not seen. Times are
 // milliseconds of the loop's clock. No I/O; one thread; O(1).
 #pragma once
 
@@ -19,8 +20,9 @@
  public:
   // What is known just before a read.
   struct Look {
-    double nowMs = 0;             // taken before the age
-    double quietAtMs = 0;         // nothing lay unread then (Loop::quietAtMs)
+    double nowMs = 0;  // taken before the age
+    // Nothing lay unread then: Loop::quietAtMs, or likelyQuietAtMs where the system does not tell the age.
+    double quietAtMs = 0;
     std::optional<double> ageMs;  // how long ago the last bytes came, if the system tells
   };
 
--- a/src/inbound/inbound.cpp
+++ b/src/inbound/inbound.cpp
@@ -79,6 +79,12 @@
   }
 }
 
+ArrivalTimes::Look Inbound::look(const Fd& fd) const {
+  const double nowMs = loop_.nowMs();  // before the age
+  const std::optional<double> ageMs = lastArrivalAgeMs(fd);
+  return {nowMs, ageMs ? loop_.quietAtMs(fd.get()) : loop_.likelyQuietAtMs(fd.get()), ageMs};
+}
+
 Inbound::Stage Inbound::Connection::stage() const {
   if (lingering) return Stage::kLingering;
   if (!waiting.empty()) return Stage::kAsked;
--- a/src/inbound/inbound.h
+++ b/src/inbound/inbound.h
@@ -74,6 +74,7 @@
   void makeRoom();
   void onEvents(Number number, short revents);
   void readAndServe(Number number);
+  ArrivalTimes::Look look(const Fd& fd) const;
   void serve(Number number);
   void onMessage(Number number, HttpMessage message);
   void offer(Number number, IncomingRequest request);
--- a/src/inbound/inbound_serving.cpp
+++ b/src/inbound/inbound_serving.cpp
@@ -40,7 +40,7 @@
   Connection& c = connections_.at(number);
   // A request's time runs from its first bytes: a client that trickles must not hold a connection for ever.
   if (c.stage() == Stage::kIdle) c.sinceMs = loop_.nowMs();
-  c.arrivals.beforeRead({loop_.nowMs(), loop_.quietAtMs(c.fd.get()), lastArrivalAgeMs(c.fd)});
+  c.arrivals.beforeRead(look(c.fd));
   const Io io = readSome(c.fd, c.reader.buffer());
   if (io == Io::kWouldBlock) return;
   c.arrivals.afterRead(!hasUnreadBytes(c.fd));
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -8,11 +8,12 @@
 namespace {
 constexpr double kLongestWaitMs = 1000;
 constexpr int kAfterErrorMs = 10;
+constexpr double kPollAtOnceMs = 1;                          // a poll that took no longer did not wait
 constexpr short kReadEvents = static_cast<short>(~POLLOUT);  // errors and hang-ups show by reading
 }  // namespace
 
 void Loop::watch(int fd, short events, Handler handler) {
-  watches_[fd] = Watch{events, ++lastSerial_, std::move(handler), kNeverMs};
+  watches_[fd] = Watch{events, ++lastSerial_, std::move(handler), kNeverMs, kNeverMs};
 }
 
 void Loop::setEvents(int fd, short events) {
@@ -64,9 +65,14 @@
 }
 
 void Loop::recordQuiet() {
+  const double returnedAtMs = nowMs();
+  const bool waited = returnedAtMs - polledAtMs_ > kPollAtOnceMs;
   for (const pollfd& polled : polled_) {
-    if ((polled.events & POLLIN) == 0 || (polled.revents & kReadEvents) != 0) continue;
-    watches_.at(polled.fd).quietAtMs = polledAtMs_;
+    if ((polled.events & POLLIN) == 0) continue;
+    Watch& watch = watches_.at(polled.fd);
+    const bool isQuiet = (polled.revents & kReadEvents) == 0;
+    if (isQuiet) watch.quietAtMs = polledAtMs_;
+    if (isQuiet || waited) watch.likelyQuietAtMs = returnedAtMs;
   }
 }
 
@@ -75,6 +81,11 @@
   return at == watches_.end() ? kNeverMs : at->second.quietAtMs;
 }
 
+double Loop::likelyQuietAtMs(int fd) const {
+  const auto at = watches_.find(fd);
+  return at == watches_.end() ? kNeverMs : at->second.likelyQuietAtMs;
+}
+
 void Loop::readIfPollIsOld() {
   if (!pollIsOld()) return;
   poll(0);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -73,6 +73,9 @@
   // The latest moment of which it is known that nothing lay unread at `fd`: when the last poll began that
   // watched it for reading and did not report it; before the first, kNeverMs.
   double quietAtMs(int fd) const;
+  // The same, if the process never stands in a poll, and later: a poll that saw it quiet did so until its
+  // return, and what ended the waiting of a poll came just then.
+  double likelyQuietAtMs(int fd) const;
   // The longest by which a timer ran late, in ms: the process stood still, or a turn took long.
   double maxTimerDelayMs() const { return maxTimerDelayMs_; }
   // Whether the last poll began longer ago than kMaxPollAgeMs: something may have come that nobody has read.
@@ -83,12 +86,12 @@
     short events = 0;
     std::uint64_t serial = 0;
     Handler handler;
-    double quietAtMs = kNeverMs;
+    double quietAtMs = kNeverMs, likelyQuietAtMs = kNeverMs;
   };
 
   int waitMs() const;
   void poll(int timeoutMs);
-  // After a poll that did not fail: notes of each descriptor watched for reading that it was quiet.
+  // After a poll that did not fail: notes of each descriptor watched for reading until when it was quiet.
   void recordQuiet();
   // Hands out the last poll's events, of those in `mask`.
   void dispatch(short mask);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -149,6 +149,7 @@
   socklen_t size = sizeof info;
   if (::getsockopt(fd.get(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
   if (size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv) return std::nullopt;
+  if (info.tcpi_rto == 0) return std::nullopt;  // each connection has a retransmission timeout: not filled in
   return info.tcpi_last_data_recv;
 }
 
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -188,6 +188,27 @@
   CHECK(scene.loop.quietAtMs(pipe.here.get()) == 100);
 }
 
+// Where the system does not tell when bytes came: what a poll finds at once came since the one before
+// returned.
+TEST_CASE("a descriptor was likely quiet until a poll returned that saw it so, or that waited for it") {
+  LoopScene scene;
+  const Pipe pipe;
+  scene.watchReader(pipe, "a");
+  scene.clock.nowMs = 100;
+  scene.turn();
+  CHECK(scene.loop.likelyQuietAtMs(pipe.here.get()) == 100);
+  pipe.fill();
+  scene.clock.nowMs = 200;
+  scene.turn();  // found at once
+  CHECK(scene.loop.likelyQuietAtMs(pipe.here.get()) == 100);
+  LoopScene waits(&pollThatStands);
+  waits.watchReader(pipe, "a");
+  afterRealPoll = [&] { waits.clock.nowMs = 50; };
+  pipe.fill();
+  waits.turn();
+  CHECK(waits.loop.likelyQuietAtMs(pipe.here.get()) == 50);
+}
+
 TEST_CASE("the longest delay of a timer tells for how long the process stood") {
   LoopScene scene;
   scene.loop.after(10, [] {});
