Count how long a connection may stay half-way from when its bytes came, or it was established

What callers saw: a client that stopped in the middle of a request, while the relay stood still, had its error 3.3 s after its last byte; PROTOCOL's bad clients are owed it within 3 s. Cause: the same class as late deadlines: Inbound counted the patience with a connection from when it was accepted or read. Change: it runs from the arrival of the first bytes, or from when the connection was established in the backlog (TCP_INFO); a request of which more lies unread is not ended for that. Silent connections that waited in the backlog give way earlier, too.

--- a/src/inbound/inbound.cpp
+++ b/src/inbound/inbound.cpp
@@ -75,7 +75,8 @@
     Connection& c = connections_[number];
     c.fd = std::move(fd);
     c.arrivals = ArrivalTimes(loop_.quietAtMs(listener_.get()));
-    c.sinceMs = loop_.nowMs();
+    const ArrivalTimes::Look seen = look(c.fd);
+    c.sinceMs = seen.nowMs - seen.ageMs.value_or(0);
   }
 }
 
@@ -160,8 +161,11 @@
     const auto at = connections_.find(number);
     if (at == connections_.end()) continue;
     const Connection& c = at->second;
-    if (c.stage() == Stage::kBegun)
+    // The rest of it may have come and wait to be read.
+    if (c.stage() == Stage::kBegun && !hasInput(c.fd))
       refuse(number, 408);
+    else if (c.stage() == Stage::kBegun)
+      continue;
     else if (c.lingering || !c.out.empty())
       drop(number, c.lingering ? c.why : CloseReason::kSlow);
     else if (c.rests())
--- a/src/inbound/inbound.h
+++ b/src/inbound/inbound.h
@@ -53,7 +53,7 @@
     std::string out;
     std::size_t written = 0;
     std::size_t dropped = 0;  // bytes, while lingering
-    double sinceMs = 0;       // when its present patience began
+    double sinceMs = 0;       // when its present patience began: that of a new one when it was established
     std::string waiting;      // id of the request that is not answered yet
     std::size_t held = 0;     // bytes of its request
     ArrivalTimes arrivals;
--- a/src/inbound/inbound_serving.cpp
+++ b/src/inbound/inbound_serving.cpp
@@ -38,12 +38,14 @@
 
 void Inbound::readAndServe(Number number) {
   Connection& c = connections_.at(number);
-  // A request's time runs from its first bytes: a client that trickles must not hold a connection for ever.
-  if (c.stage() == Stage::kIdle) c.sinceMs = loop_.nowMs();
+  const bool begins = c.stage() == Stage::kIdle;
   c.arrivals.beforeRead(look(c.fd));
   const Io io = readSome(c.fd, c.reader.buffer());
   if (io == Io::kWouldBlock) return;
   c.arrivals.afterRead(!hasUnreadBytes(c.fd));
+  // A request's patience runs from its first bytes: a client that trickles must not hold a connection for
+  // ever.
+  if (begins) c.sinceMs = c.arrivals.lastByteMs();
   if (io == Io::kFailed) return onReset(number);
   if (io == Io::kClosed) return onHalfClose(number);
   if (c.lingering) {
--- a/tests/integration/unread_requests_test.cpp
+++ b/tests/integration/unread_requests_test.cpp
@@ -64,12 +64,12 @@
     dueMs[idOf(request)] = steadyMs() + secondsOf(request) * 1000;
     site.hub.send(client, postOf(idOf(request), secondsOf(request)));
   }
-  void stand(const std::function<void()>& meanwhile) {
+  void stand(const std::function<void()>& meanwhile, int standsMs = kStandsMs) {
     site.relay->signal(SIGSTOP);
     const double fromMs = steadyMs();
     site.pass(5);
     meanwhile();
-    site.until([&] { return steadyMs() >= fromMs + kStandsMs; });
+    site.until([&] { return steadyMs() >= fromMs + standsMs; });
     site.relay->signal(SIGCONT);
   }
   bool allAccepted(int count) {
@@ -139,6 +139,28 @@
   scene.checkNotifications();
 }
 
+// Guards against a client that stopped in the middle of a request and is kept for longer than the 3 s that
+// PROTOCOL gives it: its relay counted them from the reading.
+TEST_CASE("half a request that lay unread ends with an error or a close within 3 s of its last byte") {
+  constexpr int kLongStandMs = 1300;
+  constexpr double kHalfMs = 3000;
+  UnreadRequests scene;
+  bool ended = false;
+  double sentMs = 0;
+  scene.stand(
+      [&] {
+        const Hub::Id client = scene.site.hub.connect(
+            scene.site.relay->address(),
+            {[&](Hub::Id, const Message&) { ended = true; }, [&](Hub::Id) { ended = true; }, {}});
+        scene.site.hub.send(client, postOf("half", 5).substr(0, 40));
+        sentMs = steadyMs();
+      },
+      kLongStandMs);
+  CHECK(scene.site.until([&] { return ended; }, 5000));
+  std::printf("half a request: ended after %.0f ms\n", steadyMs() - sentMs);
+  CHECK(steadyMs() - sentMs <= kHalfMs);
+}
+
 // Guards against a deadline in the journal that counts from the reading.
 TEST_CASE("the next process notifies by the deadlines their clients gave, too") {
   UnreadRequests scene;
