Count the time of a drain from when SIGTERM came, not from when it was read

What callers saw: a relay that stood for 0.6 s when it was told to end was still draining at 3.7 s, when SIGKILL may come: clients that wait get no answer, calls in flight are cut off. Cause: the class of late deadlines: the drain's limits ran from the reading of the signal. Change: sending stops and the drain ends by when the signal came, at the earliest: the beginning of the last poll that saw none. Connections are closed 0.45 s after the reading, as before.

--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -8,8 +8,8 @@
 namespace myrtleloft {
 namespace {
 
-// Since the drain began. New clients come for up to 0.4 s after SIGTERM, and SIGKILL follows after 3.7 s.
-constexpr double kCloseConnectionsMs = 450;  // from then on connections are closed between requests
+// Since the process was told to end. New clients come for up to 0.4 s after SIGTERM, and SIGKILL follows after 3.7 s.
+constexpr double kCloseConnectionsMs = 450;  // since the drain began; from then on connections are closed between requests
 constexpr double kStopSendingMs = 2600;      // from then on nothing more is sent
 constexpr double kDrainLimitMs = 3300;       // what is in flight then is left to the journal
 constexpr double kDrainCheckMs = 25;
@@ -108,13 +108,15 @@
   enter(Phase::kStopped);
 }
 
-void RelayProcess::drain() {
+void RelayProcess::drain() { drainSince(loop_.nowMs()); }
+
+void RelayProcess::drainSince(double notifiedAtMs) {
   if (phase_ != Phase::kServing) return;
   enter(Phase::kDraining);
   server_.setReady(false);
-  drainStartMs_ = loop_.nowMs();
+  drainStartMs_ = notifiedAtMs;
   loop_.after(kCloseConnectionsMs, [this] { server_.retire(); });
-  loop_.after(kStopSendingMs, [this] { requests_.drain(); });
+  loop_.after(drainStartMs_ + kStopSendingMs - loop_.nowMs(), [this] { requests_.drain(); });
   loop_.after(kCloseConnectionsMs + kDrainCheckMs, [this] { checkDrained(); });
 }
 
--- a/src/relay/relay_process.h
+++ b/src/relay/relay_process.h
@@ -87,8 +87,11 @@
   void awaitWritableJournal();
   // Stops once the drain is complete or out of time; looks again otherwise.
   void checkDrained();
+  // `notifiedAtMs`: when it was told to, on the loop's clock; nothing where it does not serve.
+  void drainSince(double notifiedAtMs);
   bool takeSignals();
   void onSignal();
+  double signalledAtMs() const;
   void reload();
   void printTimeCounters(std::ostream& out) const;
   void printJournalCounters(std::ostream& out) const;
@@ -121,7 +124,7 @@
   std::unique_ptr<Fleet> fleet_;  // none without a section [fleet]
   Phase phase_ = Phase::kStarting;
   bool logsPhases_ = true;
-  double drainStartMs_ = 0;  // by the loop's clock
+  double drainStartMs_ = 0;  // when it was told to end, at the earliest; by the loop's clock
   // Released by `abandon`, so that it has memory to work with.
   std::unique_ptr<char[]> reserve_ = std::make_unique<char[]>(kReserveBytes);
 };
--- a/src/relay/relay_process_signals.cpp
+++ b/src/relay/relay_process_signals.cpp
@@ -34,11 +34,18 @@
         reload();
         break;
       default:
-        drain();
+        drainSince(signalledAtMs());
     }
   }
 }
 
+// The signal may have lain unread while the process stood still: it came no earlier than the last poll began
+// that saw none.
+double RelayProcess::signalledAtMs() const {
+  const double quietAtMs = loop_.quietAtMs(signals_.get());
+  return quietAtMs == Loop::kNeverMs ? loop_.nowMs() : quietAtMs;
+}
+
 void RelayProcess::reload() {
   const std::string discoveryBefore = config_.discovery.text;
   const std::vector<FleetPlan::Peer> peersBefore = config_.operatorFile.fleet.peers;
--- a/tests/integration/unread_requests_test.cpp
+++ b/tests/integration/unread_requests_test.cpp
@@ -161,6 +161,24 @@
   CHECK(steadyMs() - sentMs <= kHalfMs);
 }
 
+// Guards against a drain that is cut off by SIGKILL because its time ran from when SIGTERM was read.
+TEST_CASE("a relay that stood still when it was told to end has ended before SIGKILL may come") {
+  constexpr int kTermStandMs = 600;
+  constexpr double kKillMs = 3700;
+  UnreadRequests scene;
+  scene.site.hub.send(scene.newConnection(), postOf("held", 10));
+  REQUIRE(scene.allAccepted(1));
+  double termMs = 0;
+  scene.stand(
+      [&] {
+        scene.site.relay->signal(SIGTERM);
+        termMs = steadyMs();
+      },
+      kTermStandMs);
+  CHECK(scene.site.endsWith(0, static_cast<int>(termMs + kKillMs - steadyMs())));
+  std::printf("ended %.0f ms after SIGTERM\n", steadyMs() - termMs);
+}
+
 // Guards against a deadline in the journal that counts from the reading.
 TEST_CASE("the next process notifies by the deadlines their clients gave, too") {
   UnreadRequests scene;
