Let the soak see final statuses that are late by a stop, and let requests lie unread in it

Cause: AuditorTimeline put off a status by all the time that its relay had been stopped since the request was handed in, and by 0.5 s more, so the soak could not see a deadline that counts from the reading. PROTOCOL excuses restarts, not stops. Change: only what lies over the deadline or behind it excuses: a stop, a stall of the lab, a span in which the shim held the process up, which it notes now; a stall of the lab also while a request is on its way. The soak's slack for a status is the protocol's 50 ms. Plans have stops of 100 to 390 ms with messages behind their beginning, and a flood of 300 silent connections with a stop, slow syncs and a platform that hangs once; TCP_INFO may fail.

--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -5,7 +5,7 @@
 //
 // The figures are PROTOCOL's. `slackMs` is what a busy machine may add between two processes: with it, no
 // verdict depends on load. Besides, time in which the lab had stopped a relay, or stood still itself, excuses
-// that relay, and nothing else does.
+// that relay, and nothing else does; of a final status only time over the deadline or behind it.
 #pragma once
 
 #include <cstddef>
@@ -63,6 +63,7 @@
   double readyMs = 10000;  // from a process's start, or from the end of the trouble it met, to its readiness
   double halfMs = 3000;    // that a client which stops in the middle of a request is owed its error
   double slackMs = 0;
+  double statusSlackMs = -1;  // in place of slackMs for final statuses; -1: slackMs
 };
 
 struct AuditFinding {
--- a/lab/auditor_timeline.h
+++ b/lab/auditor_timeline.h
@@ -1,5 +1,8 @@
 // What excuses a relay before the auditor: when it was stopped, when it was being restarted, when the lab
 // itself stood still. From the lab's own deeds in the history, and from nothing else.
+//
+// Of a final status only what keeps the relay from sending it in its time excuses: a stop over the deadline
+// or behind it, or a restart. A stop earlier in the life of a request leaves the whole limit.
 #pragma once
 
 #include <algorithm>
@@ -28,6 +31,7 @@
       if ((r.saw == Saw::kContinued || r.saw == Saw::kDown) && !stops.empty())
         stops.back().toMs = std::min(stops.back().toMs, r.atMs);
       if (r.saw == Saw::kStall) stalls_.push_back({r.atMs - r.ms, r.atMs});
+      if (r.saw == Saw::kHeldUp) heldUp_[r.relay].push_back({r.atMs - r.ms, r.atMs});
       if (r.saw == Saw::kDown) downs.push_back({r.atMs});
       if (r.saw == Saw::kDown && r.status == kEnds) away_[r.relay].push_back({r.atMs});
       if (r.saw == Saw::kFolderLost && !downs.empty()) downs.back().toMs = r.atMs + rules.takeoverMs;
@@ -37,9 +41,11 @@
   }
   // How much of that time the relay, or the lab, could do nothing. Of no relay: the lab alone.
   double excusedMs(const std::string& relay, double fromMs, double toMs) const {
-    const auto stops = stopped_.find(relay);
-    return within(stalls_, fromMs, toMs) +
-           (stops == stopped_.end() ? 0 : within(stops->second, fromMs, toMs));
+    return within(stalls_, fromMs, toMs) + withinOf(stopped_, relay, fromMs, toMs);
+  }
+  // The same, with the spans in which the shim held its process up.
+  double heldUpMs(const std::string& relay, double fromMs, double toMs) const {
+    return excusedMs(relay, fromMs, toMs) + withinOf(heldUp_, relay, fromMs, toMs);
   }
   // When so much time has passed for the relay since that moment, without what excuses it.
   double afterMs(const std::string& relay, double fromMs, double spanMs) const {
@@ -61,19 +67,31 @@
            std::any_of(spans->second.begin(), spans->second.end(),
                        [&](const Span& s) { return atMs >= s.fromMs && atMs < s.toMs; });
   }
-  // When an end that the relay owes since `fromMs` is overdue.
-  double overdueMs(const std::string& relay, double fromMs, double dueMs) const {
-    dueMs = afterMs(relay, fromMs, dueMs - fromMs);
+  // When the final status of a request with that deadline is overdue.
+  double overdueMs(const std::string& relay, double deadlineMs) const {
+    double dueMs = afterDeadlineMs(relay, deadlineMs, rules_.lateMs);
     for (const Span& s : downs(relay))
-      if (dueMs >= s.fromMs && dueMs < s.toMs)
-        dueMs = s.toMs + excusedMs(relay, s.toMs, s.toMs + rules_.slackMs);
-    return dueMs + rules_.slackMs;
+      if (dueMs >= s.fromMs && dueMs < s.toMs) dueMs = afterDeadlineMs(relay, s.toMs, 0);
+    return dueMs + (rules_.statusSlackMs < 0 ? rules_.slackMs : rules_.statusSlackMs);
   }
 
  private:
   struct Span {
     double fromMs = 0, toMs = kForEver;
   };
+  using SpansByRelay = std::map<std::string, std::vector<Span>>;
+
+  double afterDeadlineMs(const std::string& relay, double fromMs, double spanMs) const {
+    double atMs = fromMs + spanMs;
+    for (double next = atMs;; atMs = next) {
+      next = fromMs + spanMs + heldUpMs(relay, fromMs, atMs);
+      if (next <= atMs) return atMs;
+    }
+  }
+  static double withinOf(const SpansByRelay& spans, const std::string& relay, double fromMs, double toMs) {
+    const auto at = spans.find(relay);
+    return at == spans.end() ? 0 : within(at->second, fromMs, toMs);
+  }
   static double within(const std::vector<Span>& spans, double fromMs, double toMs) {
     double sum = 0;
     for (const Span& s : spans) sum += std::max(0.0, std::min(s.toMs, toMs) - std::max(s.fromMs, fromMs));
@@ -89,7 +107,7 @@
   }
 
   const AuditRules& rules_;
-  std::map<std::string, std::vector<Span>> stopped_, down_, away_;
+  SpansByRelay stopped_, heldUp_, down_, away_;
   std::vector<Span> stalls_;
 };
 
--- a/lab/fault_plan.cpp
+++ b/lab/fault_plan.cpp
@@ -25,7 +25,8 @@
      {"spoil", 'l', 0, 4000},       {"clock-back", 'r', 0, 0},    {"clock-forward", 'r', 0, 0},
      {"disk-fails", 'r', 1, 3},     {"calls-fail", 'r', 10, 200}, {"held-up", 'r', 2, 20},
      {"stands", 'r', 10, 60},       {"reload", 'r', 1, 3},        {"discovery", 'r', 1, 3},
-     {"signals", 'r', 1, 2},        {"crowd", 'r', 200, 200},     {"rude", 'r', 20, 90},
+     {"signals", 'r', 1, 2},        {"crowd", 'r', 200, 200},     {"flood", 'r', 300, 300},
+     {"hangs", 'r', 1, 1},          {"slow-syncs", 'r', 20, 80},  {"rude", 'r', 20, 90},
      {"spoilt", 'e', 0, 0},         {"halts", 'e', 0, 0},         {"forgets", 'e', 0, 0}}};
 
 // Clocks are set by seconds, or by an hour where a time zone was meant.
--- a/lab/fault_plan.h
+++ b/lab/fault_plan.h
@@ -61,13 +61,16 @@
                // same
   kSignals,    // a series of them: `amount` 1: SIGTERM, SIGHUP, SIGTERM; 2: five SIGHUP
   kCrowd,      // `amount` messages at once, with 1 to 5 s
+  kFlood,      // `amount` connections to it that say nothing
+  kHangs,      // its platform takes none of the next `amount` posts, and answers none
+  kSlowSyncs,  // each sync of its folder takes `amount` ms longer
   kRude,       // `amount` hundredths of its clients misbehave
   // Of an endpoint.
   kSpoilt,  // serves, and its answers end half-way
   kHalts,   // serves, begins its answers and never ends them
   kForgets  // serves, and ends its connections soon after their answers
 };
-inline constexpr int kFaultKinds = 36;
+inline constexpr int kFaultKinds = 39;
 const char* nameOf(FaultKind kind);
 // Whether two faults of one target may be on at the same time.
 bool mayOverlap(FaultKind a, FaultKind b);
--- a/lab/fault_shim.h
+++ b/lab/fault_shim.h
@@ -31,6 +31,12 @@
 // Calls that can be made to fail a given number of times, in place of by chance.
 enum class ShimCall : std::uint32_t { kNone, kSocket, kSignalfd, kConnect, kSendAccepted, kRecvAccepted };
 
+// A span in which the shim held up the process, in ms of the monotonic clock.
+struct FaultHold {
+  std::atomic<std::int64_t> fromMs{0}, toMs{0};
+};
+inline constexpr std::size_t kFaultHolds = 64;
+
 // The shared page. Rates are in thousandths of the calls.
 struct FaultPage {
   std::atomic<std::uint64_t> seed{1};
@@ -39,6 +45,10 @@
   std::atomic<std::uint32_t> delayPerMille{0};    // of send and write: they begin up to 150 ms late
   std::atomic<std::uint32_t> standsPerMille{0};   // of poll: the process stands before or behind the real one
   std::atomic<DiskFault> disk{DiskFault::kNone};
+  std::atomic<std::uint32_t> syncMs{0};  // by how much each fdatasync takes longer
+  // The latest spans in which a delay or a stand held the process up; the n-th stands at n % kFaultHolds.
+  std::array<FaultHold, kFaultHolds> holds;
+  std::atomic<std::uint64_t> holdCount{0};
   std::atomic<ShimCall> scripted{ShimCall::kNone};
   std::atomic<int> scriptedError{0}, scriptedLeft{0};
   std::atomic<std::uint64_t> failedCalls{0}, failedDisk{0}, delays{0}, stands{0};  // what the shim did
@@ -66,6 +76,8 @@
   }
   int scriptedLeft() const { return page_->scriptedLeft; }
   void delayWrites(std::uint32_t perMille) { page_->delayPerMille = perMille; }
+  // Each sync takes so much longer; 0: none does.
+  void slowSyncs(std::uint32_t ms) { page_->syncMs = ms; }
   // In so many of its turns with something to write, the process stands still for 200 to 300 ms.
   void standInPoll(std::uint32_t perMille) { page_->standsPerMille = perMille; }
   const FaultPage& page() const { return *page_; }
--- a/lab/fault_shim_disk.cpp
+++ b/lab/fault_shim_disk.cpp
@@ -101,6 +101,7 @@
 
 int fdatasync(int fd) {
   static const auto next = real<int(int)>("fdatasync");
+  if (kindOf(fd) == FdKind::kDisk) slowSync();
   if (kindOf(fd) == FdKind::kDisk && page() && page()->disk == DiskFault::kAfterSync)
     page()->disk = DiskFault::kIoError;
   if (kindOf(fd) == FdKind::kDisk && diskFault() != DiskFault::kNone) return failDisk(diskError());
--- a/lab/fault_shim_network.cpp
+++ b/lab/fault_shim_network.cpp
@@ -6,6 +6,7 @@
 // and sockets that were connected. A fatal error (ETIMEDOUT, EHOSTUNREACH, ECONNRESET) is made up only for
 // connected ones, and the connection is ended with it, as the system would; an accepted one gets EINTR,
 // ENOBUFS, and short reads and writes.
+#include <netinet/in.h>
 #include <poll.h>
 #include <sys/signalfd.h>
 #include <sys/socket.h>
@@ -77,6 +78,12 @@
   return next(fd, address, size);
 }
 
+int getsockopt(int fd, int level, int name, void* value, socklen_t* size) noexcept {
+  static const auto next = real<int(int, int, int, void*, socklen_t*)>("getsockopt");
+  if (level == IPPROTO_TCP && networkFails()) return failWith(std::array{ENOBUFS, ENOPROTOOPT});
+  return next(fd, level, name, value, size);
+}
+
 int poll(pollfd* fds, nfds_t count, int timeoutMs) {
   static const auto next = real<int(pollfd*, nfds_t, int)>("poll");
   if (networkFails()) return failWith(std::array{EINTR, ENOMEM});
--- a/lab/fault_shim_state.cpp
+++ b/lab/fault_shim_state.cpp
@@ -25,6 +25,16 @@
   const timespec pause{0, static_cast<long>(ms) * 1'000'000};
   ::nanosleep(&pause, nullptr);
 }
+// Holds the process up, and notes when.
+void holdUp(std::uint64_t ms) {
+  const std::int64_t fromMs = monotonicMs();
+  pauseMs(ms);
+  const std::uint64_t number = page()->holdCount;
+  FaultHold& hold = page()->holds.at(number % kFaultHolds);
+  hold.fromMs = fromMs;
+  hold.toMs = monotonicMs();
+  page()->holdCount = number + 1;
+}
 std::array<std::atomic<FdKind>, kMostFds> fdKinds;
 
 FaultPage* mapPage() {
@@ -69,14 +79,18 @@
 void maybeDelay() {
   if (!page() || !drawn(page()->delayPerMille)) return;
   ++page()->delays;
-  pauseMs(nextRandom() % kMostDelayMs);
+  holdUp(nextRandom() % kMostDelayMs);
+}
+
+void slowSync() {
+  if (page() && page()->syncMs > 0) pauseMs(page()->syncMs);
 }
 
 void stand() {
   static std::atomic<std::int64_t> nextMs{0};
   if (monotonicMs() < nextMs) return;
   ++page()->stands;
-  pauseMs(kLeastStandMs + nextRandom() % (kMostStandMs - kLeastStandMs));
+  holdUp(kLeastStandMs + nextRandom() % (kMostStandMs - kLeastStandMs));
   nextMs = monotonicMs() + kBetweenStandsMs;
 }
 
--- a/lab/fault_shim_state.h
+++ b/lab/fault_shim_state.h
@@ -30,6 +30,8 @@
 
 // A process may be held up at any moment, here between reading its clock and writing.
 void maybeDelay();
+// A sync takes longer, as the page asks.
+void slowSync();
 // Stands still long enough that a call which leaves by what was known before comes too late for an answer
 // from the beginning of it; nothing within a second of the last time.
 void stand();
--- a/lab/fleet_history.h
+++ b/lab/fleet_history.h
@@ -53,12 +53,14 @@
   kUnread,
   kBegun,  // a client wrote half a request, id, and waits
   kRid,    // that client got an error, or its connection was closed
-  kStall   // the stand-ins themselves stood still for the last `ms`
+  kStall,  // the stand-ins themselves stood still for the last `ms`
+  kHeldUp  // the shim held up the relay's process for the last `ms`
 };
 inline constexpr const char* kSawNames[] = {
-    "handed",    "taken",       "refused",  "cut off", "left", "call",   "answer",  "ended", "probe",
-    "outage",    "back",        "capacity", "notice",  "told", "down",   "started", "ready", "stopped",
-    "continued", "folder lost", "exited",   "trouble", "calm", "unread", "begun",   "rid",   "stall"};
+    "handed",  "taken",   "refused", "cut off", "left",      "call",        "answer",
+    "ended",   "probe",   "outage",  "back",    "capacity",  "notice",      "told",
+    "down",    "started", "ready",   "stopped", "continued", "folder lost", "exited",
+    "trouble", "calm",    "unread",  "begun",   "rid",       "stall",       "held up"};
 
 struct FleetRecord {
   double atMs = 0;
--- a/lab/fleet_machines.cpp
+++ b/lab/fleet_machines.cpp
@@ -118,6 +118,13 @@
       // What changed meanwhile counts as told so long after it could be reached again.
       relay.toldAtMs = begins ? 1e18 : witness_.nowMs() + kToldMs;
       return;
+    case FaultKind::kFlood:
+      return flood(relay, amount);
+    case FaultKind::kHangs:
+      relay.directory->hangs = static_cast<int>(amount);
+      return;
+    case FaultKind::kSlowSyncs:
+      return relay.shim->slowSyncs(amount);
     case FaultKind::kRude:
       return relay.rude->setRate(amount);
     default:
@@ -184,6 +191,21 @@
   }
 }
 
+void FleetOfProcesses::flood(Relay& relay, std::size_t connections) {
+  for (const Hub::Id id : std::exchange(relay.flood, {})) hub_.close(id);
+  if (relay.phase != Phase::kUp && relay.phase != Phase::kStopped) return;
+  while (relay.flood.size() < connections) relay.flood.push_back(hub_.connect(relay.listen, {}));
+}
+
+void FleetOfProcesses::seeHolds(Relay& relay) {
+  const FaultPage& page = relay.shim->page();
+  for (const std::uint64_t count = page.holdCount; relay.holdsSeen < count; ++relay.holdsSeen) {
+    const FaultHold& hold = page.holds.at(relay.holdsSeen % kFaultHolds);
+    witness_.see(
+        {.saw = Saw::kHeldUp, .relay = relay.name, .ms = steadyMs() - static_cast<double>(hold.fromMs)});
+  }
+}
+
 void FleetOfProcesses::hangUp(const Relay& relay) const {
   if (relay.phase == Phase::kUp || relay.phase == Phase::kStarting || relay.phase == Phase::kDraining)
     relay.program->signal(SIGHUP);
--- a/lab/fleet_of_processes.cpp
+++ b/lab/fleet_of_processes.cpp
@@ -35,6 +35,7 @@
                     {kClasses[2], {Idempotency::kNonIdempotent, false, 0}}};  // as kSiteSettings has them
   rules_.slackMs = options_.slackMs;
   rules_.waitSlackMs = options_.waitSlackMs;
+  rules_.statusSlackMs = options_.statusSlackMs;
   rules_.shortOutageMs = options_.shortOutageMs;
   if (options_.proxies) rules_.proxyOrderMs = kProxyOrderMs;
   for (int i = 1; i <= options_.relays; ++i) names_.push_back("n" + std::to_string(i));
@@ -139,6 +140,7 @@
     relay.startAtMs = now + kStartAfterMs;
   }
   sendDueSignals(relay);
+  if (relay.shim) seeHolds(relay);
   lookAfter(relay);
   if (relay.phase == Phase::kAway && relay.startAtMs > 0 && now >= relay.startAtMs) start(relay);
 }
--- a/lab/fleet_of_processes.h
+++ b/lab/fleet_of_processes.h
@@ -43,6 +43,7 @@
   double messageMs = 6000;                  // their time
   double slackMs = 1500;                    // AuditRules::slackMs
   double waitSlackMs = -1;                  // AuditRules::waitSlackMs
+  double statusSlackMs = -1;                // AuditRules::statusSlackMs
   double perEndpoint = 60;                  // calls a second that an endpoint takes from all relays together
   double endpointMs = 0;                    // above 0: endpoints answer after so long
   double diskMb = 16;
@@ -106,6 +107,8 @@
     std::unique_ptr<Program> program;
     double drainsMs = 0, startAtMs = 0, toldAtMs = 0;
     std::multimap<double, int> signals;  // still to be sent, by when
+    std::uint64_t holdsSeen = 0;         // of those that its shim has noted
+    std::vector<Hub::Id> flood;          // silent connections to it
     std::set<std::string> untold;        // endpoints that its directory tells to drain
   };
 
@@ -123,7 +126,10 @@
   void drain(Relay& relay);
   void signalInSeries(Relay& relay, int series);
   void sendDueSignals(Relay& relay);
+  // Notes when the shim held its process up since the last turn.
+  void seeHolds(Relay& relay);
   void crowd(const Relay& relay, int messages);
+  void flood(Relay& relay, std::size_t connections);
   void onEndpoint(FleetEndpoint& endpoint, const Fault& fault, bool begins);
   // Its process may have ended by itself.
   void lookAfter(Relay& relay);
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -3,13 +3,14 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <random>
 #include <utility>
 
 namespace myrtleloft::lab {
 namespace {
 
 constexpr double kSlackMs = 500, kWindowMs = 2500;
-constexpr double kWaitSlackMs = 50;  // PROTOCOL's of every time limit on sockets
+constexpr double kSocketSlackMs = 50;  // PROTOCOL's of every time limit on sockets
 constexpr double kLeastMessageMs = 700, kMostMessageMs = 6000;
 constexpr int kReusedOfTen = 6, kBurst = 5, kHastyOfHundred = 8;
 // A wait counts from the moment in which it was told. Behind a proxy, or a proxy's reset, it may not have
@@ -69,8 +70,12 @@
 constexpr std::uint64_t kAwaySpreadMs = 4000;
 const std::array<std::string, 2> kAwayEndpoints = {"e5", "e6"};
 
+double awayFromMs(const FaultPlan& plan) {
+  return kAwayFromMs + static_cast<double>(plan.seed * 977 % kAwaySpreadMs);
+}
+
 void takeAway(FaultPlan& plan) {
-  const double fromMs = kAwayFromMs + static_cast<double>(plan.seed * 977 % kAwaySpreadMs);
+  const double fromMs = awayFromMs(plan);
   std::erase_if(plan.faults, [&](const Fault& fault) {
     const bool there = std::ranges::find(kAwayEndpoints, fault.target) != kAwayEndpoints.end();
     return there && fault.atMs <= fromMs + kAwayMs && fromMs <= fault.atMs + fault.forMs;
@@ -101,6 +106,36 @@
   return stands;
 }
 
+// Relays are stopped for less than a client waits for its answer: what comes meanwhile, a few messages at the
+// beginning of each stop, lies unread.
+constexpr double kShortStopEveryMs = 700, kBehindStopMs = 5, kMessagesBehindStop = 12;
+constexpr std::uint64_t kLeastShortStopMs = 100, kMostShortStopMs = 390;
+
+void addShortStops(FaultPlan& plan, double lengthMs, const std::vector<std::string>& relays) {
+  std::mt19937_64 random(plan.seed);
+  for (double atMs = kShortStopEveryMs; atMs + kMostShortStopMs <= lengthMs; atMs += kShortStopEveryMs) {
+    const std::string& relay = relays.at(random() % relays.size());
+    const std::uint64_t forMs = kLeastShortStopMs + random() % (kMostShortStopMs - kLeastShortStopMs + 1);
+    plan.faults.push_back({atMs, FaultKind::kStop, relay, static_cast<double>(forMs), 0});
+    plan.faults.push_back({atMs + kBehindStopMs, FaultKind::kCrowd, relay, 0, kMessagesBehindStop});
+  }
+}
+
+// While a destination is away, one relay has no room for connections, is stopped besides, and syncs slowly;
+// when the first of what came then has to be notified, its platform hangs once.
+constexpr double kFloodAfterMs = 300, kFloodForMs = 800, kFloodConnections = 300;
+constexpr double kFloodStopAfterMs = 100, kFloodStopForMs = 250;
+constexpr double kSlowSyncsForMs = 2500, kSlowSyncMs = 60;
+
+void addFlood(FaultPlan& plan, const std::vector<std::string>& relays) {
+  const std::string& relay = relays.at(plan.seed % relays.size());
+  const double fromMs = awayFromMs(plan) + kFloodAfterMs;
+  plan.faults.push_back({fromMs, FaultKind::kFlood, relay, kFloodForMs, kFloodConnections});
+  plan.faults.push_back({fromMs + kFloodStopAfterMs, FaultKind::kStop, relay, kFloodStopForMs, 0});
+  plan.faults.push_back({fromMs, FaultKind::kSlowSyncs, relay, kSlowSyncsForMs, kSlowSyncMs});
+  plan.faults.push_back({fromMs + kLeastMessageMs, FaultKind::kHangs, relay, kFloodForMs, 1});
+}
+
 // In every third play a crowd comes to one relay, whose folder fails before their time is up, and which is
 // killed soon after.
 constexpr std::uint64_t kCrowdOfSeeds = 3;
@@ -157,6 +192,8 @@
   const PlanShape shape = fleet.shape(kKinds, faults);
   const std::vector<std::string>& relays = shape.relays;
   addWaits(plan, shape.lengthMs);
+  addShortStops(plan, shape.lengthMs, relays);
+  addFlood(plan, relays);
   addCrowd(plan, relays);
   for (const Fault& stand : standsDuringWaits(plan, relays)) plan.faults.push_back(stand);
   std::stable_sort(plan.faults.begin(), plan.faults.end(),
@@ -172,7 +209,8 @@
                           .perSecond = options.perSecond,
                           .messageMs = kMostMessageMs,
                           .slackMs = kSlackMs,
-                          .waitSlackMs = kWaitSlackMs,
+                          .waitSlackMs = kSocketSlackMs,
+                          .statusSlackMs = kSocketSlackMs,
                           .perEndpoint = options.perSecond,
                           .shim = options.shim,
                           .proxies = true,
--- a/tests/soak_plan_test.cpp
+++ b/tests/soak_plan_test.cpp
@@ -51,7 +51,7 @@
         return f.target == endpoint && f.kind == FaultKind::kSilent && f.forMs >= 5000;
       }));
   }
-  CHECK(seen.size() == 27);  // with crowds beside a folder that fails
+  CHECK(seen.size() == 30);  // with crowds beside a folder that fails, and floods beside short stops
   CHECK(2 * killed >= machines);
   CHECK(overlaps > 10 * static_cast<int>(kSeeds));
 }
