--- a/src/inbound/inbound.cpp
+++ b/src/inbound/inbound.cpp
@@ -74,8 +74,9 @@
     loop_.watch(fd.get(), POLLIN, [this, number](short revents) { onEvents(number, revents); });
     Connection& c = connections_[number];
     c.fd = std::move(fd);
-    c.arrivals = ArrivalTimes(loop_.quietAtMs(listener_.get()));
     const ArrivalTimes::Look seen = look(c.fd);
+    const int listener = listener_.get();
+    c.arrivals = ArrivalTimes(seen.ageMs ? loop_.quietAtMs(listener) : loop_.likelyQuietAtMs(listener));
     c.sinceMs = seen.nowMs - seen.ageMs.value_or(0);
   }
 }
--- a/src/log/request_trace.h
+++ b/src/log/request_trace.h
@@ -6,16 +6,15 @@
 //   trace.outcome("9b1f", "s-5be2", "full", 250);
 //
 //   event             fields
-//   request.received  id, unread_ms, left_ms        how long it had lain unread; its time left
+//   request.received  id, unread_ms, left_ms        unread_ms: it had lain unread; left_ms: of its time
 //   request.accepted  id
 //   request.rejected  id, reason, wait_ms           before it was accepted
 //   request.called    id, endpoint, attempt         attempt > 0: a retry; why is in the outcome before it
-//   request.departed  id, endpoint, call, cap_ms    the call's first byte is about to leave; given up after
-//   cap_ms request.outcome   id, endpoint, outcome, detail, given_up   given_up: its call had been, before
-//   this came request.completed id, status, wait_ms, recorded, left_ms   of its time; below 0: after its
-//   deadline request.notified  id, late_ms                   the platform has confirmed it, so long after the
-//   deadline connection.closed connection, reason, id        a client's; id: of the request on it that is not
-//   answered
+//   request.departed  id, endpoint, call, cap_ms    its call's first byte may leave; given up after cap_ms
+//   request.outcome   id, endpoint, outcome, detail, given_up        given_up: its call had been before
+//   request.completed id, status, wait_ms, recorded, left_ms         left_ms: of its time, below 0 if over
+//   request.notified  id, late_ms                   confirmed by the platform so long after its deadline
+//   connection.closed connection, reason, id        a client's; id: of the request on it that is not answered
 //
 // No body and no idempotency key is in any of them. One thread; O(text).
 #pragma once
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -67,10 +67,11 @@
 void Loop::recordQuiet() {
   const double returnedAtMs = nowMs();
   const bool waited = returnedAtMs - polledAtMs_ > kPollAtOnceMs;
-  for (const pollfd& polled : polled_) {
-    if ((polled.events & POLLIN) == 0) continue;
-    Watch& watch = watches_.at(polled.fd);
-    const bool isQuiet = (polled.revents & kReadEvents) == 0;
+  auto polled = polled_.begin();
+  for (auto& [fd, watch] : watches_) {  // in the order of `polled_`, which was made from them
+    const pollfd& entry = *polled++;
+    if ((entry.events & POLLIN) == 0) continue;
+    const bool isQuiet = (entry.revents & kReadEvents) == 0;
     if (isQuiet) watch.quietAtMs = polledAtMs_;
     if (isQuiet || waited) watch.likelyQuietAtMs = returnedAtMs;
   }
