Try a notification again sooner where nothing of its post reached the platform

Cause: a post whose connection does not come up, or that breaks before its last byte, was spaced like one that the platform had seen (110 ms), and was counted as an answer that failed, so that the next post which hung was waited for twice or four times as long.

Mend: such a post is tried again after 10, 20, 40 ms and so on, up to the 110 ms, and says nothing of how long an answer may take. The platform sees no post more than before.

--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -14,13 +14,22 @@
 constexpr double kPostIntervalMs = 110;  // the platform sees them 100 ms apart or more
 constexpr int kPostsWithoutPatience = 2;
 constexpr double kMaxAnswerMs = 600;  // of a platform that is slow for everybody
+// Before a post is tried again of which nothing reached the platform; twice as long each time in a row.
+constexpr double kFirstUnsentRetryMs = 10;
+constexpr int kMaxDoublings = 16;
 
 // How long a post may stay without an answer, behind so many failures in a row.
 double answerTimeoutMs(int failures) {
-  const int doublings = std::clamp(failures + 1 - kPostsWithoutPatience, 0, 16);
+  const int doublings = std::clamp(failures + 1 - kPostsWithoutPatience, 0, kMaxDoublings);
   return std::min(kMaxAnswerMs, std::ldexp(kPostIntervalMs, doublings));
 }
 
+// How long to wait behind so many posts in a row that could not be sent.
+double unsentRetryMs(int unsent) {
+  const int doublings = std::clamp(unsent - 1, 0, kMaxDoublings);
+  return std::min(kPostIntervalMs, std::ldexp(kFirstUnsentRetryMs, doublings));
+}
+
 constexpr std::size_t kMostAtOnce = 200;
 
 }  // namespace
@@ -56,10 +65,7 @@
   for (std::size_t i = 0; i < posted_; ++i) body += waiting_[i].line;
   if (!connection_ || !connection_->reusable())
     connection_ = std::make_unique<ClientConnection>(loop_, platform_);
-  if (!connection_->open()) {
-    posted_ = 0;
-    return again(kPostIntervalMs);
-  }
+  if (!connection_->open()) return onUnsent();
   postedAtMs_ = loop_.nowMs();
   const Headers headers = {{"Content-Type", "application/x-ndjson"}};
   connection_->send(writeRequest("POST", "/v1/outcomes", platform_.text, headers, body),
@@ -78,7 +84,7 @@
   // One notice that cannot be read must not hold back the others: alone it is set aside.
   const bool unreadable = status == 400 && posted == 1;
   if (confirmed || unreadable) {
-    failuresInRow_ = 0;
+    failuresInRow_ = unsentInRow_ = 0;
     if (unreadable) {
       const std::string& line = waiting_.front().line;
       log_.write(LogLevel::kError, "notice.refused",
@@ -94,10 +100,19 @@
     if (!waiting_.empty() && timer_ == Loop::kNoTimer) again(0);
     return;
   }
+  if (result.end == ClientConnection::End::kNotSent) return onUnsent();
   oneByOne_ = oneByOne_ || status == 400;
   ++counters_.noticeRetries;
   ++failuresInRow_;
+  unsentInRow_ = 0;
   again(postedAtMs_ + kPostIntervalMs - loop_.nowMs());
 }
 
+// It says nothing of how fast the platform answers.
+void Notices::onUnsent() {
+  posted_ = 0;
+  ++counters_.noticeRetries;
+  again(unsentRetryMs(++unsentInRow_));
+}
+
 }  // namespace myrtleloft
--- a/src/notices/notices.h
+++ b/src/notices/notices.h
@@ -1,5 +1,6 @@
 // Notifications to the platform: what was accepted and will not be delivered. Kept until they are confirmed,
-// posted again after a failure, 110 ms after the failed post or later.
+// posted again after a failure: 110 ms after the failed post or later, and sooner where nothing of it can
+// have reached the platform.
 #pragma once
 
 #include <deque>
@@ -37,6 +38,8 @@
 
   void post();
   void onResult(const ClientConnection::Result& result);
+  // The post did not reach the platform: no connection came up, or it broke before the last byte was written.
+  void onUnsent();
   void again(double delayMs);
 
   Loop& loop_;
@@ -49,6 +52,7 @@
   bool oneByOne_ = false;
   double postedAtMs_ = 0;  // the last post
   int failuresInRow_ = 0;  // posts without a usable answer since the last confirmation
+  int unsentInRow_ = 0;    // posts that did not reach the platform since the last one that did
   std::unique_ptr<ClientConnection> connection_;
   Loop::Timer timer_ = Loop::kNoTimer;
 };
--- a/tests/notices/notices_test.cpp
+++ b/tests/notices/notices_test.cpp
@@ -93,6 +93,41 @@
   }
 }
 
+// Guards against posts of which nothing reached the platform being held against it: they were spaced, and the
+// next answer waited for, as if the platform were slow.
+TEST_CASE("posts that cannot be sent, and one that hangs behind them, make no notification late") {
+  for (const int unsent : {1, 2, 3, 4}) {
+    Platform platform;
+    platform.hub.refuse(platform.address.text);
+    platform.fault = Platform::Fault::kHangs;
+    platform.faults = unsent <= 2 ? 1 : 0;
+    const double dueMs = platform.clock.nowMs;
+    platform.notifications.add("a", FinalStatus::kFailed, 0);
+    while (platform.counters.noticeRetries < static_cast<std::uint64_t>(unsent) &&
+           platform.clock.nowMs - dueMs < 2 * kAllowedMs)
+      platform.advance(kStepMs);
+    platform.hub.acceptAgain(platform.address.text);
+    platform.advance(2 * kAllowedMs);
+    INFO("posts not sent: ", unsent);
+    REQUIRE(platform.heardMs.count("a") == 1);
+    CHECK(platform.heardMs["a"] - dueMs <= kAllowedMs - kPartingMs);
+  }
+}
+
+TEST_CASE(
+    "a platform that refuses connections is tried every 100 ms at the most often, after the first tries") {
+  Platform platform;
+  platform.hub.refuse(platform.address.text);
+  platform.notifications.add("a", FinalStatus::kFailed, 0);
+  platform.advance(1000);
+  const auto before = platform.counters.noticeRetries;
+  platform.advance(1000);
+  CHECK(platform.counters.noticeRetries - before <= 10);
+  platform.hub.acceptAgain(platform.address.text);
+  platform.advance(110 + 2 * kStepMs);
+  CHECK(platform.heardMs.count("a") == 1);
+}
+
 TEST_CASE("a platform that is slow, not gone, is waited for longer with each post, and confirms in the end") {
   Platform platform;
   constexpr double kSlowMs = 350;
