Take signals from the program's first moments on, not only once it is configured

SIGTERM in that time ended it as a crash does, not with exit code 0.

Cause: the signals were blocked when the relay started to run, behind the reading of its configuration. Before, the system's default ends the process.

Mend: the program blocks them before it reads anything; they stay pending until the relay runs. What comes before main() still ends it, as it would any program. Embedding programs have blockRelaySignals for it.

--- a/include/myrtleloft/relay.h
+++ b/include/myrtleloft/relay.h
@@ -34,6 +34,11 @@
 // Of a list as in environ(7), "NAME=VALUE" and a null at its end.
 Environment environmentOf(const char* const* entries);
 
+// Blocks the signals named at Relay::run, as it does itself. A program that calls this first thing keeps
+// those that come before the relay has read its configuration: it handles them once it runs. false: errno
+// says why.
+bool blockRelaySignals();
+
 // Where the configuration is faulty, as far as it is known.
 struct ConfigLocation {
   std::string file;  // of the operator's file, as it was named; empty: the JSON configuration
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -104,6 +104,7 @@
   if (!asked.operatorFile.empty()) environment["BALANCER_OPERATOR"] = asked.operatorFile;
   switch (asked.what) {
     case Asked::What::kServe:
+      blockRelaySignals();  // where it fails, the relay tries again and says so
       return Relay(environment, err).run();
     case Asked::What::kCheckConfig:
       return checkConfig(environment, out);
--- a/src/relay/relay_process_signals.cpp
+++ b/src/relay/relay_process_signals.cpp
@@ -11,12 +11,26 @@
 
 namespace myrtleloft {
 
-bool RelayProcess::takeSignals() {
+namespace {
+
+sigset_t handledSignals() {
   sigset_t handled;
   sigemptyset(&handled);
   for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&handled, signal);
+  return handled;
+}
+
+}  // namespace
+
+bool blockRelaySignals() {
+  const sigset_t handled = handledSignals();
+  return ::pthread_sigmask(SIG_BLOCK, &handled, nullptr) == 0;
+}
+
+bool RelayProcess::takeSignals() {
   std::signal(SIGPIPE, SIG_IGN);  // the log's reader may go away and another one come
-  if (::pthread_sigmask(SIG_BLOCK, &handled, nullptr) != 0) return false;
+  if (!blockRelaySignals()) return false;
+  const sigset_t handled = handledSignals();
   signals_ = Fd(::signalfd(-1, &handled, SFD_NONBLOCK | SFD_CLOEXEC));
   if (!signals_) return false;
   loop_.watch(signals_.get(), POLLIN, [this](short) { onSignal(); });
