Let the soak send signals to a starting relay only once it takes them

Cause: before a program's main() every SIGHUP ends it; the lab sent it at any moment of a start.

Mend: signals to a process that starts wait until the kernel says that it blocks SIGHUP (SigBlk in /proc/PID/status). They are then sent in its start, where signal series were left out before.

--- a/lab/fleet_machines.cpp
+++ b/lab/fleet_machines.cpp
@@ -171,10 +171,12 @@
   for (int i = 0; i < 5; ++i) relay.signals.emplace(now + i * kHangUpSeriesMs, SIGHUP);
 }
 
+// One that has just begun to start could not take any yet; they wait for it.
 void FleetOfProcesses::sendDueSignals(Relay& relay) {
+  if (relay.phase == Phase::kStarting && !relay.program->takesSignals()) return;
   while (!relay.signals.empty() && relay.signals.begin()->first <= witness_.nowMs()) {
     const int signal = relay.signals.extract(relay.signals.begin()).mapped();
-    const bool runs = relay.phase == Phase::kUp || relay.phase == Phase::kDraining;
+    const bool runs = relay.phase != Phase::kAway && relay.phase != Phase::kStopped;
     if (runs) relay.program->signal(signal);
   }
 }
@@ -206,9 +208,10 @@
   }
 }
 
-void FleetOfProcesses::hangUp(const Relay& relay) const {
-  if (relay.phase == Phase::kUp || relay.phase == Phase::kStarting || relay.phase == Phase::kDraining)
-    relay.program->signal(SIGHUP);
+void FleetOfProcesses::hangUp(Relay& relay) {
+  if (relay.phase == Phase::kAway || relay.phase == Phase::kStopped) return;
+  relay.signals.emplace(witness_.nowMs(), SIGHUP);
+  sendDueSignals(relay);
 }
 
 std::string FleetOfProcesses::shimCounts() const {
--- a/lab/fleet_of_processes.h
+++ b/lab/fleet_of_processes.h
@@ -121,7 +121,7 @@
   void trouble(const Relay& relay, int what, bool begins);
   void reload(Relay& relay, const Fault& fault, bool begins);
   void moveDirectory(Relay& relay);
-  void hangUp(const Relay& relay) const;
+  void hangUp(Relay& relay);
   // SIGTERM, unless it is not up.
   void drain(Relay& relay);
   void signalInSeries(Relay& relay, int series);
--- a/lab/stand_ins.cpp
+++ b/lab/stand_ins.cpp
@@ -186,6 +186,15 @@
   if (child_ > 0) ::kill(child_, number);
 }
 
+bool Program::takesSignals() const {
+  std::ifstream status("/proc/" + std::to_string(child_) + "/status");
+  const std::string blocked = "SigBlk:";
+  for (std::string line; std::getline(status, line);)
+    if (line.starts_with(blocked))
+      return (std::stoull(line.substr(blocked.size()), nullptr, 16) >> (SIGHUP - 1) & 1) != 0;
+  return false;
+}
+
 void Program::kill() {
   if (child_ <= 0) return;
   ::kill(child_, SIGKILL);
--- a/lab/stand_ins.h
+++ b/lab/stand_ins.h
@@ -139,6 +139,8 @@
   bool ready() const { return !address_.empty(); }
   const std::string& address() const { return address_; }
   pid_t pid() const { return child_; }
+  // Whether it keeps SIGHUP for itself: before, the signal would end it as it would any program.
+  bool takesSignals() const;
   const std::string& log() const { return log_; }
 
   std::vector<std::pair<std::string, std::string>> environment;  // of the next process, beside its own
