Judge short limits in the soak by the lab's edge and the kernel's run delay

Change: the lab notes when each of its turns begins; a call, a notification and the order of two calls are judged by when the bytes were at its edge, at most so many turns from where they were noted. The kernel's count of a process's waiting for a processor (/proc/PID/schedstat) excuses a wait and a final status by exactly what it says, over the deadline or behind it. Nothing is excused by a bound on a quiet machine but some 4 turns of 1 ms.

--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -5,7 +5,8 @@
 //
 // The figures are PROTOCOL's. `slackMs` is what a busy machine may add between two processes: with it, no
 // verdict depends on load. Besides, time in which the lab had stopped a relay, or stood still itself, excuses
-// that relay, and nothing else does; of a final status only time over the deadline or behind it.
+// that relay, and so does, of waits and final statuses, time in which the kernel gave it no processor.
+// Nothing else does; of a final status only time over the deadline or behind it.
 #pragma once
 
 #include <cstddef>
@@ -60,6 +61,8 @@
   // Calls go through a proxy, by which the end of one may be seen so much later than the beginning of the
   // next.
   double proxyOrderMs = 0;
+  // Turns of the lab that an answer, a call and the end of a call before it may take (auditor_turns.h).
+  std::size_t answerTurns = 0, callTurns = 0, orderTurns = 0;
   double readyMs = 10000;  // from a process's start, or from the end of the trouble it met, to its readiness
   double halfMs = 3000;    // that a client which stops in the middle of a request is owed its error
   double slackMs = 0;
--- a/lab/fleet_endpoint.cpp
+++ b/lab/fleet_endpoint.cpp
@@ -12,6 +12,7 @@
 
 void FleetWitness::turn() {
   const double now = nowMs(), tookMs = now - std::exchange(turnedMs_, now);
+  history.turnsMs.push_back(now);
   if (tookMs > kTurnMs) see({.saw = Saw::kStall, .ms = tookMs});
 }
 
--- a/lab/fleet_faults.cpp
+++ b/lab/fleet_faults.cpp
@@ -98,7 +98,7 @@
   text << "handed in " << count(Saw::kHanded) << ", taken on " << count(Saw::kTaken) << ", refused "
        << count(Saw::kRefused) << ", calls " << count(Saw::kCall) << ", notices " << count(Saw::kNotice)
        << ", cut off " << count(Saw::kCutOff) << ", left " << count(Saw::kLeft) << ", stalls "
-       << count(Saw::kStall) << '\n';
+       << count(Saw::kStall) << ", starved " << sumMs(Saw::kStarved) << " ms\n";
   return text.str();
 }
 
--- a/lab/fleet_machines.cpp
+++ b/lab/fleet_machines.cpp
@@ -35,7 +35,7 @@
 void FleetOfProcesses::askUp(Relay& relay) {
   const double now = witness_.nowMs();
   if (now < relay.askAgainMs) return;
-  relay.askAgainMs = now + kAskEveryMs;
+  relay.askAgainMs = now + kAskUpEveryMs;
   hub_.close(relay.asks);
   const auto answered = [this, &relay](Hub::Id from, const Message& m) {
     hub_.close(from);
@@ -208,6 +208,15 @@
   }
 }
 
+void FleetOfProcesses::seeStarved(Relay& relay) {
+  constexpr double kAskEveryMs = 5, kLeastMs = 1;
+  const double nowMs = witness_.nowMs();
+  if (relay.phase == Phase::kAway || nowMs - relay.processorAskedMs < kAskEveryMs) return;
+  relay.processorAskedMs = nowMs;
+  const double waitedMs = relay.processorWait.sinceLastMs(relay.program->pid());
+  if (waitedMs >= kLeastMs) witness_.see({.saw = Saw::kStarved, .relay = relay.name, .ms = waitedMs});
+}
+
 void FleetOfProcesses::hangUp(Relay& relay) {
   if (relay.phase == Phase::kAway || relay.phase == Phase::kStopped) return;
   relay.signals.emplace(witness_.nowMs(), SIGHUP);
--- a/lab/fleet_of_processes.h
+++ b/lab/fleet_of_processes.h
@@ -24,6 +24,7 @@
 #include "lab/fleet_clients.h"
 #include "lab/fleet_endpoint.h"
 #include "lab/link_stand_in.h"
+#include "lab/processor_wait.h"
 #include "lab/rude_clients.h"
 
 namespace myrtleloft::lab {
@@ -85,10 +86,11 @@
 
   const FleetHistory& history() const { return witness_.history; }
   std::size_t count(Saw saw) const;
+  double sumMs(Saw saw) const;
 
  private:
   static constexpr double kToldMs = 6000, kStartAfterMs = 600;  // PROTOCOL's
-  static constexpr double kAskEveryMs = 20;
+  static constexpr double kAskUpEveryMs = 20;
   static constexpr std::array<const char*, 3> kClasses = {"status-update", "caption-order", "billing-charge"};
   static constexpr int kFirstDestination = 7, kDestinations = 3;
   static std::string freeAddress();
@@ -108,8 +110,10 @@
     double drainsMs = 0, startAtMs = 0, toldAtMs = 0;
     std::multimap<double, int> signals;  // still to be sent, by when
     std::uint64_t holdsSeen = 0;         // of those that its shim has noted
-    std::vector<Hub::Id> flood;          // silent connections to it
-    std::set<std::string> untold;        // endpoints that its directory tells to drain
+    ProcessorWait processorWait;
+    double processorAskedMs = 0;
+    std::vector<Hub::Id> flood;    // silent connections to it
+    std::set<std::string> untold;  // endpoints that its directory tells to drain
   };
 
   std::string config(const Relay& relay) const;
@@ -128,6 +132,8 @@
   void sendDueSignals(Relay& relay);
   // Notes when the shim held its process up since the last turn.
   void seeHolds(Relay& relay);
+  // Notes for how long its process had no processor.
+  void seeStarved(Relay& relay);
   void crowd(const Relay& relay, int messages);
   void flood(Relay& relay, std::size_t connections);
   void onEndpoint(FleetEndpoint& endpoint, const Fault& fault, bool begins);
--- a/tests/auditor_slack_test.cpp
+++ b/tests/auditor_slack_test.cpp
@@ -7,6 +7,7 @@
 
 #include "lab/auditor.h"
 #include "lab/auditor_processes.h"
+#include "lab/auditor_turns.h"
 #include "tests/auditor_story.h"
 
 using namespace myrtleloft;
@@ -54,6 +55,85 @@
       audit(strict, waits(1151, true)).empty());  // it cannot know what comes between its look and its write
 }
 
+// Guards against verdicts that a busy machine makes: the stand-ins' own turns took 30 ms each, and were held
+// against the relays.
+TEST_CASE("a call behind a told wait is judged by when it was at the lab's edge") {
+  AuditRules strict = rules();
+  strict.waitSlackMs = 50;
+  strict.answerTurns = kProxiedAnswerTurns;
+  strict.callTurns = kProxiedCallTurns;
+  const auto waits = [](double turnMs, double callMs) {
+    Story s;
+    s.taken("any").call(30, "a", 1).answer(1000, "a", 1, 429, 3000);
+    s.call(callMs, "a", 2).answer(callMs + 1, "a", 2, 200);
+    return s.turnsOf(turnMs, 5000);
+  };
+  CHECK(audit(strict, waits(1, 1155)).empty());
+  CHECK(audit(strict, waits(1, 1160)).size() == 1);
+  CHECK(audit(strict, waits(30, 1290)).empty());
+  CHECK(audit(strict, waits(30, 1350)).size() == 1);
+}
+
+// Guards against verdicts that a busy machine makes: a process that could have run had no processor.
+TEST_CASE(
+    "time without a processor excuses a call behind a told wait, and a late status behind the deadline") {
+  AuditRules strict = rules();
+  strict.waitSlackMs = 50;
+  const auto waits = [](double starvedToMs, double callMs) {
+    Story s;
+    s.taken("any").call(30, "a", 1).answer(1000, "a", 1, 429, 3000);
+    s.lab(starvedToMs, Saw::kStarved, "n1", 80);
+    return s.call(callMs, "a", 2).answer(callMs + 1, "a", 2, 200);
+  };
+  CHECK(audit(strict, waits(1100, 1230)).empty());
+  CHECK(audit(strict, waits(1100, 1231)).size() == 1);
+  CHECK(audit(strict, waits(1000, 1151)).size() == 1);  // before the wait was told
+  const auto late = [](double starvedToMs, double noticeMs) {
+    return Story().taken("any").lab(starvedToMs, Saw::kStarved, "n1", 80).notice(noticeMs).watchedTo(60000);
+  };
+  good(late(10200, 10380));
+  lost(late(10200, 10381), 3);
+  lost(late(10000, 10301), 3);  // before the deadline
+}
+
+TEST_CASE("the end of a call may be seen two turns of the lab after the next one's beginning") {
+  AuditRules strict = rules();
+  strict.orderTurns = kProxiedOrderTurns;
+  const auto repeated = [](double turnMs, double endMs) {
+    Story s;
+    s.taken("any").call(30, "a", 1).call(1000, "b", 2).lab(endMs, Saw::kEnded);
+    s.records.back().id = "m";
+    s.records.back().call = 1;
+    return s.answer(endMs + 1, "b", 2, 200).turnsOf(turnMs, 5000);
+  };
+  CHECK(audit(strict, repeated(1, 1002)).empty());
+  CHECK(audit(strict, repeated(1, 1004)).size() == 1);
+  CHECK(audit(strict, repeated(40, 1119)).empty());
+  CHECK(audit(strict, repeated(40, 1121)).size() == 1);
+}
+
+TEST_CASE("a call that was at the lab's edge before its notification was noted is none after the end") {
+  AuditRules strict = rules();
+  strict.callTurns = kProxiedCallTurns;
+  const auto called = [](double turnMs, double callMs) {
+    return Story().taken("any").notice(1000).call(callMs, "a", 1).turnsOf(turnMs, 5000);
+  };
+  CHECK(audit(strict, called(1, 1054)).empty());
+  CHECK(audit(strict, called(1, 1056)).size() == 1);
+  CHECK(audit(strict, called(40, 1220)).empty());
+  CHECK(audit(strict, called(40, 1240)).size() == 1);
+}
+
+TEST_CASE("a notification is on time that was at the lab's edge in time") {
+  const auto notified = [](double turnMs, double noticeMs) {
+    return Story().taken("any").notice(noticeMs).watchedTo(60000).turnsOf(turnMs, 60000);
+  };
+  good(notified(1, 10302));
+  lost(notified(1, 10303), 2);
+  good(notified(40, 10395));
+  lost(notified(40, 10405), 2);
+}
+
 TEST_CASE("two processes that tell the platform different ends of a message are found") {
   for (const int second : {0, 1}) {
     Story s;
--- a/tests/auditor_story.h
+++ b/tests/auditor_story.h
@@ -19,6 +19,11 @@
     add({.atMs = atMs, .saw = saw, .relay = relay, .ms = ms});
     return *this;
   }
+  // The lab's turns took so long each, up to that moment.
+  Story& turnsOf(double ms, double untilMs) {
+    for (double atMs = 0; atMs <= untilMs; atMs += ms) turnsMs.push_back(atMs);
+    return *this;
+  }
   // Message "m", taken on by n1 at 0 with 10 s to live.
   Story& taken(const std::string& cls) { return handed(0, "m", cls).client(20, Saw::kTaken, "m"); }
   Story& handed(double atMs, const std::string& id, const std::string& cls) {
