Bring src/net under clang-tidy, and split the reading of HTTP bodies

The parser's body moves to http_body.cpp, one function for each of its steps in place of one of 48 in cognitive complexity; what both files need of text is in http_text.h. Names of one and two letters are spelled out. No behaviour is meant to change.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -69,12 +69,12 @@
   if (loop_.pollIsOld() && ++putOffTurns_ <= kMaxPutOffTurns) return;
   putOffTurns_ = 0;
   if (!begun() && mayLeave_ && !mayLeave_()) return finish(End::kHeldBack);
-  const Io io = writeSome(fd_, out_, written_);
+  const Io moved = writeSome(fd_, out_, written_);
   // An endpoint may have answered what it had of the call, and gone, in the instant of this write: a wait
   // that it told must be known. What stands there before a call's first byte is no answer to it.
-  writeFailed_ = io == Io::kFailed;
+  writeFailed_ = moved == Io::kFailed;
   if (writeFailed_) return begun() ? read() : finish(End::kNotSent);
-  if (io == Io::kProgress) loop_.setEvents(fd_.get(), POLLIN);
+  if (moved == Io::kProgress) loop_.setEvents(fd_.get(), POLLIN);
 }
 
 void ClientConnection::endSending() {
@@ -105,12 +105,12 @@
 void ClientConnection::read() {
   for (int i = 0; i < kReadsInTurn; ++i) {
     const double arrivedMs = unreadArrivedMs();
-    const Io io = readSome(fd_, reader_.buffer());
-    if (io == Io::kProgress) arrivedMs_ = arrivedMs;
-    if (io == Io::kWouldBlock && writeFailed_) return finish(End::kNotSent);
-    if (io == Io::kWouldBlock) return;
-    auto state = io == Io::kProgress ? reader_.advance() : HttpReader::State::kBad;
-    if (io == Io::kClosed) state = reader_.finish();
+    const Io moved = readSome(fd_, reader_.buffer());
+    if (moved == Io::kProgress) arrivedMs_ = arrivedMs;
+    if (moved == Io::kWouldBlock && writeFailed_) return finish(End::kNotSent);
+    if (moved == Io::kWouldBlock) return;
+    auto state = moved == Io::kProgress ? reader_.advance() : HttpReader::State::kBad;
+    if (moved == Io::kClosed) state = reader_.finish();
     if (state == HttpReader::State::kMore) {
       armRest();
       continue;
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -1,7 +1,7 @@
 // The clocks that the relay needs, passed in so that no part reads the time by itself.
 #pragma once
 
-#include <time.h>
+#include <ctime>
 
 #include <chrono>
 #include <fstream>
@@ -34,8 +34,8 @@
 
  private:
   template <typename Duration>
-  static double toMs(Duration d) {
-    return std::chrono::duration<double, std::milli>(d).count();
+  static double toMs(Duration duration) {
+    return std::chrono::duration<double, std::milli>(duration).count();
   }
 };
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -1,7 +1,9 @@
 // HTTP/1.1 messages: an incremental reader for both directions, and writers. Knows nothing of sockets.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -9,8 +11,8 @@
 
 namespace myrtleloft {
 
-inline constexpr std::size_t kHeadLimit = 16 * 1024;
-inline constexpr std::size_t kBodyLimit = 64 * 1024;
+inline constexpr std::size_t kHeadLimit = std::size_t{16} * 1024;
+inline constexpr std::size_t kBodyLimit = std::size_t{64} * 1024;
 
 struct HttpMessage {
   std::string method, target;  // of a request
@@ -54,9 +56,25 @@
   bool readHead();  // false: more needed, or failed
   bool firstLine(std::string_view line);
   bool headerLine(std::string_view line);
-  bool framing();
   bool takeLine(std::string& line);  // false: more needed, or failed
+  State withoutLine() const { return step_ == Step::kBad ? State::kBad : State::kMore; }
+
+  // What a head says of where its body ends.
+  struct Framing {
+    std::optional<std::uint64_t> length;
+    bool chunked = false;
+  };
+  bool beginBody();  // false: failed
+  // Of a header that says nothing of it: nothing. false: it contradicts itself or an earlier one.
+  bool readFramingHeader(std::string_view name, std::string_view value, Framing& framing);
   State readBody();
+  // One of them at a time; none: the next one can go on at once.
+  std::optional<State> readBodyStep();
+  std::optional<State> readPart(Step next);
+  std::optional<State> readChunkSize();
+  std::optional<State> readChunkEnd();
+  std::optional<State> readTrailer();
+  std::optional<State> readUntilClose();
 
   Side side_;
   std::size_t bodyLimit_;
--- /dev/null
+++ b/src/net/http_text.h
@@ -0,0 +1,59 @@
+// What HTTP/1.1 makes of the text of a head: names, tokens, numbers, lists of words. For the reader alone.
+#pragma once
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace myrtleloft {
+
+inline char lower(char letter) {
+  return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + ('a' - 'A')) : letter;
+}
+
+// Names of headers and their words do not tell upper from lower case.
+inline bool sameName(std::string_view left, std::string_view right) {
+  return std::ranges::equal(left, right, {}, lower, lower);
+}
+
+inline bool isTokenCharacter(char character) {
+  return (character >= '0' && character <= '9') || (lower(character) >= 'a' && lower(character) <= 'z') ||
+         std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
+}
+inline bool isToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
+inline bool isVisible(std::string_view text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](char character) { return character > 0x20 && character != 0x7f; });
+}
+
+// Without the blanks around it.
+inline std::string_view trimmed(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+  return text;
+}
+
+// Digits alone; none: anything else, or too large.
+inline std::optional<std::uint64_t> parseNumber(std::string_view text, int base) {
+  std::uint64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+// Whether a comma-separated list such as Connection's holds the word.
+inline bool lists(std::string_view list, std::string_view word) {
+  for (std::size_t at = 0; at <= list.size();) {
+    const std::size_t end = std::min(list.find(',', at), list.size());
+    if (sameName(trimmed(list.substr(at, end - at)), word)) return true;
+    at = end + 1;
+  }
+  return false;
+}
+
+}  // namespace myrtleloft
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -18,8 +18,8 @@
 constexpr int kMostFailures = 16;  // in a row, of reading what is to be dropped
 
 void sendAtOnce(const Fd& fd) {
-  const int on = 1;
-  ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  const int enabled = 1;
+  ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
 }
 
 // Whether a call on a connection that failed works later, the connection being as it was (man recv, man
@@ -56,8 +56,8 @@
 
 Fd listenOn(const Address& address, std::string& error, int* number) {
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  const int on = 1;
-  if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  const int enabled = 1;
+  if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
   if (!fd || ::bind(fd.get(), generic(address), sizeof address.raw) != 0 ||
       ::listen(fd.get(), SOMAXCONN) != 0) {
     if (number) *number = errno;
