--- a/tests/notices/notices_test.cpp
+++ b/tests/notices/notices_test.cpp
@@ -128,6 +128,31 @@
   CHECK(platform.heardMs.count("a") == 1);
 }
 
+// Guards against notifications that wait for an address that the platform has left.
+TEST_CASE("when the platform's address changes, no notification is late") {
+  constexpr double kOutMs = 3 * kStepMs, kWaitsMs = 105;  // of the first post: it is out, it is over
+  for (const double movedAfterMs : {kOutMs, kWaitsMs}) {
+    Platform platform;
+    platform.fault = Platform::Fault::kUnavailable;
+    if (movedAfterMs == kOutMs) platform.fault = Platform::Fault::kHangs;
+    platform.faults = 1;
+    const double dueMs = platform.clock.nowMs;
+    platform.notifications.add("a", FinalStatus::kFailed, 0);
+    platform.advance(movedAfterMs);
+    platform.hub.refuse(platform.address.text);
+    platform.address = *parseAddress(platform.hub.listen(
+        {[&](lab::Hub::Id from, const lab::Message& message) { platform.onPost(from, message); }, {}, {}}));
+    platform.notifications.moved();
+    platform.notifications.add("b", FinalStatus::kReturned, 500);
+    platform.advance(kAllowedMs);
+    INFO("moved after ", movedAfterMs);
+    REQUIRE(platform.heardMs.count("a") == 1);
+    REQUIRE(platform.heardMs.count("b") == 1);
+    CHECK(platform.heardMs["a"] - dueMs <= kAllowedMs - kPartingMs);
+    CHECK(platform.heardMs["b"] - dueMs <= kAllowedMs - kPartingMs);
+  }
+}
+
 TEST_CASE("a platform that is slow, not gone, is waited for longer with each post, and confirms in the end") {
   Platform platform;
   constexpr double kSlowMs = 350;
