--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -1,9 +1,8 @@
 // The clocks that the relay needs, passed in so that no part reads the time by itself.
 #pragma once
 
-#include <ctime>
-
 #include <chrono>
+#include <ctime>
 #include <fstream>
 #include <string>
 
