--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -6,6 +6,8 @@
 #include <random>
 #include <utility>
 
+#include "lab/soak_evidence.h"
+
 namespace myrtleloft::lab {
 namespace {
 
@@ -226,6 +228,7 @@
   result.report = fleet.report() + fleet.shimCounts();
   const std::string logs = fleet.logs();
   result.violations = countOf(logs, kViolation);
+  result.evidence = evidenceOf(result.findings, fleet.history(), logs);
   if (!result.held()) result.logs = result.findings.empty() ? logs : logsOf(fleet, result.findings);
   return result;
 }
--- a/lab/soak.h
+++ b/lab/soak.h
@@ -30,8 +30,9 @@
   std::vector<AuditFinding> findings;
   // What the relays' own guards withheld that no timing excuses (src/exchange/rule_guard.h).
   std::size_t violations = 0;
-  std::string report;  // plan, findings, figures
-  std::string logs;    // of the relays whose names the findings hold; of all where there is none
+  std::string report;    // plan, findings, figures
+  std::string evidence;  // of the first findings (lab/soak_evidence.h)
+  std::string logs;      // of the relays whose names the findings hold; of all where there is none
   bool held() const { return played && findings.empty() && violations == 0; }
 };
 
--- a/lab/soak_main.cpp
+++ b/lab/soak_main.cpp
@@ -54,7 +54,8 @@
     broken += !result.held();
     const std::size_t figures = result.report.rfind("handed in ");
     std::cout << "seed " << seed << ": " << summaryOf(result) << "\n  "
-              << (figures == std::string::npos ? "" : result.report.substr(figures)) << std::flush;
+              << (figures == std::string::npos ? "" : result.report.substr(figures)) << result.evidence
+              << std::flush;
     keepLogs(arguments.logs, seed, result);
   }
   std::cout << to - from + 1 - static_cast<std::uint64_t>(broken) << " of " << to - from + 1
