Hold up a relay in the polls of its sockets alone, not in those of its log

Traced: the shim stands a process still "in turns with something to write", and took each poll with POLLOUT for one. The log asks its pipe by such a poll before each line. At debug level the lines of a bulk call lie between the gate that looks for unread answers and the write: m412 departed at 5.355 s, m413, of the same call, at 5.602 s, the stand of 249 ms between them, and the 429 that came meanwhile could not be known.

The shim now stands in polls that would write to a socket. fault_shim_test fails on the text before: the poll of a pipe was held up once, wanted 0.

--- a/lab/fault_shim.h
+++ b/lab/fault_shim.h
@@ -43,7 +43,7 @@
   std::atomic<std::int64_t> wallStepMs{0};        // added to CLOCK_REALTIME; the other clocks stay
   std::atomic<std::uint32_t> networkPerMille{0};  // of socket, accept4, connect, poll, recv, send
   std::atomic<std::uint32_t> delayPerMille{0};    // of send and write: they begin up to 150 ms late
-  std::atomic<std::uint32_t> standsPerMille{0};   // of poll: the process stands before or behind the real one
+  std::atomic<std::uint32_t> standsPerMille{0};   // of poll with sockets to write: it stands before or behind
   std::atomic<DiskFault> disk{DiskFault::kNone};
   std::atomic<bool> hidesArrivals{false};  // TCP_INFO succeeds and fills nothing in
   std::atomic<std::uint32_t> syncMs{0};    // by how much each fdatasync takes longer
@@ -81,7 +81,7 @@
   void slowSyncs(std::uint32_t ms) { page_->syncMs = ms; }
   // As on systems that know no TCP_INFO: nobody tells when bytes came.
   void hideArrivals() { page_->hidesArrivals = true; }
-  // In so many of its turns with something to write, the process stands still for 200 to 300 ms.
+  // In so many of its turns with something to write to a socket, the process stands still for 200 to 300 ms.
   void standInPoll(std::uint32_t perMille) { page_->standsPerMille = perMille; }
   const FaultPage& page() const { return *page_; }
 
--- a/lab/fault_shim_network.cpp
+++ b/lab/fault_shim_network.cpp
@@ -42,6 +42,12 @@
   return failWith(std::array{ETIMEDOUT, EHOSTUNREACH, ECONNRESET});
 }
 
+// Not the log's pipe: a stand there would lie between a relay's last look at its sockets and its write.
+bool writesToSocket(const pollfd& polled) {
+  const FdKind kind = kindOf(polled.fd);
+  return (polled.events & POLLOUT) && (kind == FdKind::kConnected || kind == FdKind::kAccepted);
+}
+
 bool breaks(int fd) { return kindOf(fd) == FdKind::kConnected && nextRandom() % 2 == 0; }
 
 }  // namespace
@@ -93,8 +99,8 @@
 int poll(pollfd* fds, nfds_t count, int timeoutMs) {
   static const auto next = real<int(pollfd*, nfds_t, int)>("poll");
   if (networkFails()) return failWith(std::array{EINTR, ENOMEM});
-  const bool writes = std::any_of(fds, fds + count, [](const pollfd& each) { return each.events & POLLOUT; });
-  const bool stands = writes && page() && drawn(page()->standsPerMille);
+  const bool stands =
+      std::any_of(fds, fds + count, writesToSocket) && page() && drawn(page()->standsPerMille);
   const bool standsBefore = stands && nextRandom() % 2 == 0;
   if (standsBefore) stand();
   const int ready = next(fds, count, timeoutMs);
