Give up a call at its request's deadline, however long it waited for its sync

What callers saw: `lost`, once.

Cause: how long a call is waited for was worked out when it was decided, and counted from when it began, behind the sync. X-Timeout told the endpoint the same. Hypotheses ruled out by the log: a post that failed (one post, 18 ms), a record that failed (recorded=true), time without a processor (415 ms, most before the deadline).

A call's items now have the moment by which their answer must have come, on the loop's clock; what is counted from the beginning of the call ends there at the latest. Class: a time limit counted from when the process came to act.

slow_sync_test fails on the text before: X-Timeout 990 ms with 600 left, and no final status 70 ms behind the deadline.

--- a/src/exchange/call_tracker.cpp
+++ b/src/exchange/call_tracker.cpp
@@ -26,7 +26,7 @@
   }
   for (const CallItem& item : call.items) {
     parts_.requests.at(item.id).callInFlight = call.number;
-    parts_.trace.departed(item.id, call.uid, call.number, item.capMs);
+    parts_.trace.departed(item.id, call.uid, call.number, item.answerByMs - parts_.loop.nowMs());
   }
   return true;
 }
--- a/src/exchange/journaled_sends.cpp
+++ b/src/exchange/journaled_sends.cpp
@@ -44,7 +44,7 @@
       std::max(kMinTimeoutMs, request->deadlineMs - kDeadlineMarginMs - parts_.loop.nowMs());
   const double timeoutMs = send.timeoutMs > 0 ? std::min(send.timeoutMs, leftMs) : leftMs;
   const PendingRequest& pending = request->pending;
-  CallItem item{pending.id, pending.key, pending.body, timeoutMs};
+  CallItem item{pending.id, pending.key, pending.body, timeoutMs, parts_.loop.nowMs() + leftMs};
   const std::size_t bytes = maxBytesOf(item);
   const auto fitting = std::find_if(calls.begin(), calls.end(), [&](const PlannedCall& call) {
     return call.endpoint == send.endpoint && call.items.size() < batchSizeOf(endpoint->info.kind) &&
--- a/src/outbound/outbound.cpp
+++ b/src/outbound/outbound.cpp
@@ -17,10 +17,7 @@
   return text;
 }
 
-// How long a call is waited for; see onCap.
-double waitOf(const std::vector<CallItem>& items) {
-  return std::ranges::min(items, {}, &CallItem::capMs).capMs;
-}
+constexpr double kMinTimeoutMs = 1;  // that an endpoint is told
 
 }  // namespace
 
@@ -31,7 +28,7 @@
   call.address = endpoint.address;
   call.bulk = items.size() > 1;
   call.items = std::move(items);
-  call.startedMs = loop_.nowMs();
+  for (CallItem& item : call.items) item.answerByMs = std::min(item.answerByMs, loop_.nowMs() + item.capMs);
   armCap(number);
   armLeave(number);
   waiting_.insert(number);
@@ -46,18 +43,20 @@
     begin(waiting_.extract(waiting_.begin()).value());
 }
 
+double Outbound::leftMs(const CallItem& item) const { return item.answerByMs - loop_.nowMs(); }
+
 std::string Outbound::bytesOf(const Call& call) const {
-  const auto leftMs = [&](double capMs) { return std::max(1.0, call.startedMs + capMs - loop_.nowMs()); };
   const std::string& host = call.address.text;
+  const CallItem& soonest = *std::ranges::min_element(call.items, {}, &CallItem::answerByMs);
+  const std::string timeout = seconds(std::max(kMinTimeoutMs, leftMs(soonest)));
   if (call.bulk) {
-    const Headers headers = {{"Content-Type", "application/json"},
-                             {"X-Timeout", seconds(leftMs(waitOf(call.items)))}};
+    const Headers headers = {{"Content-Type", "application/json"}, {"X-Timeout", timeout}};
     return writeRequest("POST", "/inbox/bulk", host, headers, writeBulk(call.items));
   }
   const CallItem& item = call.items.front();
   Headers headers = {{"X-Request-ID", item.id}};
   if (!item.key.empty()) headers.emplace_back("Idempotency-Key", item.key);
-  headers.emplace_back("X-Timeout", seconds(leftMs(item.capMs)));
+  headers.emplace_back("X-Timeout", timeout);
   return writeRequest("POST", "/inbox", host, headers, item.body);
 }
 
--- a/src/outbound/outbound.h
+++ b/src/outbound/outbound.h
@@ -22,7 +22,9 @@
 
 struct CallItem {
   std::string id, key, body;
-  double capMs = 0;  // how long the relay waits for this one
+  double capMs = 0;  // how long the relay waits for this one, from when its call begins
+  // Until when the relay waits for it at most, on the loop's clock in ms, however late its call begins.
+  double answerByMs = std::numeric_limits<double>::infinity();
   // By when its last byte must be written, on the loop's clock in ms; later it is reported as not sent.
   double leaveByMs = std::numeric_limits<double>::infinity();
 };
@@ -94,13 +96,14 @@
     Address address;
     std::vector<CallItem> items;  // those without an outcome yet
     bool bulk = false;
-    double startedMs = 0;   // the caps count from here
     Connection connection;  // none while it waits for a slot
     // Given up, with this outcome, unless an answer was on its way: its sending has ended.
     std::optional<Outcome> parting;
     Loop::Timer connectTimer = Loop::kNoTimer, capTimer = Loop::kNoTimer, leaveTimer = Loop::kNoTimer;
   };
 
+  // How long is left until the relay gives up waiting for the item.
+  double leftMs(const CallItem& item) const;
   std::string bytesOf(const Call& call) const;
   // Hands the call's bytes to its connection, in place of those that it has and has not begun to write.
   void write(std::uint64_t number);
--- a/src/outbound/outbound_ends.cpp
+++ b/src/outbound/outbound_ends.cpp
@@ -27,18 +27,14 @@
 // count as no delivery for the others either.
 void Outbound::armCap(std::uint64_t number) {
   Call& call = calls_.at(number);
-  const auto soonest =
-      std::min_element(call.items.begin(), call.items.end(),
-                       [](const auto& left, const auto& right) { return left.capMs < right.capMs; });
-  const double left = call.startedMs + soonest->capMs - loop_.nowMs();
-  call.capTimer = loop_.after(left, [this, number] { onCap(number); });
+  const auto soonest = std::ranges::min_element(call.items, {}, &CallItem::answerByMs);
+  call.capTimer = loop_.after(leftMs(*soonest), [this, number] { onCap(number); });
 }
 
 void Outbound::onCap(std::uint64_t number) {
   Call& call = calls_.at(number);
-  const double passed = loop_.nowMs() - call.startedMs;
   const auto split = std::stable_partition(call.items.begin(), call.items.end(),
-                                           [passed](const CallItem& item) { return item.capMs > passed; });
+                                           [this](const CallItem& item) { return leftMs(item) > 0; });
   const bool begun = call.connection && call.connection->begun();
   if (begun || split == call.items.begin()) return giveUp(number, Outcome::kTimeout);
   const Outcome late = unanswered(call.connection.get(), Outcome::kTimeout);
--- /dev/null
+++ b/tests/exchange/slow_sync_test.cpp
@@ -0,0 +1,75 @@
+// Requests whose time is up while their call waits, or has waited, for a sync of a slow disk: manual clocks,
+// a disk in memory, an endpoint that takes calls.
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <string>
+#include <utility>
+
+#include "tests/exchange/exchange_site.h"
+
+using namespace myrtleloft;
+using myrtleloft::testing::Site;
+
+namespace {
+
+constexpr double kTimeLeftMs = 1000, kSyncMs = 400;
+constexpr double kAnswerOnItsWayMs = 50;  // that a call which is given up still waits for its answer
+constexpr double kTurnsMs = 20;
+
+// One that may not be sent twice, so that its call may take all its time.
+void submitNonIdempotent(Site& site) {
+  IncomingRequest request;
+  request.id = "m";
+  request.body = "body";
+  request.classIndex = 2;
+  request.destination = 7;
+  request.arrivedMs = site.clock.nowMs;
+  request.timeLeftMs = kTimeLeftMs;
+  site.manager->onRequest(std::move(request),
+                          [&site](const Answer& answer) { site.answers.push_back(answer.kind); });
+}
+
+std::uint64_t finalStatuses(const Site& site) { return site.counters.dead + site.counters.bounced; }
+
+void sync(Site& site) {
+  for (int i = 0; i < 3; ++i) {  // the first covers what was written before
+    site.syncer.work();
+    site.manager->onSynced();
+    site.advance(5);
+  }
+}
+
+Fd acceptCall(const Site& site) {
+  int error = 0;
+  Fd fd = acceptFrom(site.endpoint, error);
+  REQUIRE(fd);
+  return fd;
+}
+
+std::string readAll(const Fd& fd) {
+  std::string bytes;
+  while (readSome(fd, bytes) == Io::kProgress) {
+  }
+  return bytes;
+}
+
+}  // namespace
+
+// Guards against final statuses that are late by as long as the call had waited for its sync.
+TEST_CASE("group: a call that waited for its sync is given up at its request's deadline") {
+  Site site(true);
+  submitNonIdempotent(site);
+  site.advance(kSyncMs);
+  sync(site);
+  REQUIRE(site.answers == std::vector<Answer::Kind>{Answer::Kind::kAccepted});
+  const Fd call = acceptCall(site);
+  site.advance(5);
+  const std::string bytes = readAll(call);
+  const std::size_t timeout = bytes.find("X-Timeout: ");
+  REQUIRE(timeout != std::string::npos);
+  CHECK(std::atof(bytes.c_str() + timeout + sizeof "X-Timeout: " - 1) * 1000 <= kTimeLeftMs - kSyncMs);
+
+  site.advance(kTimeLeftMs + kAnswerOnItsWayMs + kTurnsMs - site.clock.nowMs);
+  CHECK(finalStatuses(site) == 1);
+}
