Give up calls whose time is up while they wait for a sync

What callers see: a request with its 202, whose first call was refused, gets no final status for as long as the sync of its next call hangs, if it is seconds behind its deadline.

Cause: the decision module takes a call for out once it is decided, and hears of it from the call's own timer. What waits for a sync has none.

The queue gives such calls up when their time is over: they are recorded as not executed and reported as not sent, and the module ends their requests. What a late sync covers is not begun any more when its time is over (before, the guard withheld it). Taking calls out of the queue stood there three times and stands there once.

slow_sync_test's second case fails on the text before: no final status 20 ms behind the deadline.

--- a/src/exchange/durability_queue.cpp
+++ b/src/exchange/durability_queue.cpp
@@ -25,6 +25,24 @@
     for (const RequestHandle& request : batch.accepted) answerAccepted(request);
     for (PlannedCall& call : batch.calls) makeCall(call);
   }
+  armExpiry();
+}
+
+void DurabilityQueue::armExpiry() {
+  parts_.loop.cancel(expiryTimer_);
+  double soonestMs = std::numeric_limits<double>::infinity();
+  for (const Batch& batch : waiting_)
+    for (const PlannedCall& call : batch.calls)
+      for (const CallItem& item : call.items) soonestMs = std::min(soonestMs, item.answerByMs);
+  if (soonestMs == std::numeric_limits<double>::infinity()) return;
+  expiryTimer_ = parts_.loop.after(soonestMs - parts_.loop.nowMs(), [this] { expireCalls(); });
+}
+
+void DurabilityQueue::expireCalls() {
+  expiryTimer_ = Loop::kNoTimer;
+  const double nowMs = parts_.loop.nowMs();
+  reportUnsent([nowMs](const PlannedCall&, const CallItem& item) { return item.answerByMs <= nowMs; });
+  armExpiry();
 }
 
 void DurabilityQueue::answerAccepted(const RequestHandle& handle) {
@@ -38,16 +56,18 @@
 void DurabilityQueue::makeCall(PlannedCall& call) {
   const EndpointRecord* const endpoint = parts_.endpoints.find(call.endpoint);
   const bool isRunning = endpoint != nullptr && endpoint->info.state == EndpointState::kRunning;
+  const double nowMs = parts_.loop.nowMs();
   std::vector<CallItem> items;
   for (CallItem& item : call.items) {
     const OpenRequest* const request = parts_.requests.find(item.id);
     const bool isUndecided = request != nullptr && request->isUndecided();
     if (isUndecided) item.leaveByMs = sendDeadlineMs(*request);
-    // While it waited for the disk the request may have completed, its idempotency window may have passed, or
-    // the endpoint may have gone or begun to drain. The time to connect counts: at the window's end the call
-    // would only be withdrawn.
-    if (isUndecided && isRunning &&
-        parts_.loop.nowMs() + parts_.settings.connectTimeoutMs <= item.leaveByMs) {
+    // While it waited for the disk the request may have completed, its time or its idempotency window may
+    // have passed, or the endpoint may have gone or begun to drain. The time to connect counts: at the
+    // window's end the call would only be withdrawn.
+    const bool hasTime =
+        nowMs < item.answerByMs && nowMs + parts_.settings.connectTimeoutMs <= item.leaveByMs;
+    if (isUndecided && isRunning && hasTime) {
       items.push_back(std::move(item));
     } else {
       parts_.unsent.reportRecorded(item.id, call.endpoint);
@@ -67,28 +87,26 @@
   return request.firstAmbiguousMs + requestClass.idempotencyWindowMs * kUsableWindowShare;
 }
 
-bool DurabilityQueue::cancelCall(const std::string& id) {
+std::size_t DurabilityQueue::reportUnsent(const ItemPredicate& affected) {
+  std::size_t count = 0;
   for (Batch& batch : waiting_) {
     for (PlannedCall& call : batch.calls) {
-      const auto item = std::find_if(call.items.begin(), call.items.end(),
-                                     [&](const CallItem& candidate) { return candidate.id == id; });
-      if (item == call.items.end()) continue;
-      call.items.erase(item);
-      parts_.unsent.reportRecorded(id, call.endpoint);
-      return true;
+      count += std::erase_if(call.items, [&](const CallItem& item) {
+        if (!affected(call, item)) return false;
+        parts_.unsent.reportRecorded(item.id, call.endpoint);
+        return true;
+      });
     }
   }
-  return false;
+  return count;
+}
+
+bool DurabilityQueue::cancelCall(const std::string& id) {
+  return reportUnsent([&id](const PlannedCall&, const CallItem& item) { return item.id == id; }) > 0;
 }
 
 void DurabilityQueue::withdrawCalls(const EndpointPredicate& affected) {
-  for (Batch& batch : waiting_) {
-    for (PlannedCall& call : batch.calls) {
-      if (!affected(call.endpoint)) continue;
-      for (const CallItem& item : std::exchange(call.items, {}))
-        parts_.unsent.reportRecorded(item.id, call.endpoint);
-    }
-  }
+  reportUnsent([&](const PlannedCall& call, const CallItem&) { return affected(call.endpoint); });
   parts_.outbound.recall(affected);
 }
 
--- a/src/exchange/durability_queue.h
+++ b/src/exchange/durability_queue.h
@@ -8,8 +8,10 @@
 //   journal.sync();
 //   commit.releaseDurable();    // here, and again when a sync is done
 //
+// A call whose time is up while it waits is reported as not sent, however long the sync takes.
+//
 // Invariant: the positions of `waiting_` do not decrease, and what is staged has not been closed. One thread;
-// `releaseDurable` costs O(what it releases), the rest O(what waits).
+// each costs O(what waits).
 #pragma once
 
 #include <cstdint>
@@ -26,7 +28,7 @@
 class DurabilityQueue {
  public:
   struct Parts {
-    const Loop& loop;
+    Loop& loop;
     const Settings& settings;
     const EndpointTable& endpoints;
     Journal& journal;
@@ -42,6 +44,9 @@
   using EndpointPredicate = std::function<bool(const std::string& endpoint)>;
 
   explicit DurabilityQueue(const Parts& parts) : parts_(parts) {}
+  ~DurabilityQueue() { parts_.loop.cancel(expiryTimer_); }
+  DurabilityQueue(const DurabilityQueue&) = delete;
+  DurabilityQueue& operator=(const DurabilityQueue&) = delete;
 
   // Of the batch that is being carried out.
   void stageAccepted(RequestHandle request) { staged_.accepted.push_back(std::move(request)); }
@@ -73,6 +78,12 @@
   void answerAccepted(const RequestHandle& handle);
   void rejectAccepted(const RequestHandle& handle);
   void makeCall(PlannedCall& call);
+  using ItemPredicate = std::function<bool(const PlannedCall& call, const CallItem& item)>;
+  // Takes these out of the calls that wait and reports them as not sent; how many there were.
+  std::size_t reportUnsent(const ItemPredicate& affected);
+  // Looks again when the time of a call that waits is up.
+  void armExpiry();
+  void expireCalls();
   // By when the last byte of a call with it must have left, on the loop's clock in ms, so that the endpoint
   // still knows the key of an attempt that may have been executed; infinite: nothing binds it.
   double sendDeadlineMs(const OpenRequest& request) const;
@@ -80,6 +91,7 @@
   Parts parts_;
   Batch staged_;
   std::deque<Batch> waiting_;
+  Loop::Timer expiryTimer_ = Loop::kNoTimer;
 };
 
 }  // namespace myrtleloft
--- a/tests/exchange/slow_sync_test.cpp
+++ b/tests/exchange/slow_sync_test.cpp
@@ -73,3 +73,22 @@
   site.advance(kTimeLeftMs + kAnswerOnItsWayMs + kTurnsMs - site.clock.nowMs);
   CHECK(finalStatuses(site) == 1);
 }
+
+// Guards against accepted requests that get no final status for as long as a sync hangs.
+TEST_CASE("group: an accepted request whose next call waits for a sync is given up at its deadline") {
+  Site site(true);
+  submitNonIdempotent(site);
+  site.advance(10);
+  sync(site);
+  const Fd call = acceptCall(site);
+  site.advance(5);
+  std::size_t written = 0;
+  REQUIRE(writeSome(call, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", written) == Io::kProgress);
+  for (int i = 0; i < 100 && site.syncer.jobs.empty(); ++i) site.advance(5);
+  REQUIRE(!site.syncer.jobs.empty());
+
+  site.advance(kTimeLeftMs + kTurnsMs - site.clock.nowMs);
+  CHECK(finalStatuses(site) == 1);
+  sync(site);
+  CHECK(site.outbound.callsOut() == 0);
+}
