Keep the address of an endpoint that refuses connections, and listen where no other lab does

Cause: the lab's. To refuse, its hub closed an endpoint's socket and bound another without SO_REUSEADDR.

Endpoints now listen on an address of the loopback that is their process's alone, as relays do, and keep their port.

--- a/lab/fleet_machines.cpp
+++ b/lab/fleet_machines.cpp
@@ -1,6 +1,4 @@
 // The machines of a fleet's relays and what surrounds them: how they are placed, and what befalls them.
-#include <unistd.h>
-
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -25,11 +23,9 @@
 // Where a relay may listen, on an address of the loopback that is this lab's alone: nobody else listens or
 // connects from there while the relay is away.
 std::string FleetOfProcesses::freeAddress() {
-  constexpr int kLeastPort = 12000, kPorts = 20000, kHosts = 250;
+  constexpr int kLeastPort = 12000, kPorts = 20000, kLastOfHost = 1;
   static int next = 0;
-  const int lab = static_cast<int>(::getpid());
-  return "127." + std::to_string(1 + lab / kHosts % kHosts) + "." + std::to_string(lab % kHosts) +
-         ".1:" + std::to_string(kLeastPort + next++ % kPorts);
+  return processHost(kLastOfHost) + ":" + std::to_string(kLeastPort + next++ % kPorts);
 }
 
 void FleetOfProcesses::askUp(Relay& relay) {
--- a/lab/hub.cpp
+++ b/lab/hub.cpp
@@ -19,22 +19,28 @@
 namespace myrtleloft::lab {
 namespace {
 
-sockaddr_in loopback(int port) {
-  sockaddr_in raw{};
-  raw.sin_family = AF_INET;
-  raw.sin_port = htons(static_cast<std::uint16_t>(port));
-  raw.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return raw;
-}
+constexpr int kBacklog = 128;
 
 // "127.0.0.1:3000", or another address of the loopback.
 sockaddr_in parsed(const std::string& address) {
-  sockaddr_in raw = loopback(std::atoi(address.substr(address.rfind(':') + 1).c_str()));
-  ::inet_pton(AF_INET, address.substr(0, address.rfind(':')).c_str(), &raw.sin_addr);
+  const std::size_t colon = address.rfind(':');
+  sockaddr_in raw{};
+  raw.sin_family = AF_INET;
+  raw.sin_port = htons(static_cast<std::uint16_t>(std::atoi(address.substr(colon + 1).c_str())));
+  ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &raw.sin_addr);
   return raw;
 }
 
-int portOf(const std::string& address) { return std::atoi(address.substr(address.rfind(':') + 1).c_str()); }
+// Bound to that address, though connections that ended may linger there; -1: it could not be had.
+int boundTo(const std::string& address) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  const sockaddr_in raw = parsed(address);
+  if (::bind(fd, reinterpret_cast<const sockaddr*>(&raw), sizeof raw) == 0) return fd;
+  ::close(fd);
+  return -1;
+}
 
 double nowMs() {
   return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
@@ -52,18 +58,27 @@
   for (auto& [id, peer] : peers_) ::close(peer.fd);
 }
 
+std::string processHost(int last) {
+  constexpr int kHosts = 250;
+  const int process = static_cast<int>(::getpid());
+  return "127." + std::to_string(1 + process / kHosts % kHosts) + "." + std::to_string(process % kHosts) +
+         "." + std::to_string(last);
+}
+
 std::string Hub::listen(Handler handler) {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  sockaddr_in raw = loopback(0);
+  constexpr int kLastOfHost = 2;
+  const std::string host = processHost(kLastOfHost);
+  const int fd = boundTo(host + ":0");
+  sockaddr_in raw{};
   socklen_t size = sizeof raw;
-  if (fd < 0 || ::bind(fd, reinterpret_cast<sockaddr*>(&raw), size) != 0 || ::listen(fd, 128) != 0 ||
+  if (fd < 0 || ::listen(fd, kBacklog) != 0 ||
       ::getsockname(fd, reinterpret_cast<sockaddr*>(&raw), &size) != 0)
     return "";
   Peer& peer = peers_[++last_];
   peer.fd = fd;
   peer.listens = true;
   peer.handler = std::move(handler);
-  return peer.address = "127.0.0.1:" + std::to_string(ntohs(raw.sin_port));
+  return peer.address = host + ":" + std::to_string(ntohs(raw.sin_port));
 }
 
 Hub::Peer* Hub::listenerAt(const std::string& address) {
@@ -81,16 +96,14 @@
     if (!peer.listens && peer.address == address) accepted.push_back(id);
   for (const Id id : accepted) close(id, true);
   ::close(listener->fd);
-  listener->fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const sockaddr_in raw = loopback(portOf(address));
-  ::bind(listener->fd, reinterpret_cast<const sockaddr*>(&raw), sizeof raw);
+  listener->fd = boundTo(address);
   listener->refuses = true;
 }
 
 void Hub::acceptAgain(const std::string& address) {
   Peer* const listener = listenerAt(address);
   if (!listener) return;
-  ::listen(listener->fd, 128);
+  ::listen(listener->fd, kBacklog);
   listener->refuses = false;
 }
 
--- a/lab/hub.h
+++ b/lab/hub.h
@@ -27,6 +27,9 @@
   }
 };
 
+// An address of the loopback that belongs to this process alone, with that last part.
+std::string processHost(int last);
+
 class Hub {
  public:
   using Id = std::uint64_t;
@@ -42,7 +45,8 @@
   Hub& operator=(const Hub&) = delete;
   ~Hub();
 
-  // On a free port of 127.0.0.1; "" where none can be had.
+  // On a free port of an address of this process alone, so that nobody else is met where an endpoint has
+  // been; "" where none can be had.
   std::string listen(Handler handler);
   // Who connects there is refused from now on, and who has connected is reset. The port stays taken, so that
   // nobody else gets it.
