--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -123,11 +123,12 @@
   }
 }
 
-// While a destination is away, one relay has no room for connections, is stopped besides, and syncs slowly;
-// when the first of what came then has to be notified, its platform hangs once.
+// While a destination is away, one relay has no room for connections, is stopped besides, and syncs slowly,
+// so that calls wait for their syncs beyond their requests' deadlines; when the first of what came then has
+// to be notified, its platform hangs once.
 constexpr double kFloodAfterMs = 300, kFloodForMs = 800, kFloodConnections = 300;
 constexpr double kFloodStopAfterMs = 100, kFloodStopForMs = 250;
-constexpr double kSlowSyncsForMs = 2500, kSlowSyncMs = 60;
+constexpr double kSlowSyncsForMs = 2500, kSlowSyncMs = 200;
 
 void addFlood(FaultPlan& plan, const std::vector<std::string>& relays) {
   const std::string& relay = relays.at(plan.seed % relays.size());
