--- a/lab/fleet_machines.cpp
+++ b/lab/fleet_machines.cpp
@@ -8,6 +8,7 @@
 #include "lab/auditor_processes.h"
 #include "lab/auditor_timeline.h"
 #include "lab/fleet_of_processes.h"
+#include "lab/loopback.h"
 #include "lab/site.h"
 
 namespace myrtleloft::lab {
--- a/lab/hub.cpp
+++ b/lab/hub.cpp
@@ -16,32 +16,13 @@
 #include <cstdlib>
 #include <vector>
 
+#include "lab/loopback.h"
+
 namespace myrtleloft::lab {
 namespace {
 
 constexpr int kBacklog = 128;
 
-// "127.0.0.1:3000", or another address of the loopback.
-sockaddr_in parsed(const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  sockaddr_in raw{};
-  raw.sin_family = AF_INET;
-  raw.sin_port = htons(static_cast<std::uint16_t>(std::atoi(address.substr(colon + 1).c_str())));
-  ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &raw.sin_addr);
-  return raw;
-}
-
-// Bound to that address, though connections that ended may linger there; -1: it could not be had.
-int boundTo(const std::string& address) {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  const sockaddr_in raw = parsed(address);
-  if (::bind(fd, reinterpret_cast<const sockaddr*>(&raw), sizeof raw) == 0) return fd;
-  ::close(fd);
-  return -1;
-}
-
 double nowMs() {
   return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
       .count();
@@ -58,17 +39,10 @@
   for (auto& [id, peer] : peers_) ::close(peer.fd);
 }
 
-std::string processHost(int last) {
-  constexpr int kHosts = 250;
-  const int process = static_cast<int>(::getpid());
-  return "127." + std::to_string(1 + process / kHosts % kHosts) + "." + std::to_string(process % kHosts) +
-         "." + std::to_string(last);
-}
-
 std::string Hub::listen(Handler handler) {
   constexpr int kLastOfHost = 2;
   const std::string host = processHost(kLastOfHost);
-  const int fd = boundTo(host + ":0");
+  const int fd = bindLoopback(host + ":0");
   sockaddr_in raw{};
   socklen_t size = sizeof raw;
   if (fd < 0 || ::listen(fd, kBacklog) != 0 ||
@@ -96,7 +70,7 @@
     if (!peer.listens && peer.address == address) accepted.push_back(id);
   for (const Id id : accepted) close(id, true);
   ::close(listener->fd);
-  listener->fd = boundTo(address);
+  listener->fd = bindLoopback(address);
   listener->refuses = true;
 }
 
@@ -111,7 +85,7 @@
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
   ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  const sockaddr_in raw = parsed(address);
+  const sockaddr_in raw = socketAddress(address);
   ::connect(fd, reinterpret_cast<const sockaddr*>(&raw), sizeof raw);
   const Id id = ++last_;
   Peer& peer = peers_[id];
--- a/lab/hub.h
+++ b/lab/hub.h
@@ -27,9 +27,6 @@
   }
 };
 
-// An address of the loopback that belongs to this process alone, with that last part.
-std::string processHost(int last);
-
 class Hub {
  public:
   using Id = std::uint64_t;
--- a/tests/hub_test.cpp
+++ b/tests/hub_test.cpp
@@ -5,6 +5,8 @@
 
 #include <string>
 
+#include "lab/loopback.h"
+
 using namespace myrtleloft::lab;
 
 namespace {
