Do not hold a relay to a wait that was told on a call it had given up

Traced: a bulk call was given up at its first deadline, half-closed, waited for 50 ms, and closed at 4,577 ms of the lab's clock; the endpoint answered it with 429 at 4,580, as the proxy had not passed the end on yet. The relay could not know that wait; the next call left 280 ms later.

Why the check was wrong: a stand-in asks before it answers whether its connection is gone, but its connection is the proxy's. Why this is no looser for a relay that does read the answer: the end of a call is seen one turn of the lab behind the proxy's look at it. An end that was there before the answer passed the proxy is seen in the turn of the answer or in the next; one of a relay that has read the answer is seen in the second turn at the earliest. Without a proxy, only an end in the answer's own turn counts.

auditor_slack_test's new case fails on the text before (a wait broken where the end was seen in the next turn), and holds the other side: an end in the second turn, or without a proxy in the next, leaves the wait binding.

--- a/lab/auditor.cpp
+++ b/lab/auditor.cpp
@@ -174,8 +174,9 @@
     }
     if (r.saw == Saw::kAnswer && r.status == 200 && !troubled_[r.relay]) m.delivered = line_;
     if (r.saw == Saw::kAnswer && (r.status == 200 || r.status == 410) && !m.end) m.end = line_;
-    // A relay whose reads fail may not have heard it.
-    if (r.saw == Saw::kAnswer && r.status == 429 && r.ms > 0 && !troubled_[r.relay]) {
+    // A relay whose reads fail may not have heard it, and one that has given the call up has not.
+    if (r.saw == Saw::kAnswer && r.status == 429 && r.ms > 0 && !troubled_[r.relay] &&
+        !endedBeforeAnswer(history_, line_, turns_, rules_.answerTurns)) {
       std::size_t& wait = waits_.try_emplace({r.relay, scopeOf(r.endpoint)}, line_).first->second;
       if (r.atMs + r.ms > at(wait).atMs + at(wait).ms) wait = line_;
     }
--- a/lab/auditor_timeline.h
+++ b/lab/auditor_timeline.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "lab/auditor.h"
+#include "lab/auditor_turns.h"
 
 namespace myrtleloft::lab {
 
@@ -137,4 +138,15 @@
   return std::nullopt;
 }
 
+// Whether the relay had ended that call before its answer, at that line, could reach it: the end is seen in
+// the turn of the answer or in as many behind it as the answer takes. A relay that ends it once it has read
+// the answer is seen to do so later. `turns`: that an answer takes.
+inline bool endedBeforeAnswer(const FleetHistory& history, std::size_t line, const AuditorTurns& lab,
+                              std::size_t turns) {
+  const FleetRecord& answer = history.records[line];
+  const std::optional<std::size_t> end = endOfCall(history, line + 1, answer.call);
+  return end && history.records[*end].saw == Saw::kEnded &&
+         history.records[*end].atMs < lab.latestMs(answer.atMs, turns);
+}
+
 }  // namespace myrtleloft::lab
--- a/tests/auditor_slack_test.cpp
+++ b/tests/auditor_slack_test.cpp
@@ -75,6 +75,29 @@
 }
 
 // Guards against verdicts that a busy machine makes: a process that could have run had no processor.
+// An endpoint answered 3 ms after its relay had given the call up and gone, which the proxy between them had
+// not seen yet.
+TEST_CASE("a wait binds no relay that had ended its call before the answer could reach it") {
+  AuditRules strict = rules();
+  strict.waitSlackMs = 50;
+  strict.answerTurns = kProxiedAnswerTurns;
+  const auto waits = [](double endMs) {
+    return Story()
+        .taken("any")
+        .call(100, "a", 1)
+        .answer(204, "a", 1, 429, 1000)
+        .broke(endMs, "a", 1)
+        .call(500, "a", 2)
+        .answer(510, "a", 2, 200)
+        .turnsOf(10, 60000);
+  };
+  const Story before = waits(219), behind = waits(221);
+  CHECK(toldOf(audit(strict, before), before).empty());
+  CHECK(audit(strict, behind).size() == 1);
+  strict.answerTurns = 0;  // no proxy: the answer reaches the relay in its own turn
+  CHECK(audit(strict, before).size() == 1);
+}
+
 TEST_CASE(
     "time without a processor excuses a call behind a told wait, and a late status behind the deadline") {
   AuditRules strict = rules();
