--- a/src/json/place.cpp
+++ b/src/json/place.cpp
@@ -53,13 +53,13 @@
     const std::size_t from = at_;
     std::size_t depth = 0, end = at_;
     do {
-      const char c = text_[end];
-      if (c == '"') {
+      const char byte = text_[end];
+      if (byte == '"') {
         for (++end; end < text_.size() && text_[end] != '"'; ++end) end += text_[end] == '\\';
         ++end;
-      } else if (c == '{' || c == '[') {
+      } else if (byte == '{' || byte == '[') {
         ++depth, ++end;
-      } else if (c == '}' || c == ']') {
+      } else if (byte == '}' || byte == ']') {
         --depth, ++end;
       } else if (depth > 0) {
         ++end;
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -35,7 +35,7 @@
 std::string jsonText(const Json& json) { return json.dump(-1, ' ', false, Json::error_handler_t::replace); }
 
 Json jsonOf(const LogField::Value& value) {
-  return std::visit([](const auto& v) { return Json(v); }, value);
+  return std::visit([](const auto& held) { return Json(held); }, value);
 }
 
 // Quoted where a reader of key=value would stumble over it.
@@ -44,15 +44,15 @@
   if (!text) return jsonText(jsonOf(value));
   const bool plain =
       !text->empty() && text->find_first_of(" =\"\\") == text->npos &&
-      std::none_of(text->begin(), text->end(), [](unsigned char c) { return c < 0x21 || c > 0x7e; });
+      std::none_of(text->begin(), text->end(), [](unsigned char byte) { return byte < 0x21 || byte > 0x7e; });
   return plain ? *text : jsonText(Json(*text));
 }
 
 // A line is a line: what came from outside must not begin another.
 std::string oneLine(std::string_view text) {
   std::string line(text);
-  for (char& c : line)
-    if (c == '\n' || c == '\r') c = ' ';
+  for (char& byte : line)
+    if (byte == '\n' || byte == '\r') byte = ' ';
   return line;
 }
 
@@ -66,8 +66,10 @@
     std::uint64_t untold = 0;
   };
 
-  Impl(std::ostream& out, const LogOptions& o, const Clock& c)
-      : options(o), clock(c), logger("", std::make_shared<spdlog::sinks::ostream_sink_st>(out, true)) {
+  Impl(std::ostream& out, const LogOptions& chosen, const Clock& given)
+      : options(chosen),
+        clock(given),
+        logger("", std::make_shared<spdlog::sinks::ostream_sink_st>(out, true)) {
     switch (options.format) {
       case LogFormat::kPlain:
         set("%v");
@@ -143,12 +145,12 @@
 }
 
 void Log::pairs(std::string_view lines) const {
-  std::istringstream in{std::string(lines)};
-  for (std::string line; std::getline(in, line);) {
+  std::istringstream text{std::string(lines)};
+  for (std::string line; std::getline(text, line);) {
     const std::size_t colon = line.find(": ");
     std::string event = line.substr(0, colon);
-    for (char& c : event)
-      if (c == ' ') c = '.';
+    for (char& byte : event)
+      if (byte == ' ') byte = '.';
     Fields fields;
     std::istringstream rest(colon == line.npos ? std::string() : line.substr(colon + 2));
     for (std::string pair; rest >> pair;) {
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -40,15 +40,15 @@
   using Value = std::variant<std::int64_t, double, bool, std::string>;
 
   template <typename T>
-  LogField(std::string_view fieldName, const T& v) : name(fieldName) {
+  LogField(std::string_view fieldName, const T& given) : name(fieldName) {
     if constexpr (std::is_same_v<T, bool>)
-      value = v;
+      value = given;
     else if constexpr (std::is_integral_v<T>)
-      value = static_cast<std::int64_t>(v);
+      value = static_cast<std::int64_t>(given);
     else if constexpr (std::is_floating_point_v<T>)
-      value = static_cast<double>(v);
+      value = static_cast<double>(given);
     else
-      value = std::string(v);
+      value = std::string(given);
   }
 
   std::string name;
--- a/src/log/standard_error.cpp
+++ b/src/log/standard_error.cpp
@@ -9,9 +9,9 @@
 
 namespace myrtleloft {
 
-StandardError::Buffer::int_type StandardError::Buffer::overflow(int_type c) {
-  if (!traits_type::eq_int_type(c, traits_type::eof())) text_ += traits_type::to_char_type(c);
-  return traits_type::not_eof(c);
+StandardError::Buffer::int_type StandardError::Buffer::overflow(int_type byte) {
+  if (!traits_type::eq_int_type(byte, traits_type::eof())) text_ += traits_type::to_char_type(byte);
+  return traits_type::not_eof(byte);
 }
 
 std::streamsize StandardError::Buffer::xsputn(const char* text, std::streamsize size) {
