Let the demo's directory tell its change before it falls silent

Its lines say that the directory told the drain and fell silent in the same tenth of a second, 1.0 s; 0.4 s are between the two steps.

Where it stands still for so long, both steps are due in one turn, and the directory falls silent before it has answered anyone: the relay was told nothing.

--- a/lab/demo.cpp
+++ b/lab/demo.cpp
@@ -50,6 +50,8 @@
       say("the directory tells that endpoint a drains");
     });
     at(0.25, [&] {
+      // Where the demo has stood still, this follows on the step before at once.
+      until([&] { return directory_.heard(); }, 5000);
       directory_.become(Directory::Mode::kSilent);
       say("the directory falls silent");
     });
