Count a hold of a relay that lasts as the lab kills it

By the evidence printed: deadlines 7,206 to 7,354 ms, the relay's last line of the log at 7,207, as it posts the first; one of the others was not even completed at its deadline, 7,291; SIGKILL at 7,738; all three notified by the next process at 8,252.

Cause, by the plan: from 7,200 on the relay stands in polls with something to write, as that post. A hold was noted once it was over and its process ran again; this one was killed before.

The shim says since when a hold lasts, and the lab notes one that it ends by a SIGKILL.

--- a/lab/fault_shim.h
+++ b/lab/fault_shim.h
@@ -50,6 +50,7 @@
   // The latest spans in which a delay or a stand held the process up; the n-th stands at n % kFaultHolds.
   std::array<FaultHold, kFaultHolds> holds;
   std::atomic<std::uint64_t> holdCount{0};
+  std::atomic<std::int64_t> holdingSinceMs{0};  // of the one that still lasts; 0: none does
   std::atomic<ShimCall> scripted{ShimCall::kNone};
   std::atomic<int> scriptedError{0}, scriptedLeft{0};
   std::atomic<std::uint64_t> failedCalls{0}, failedDisk{0}, delays{0}, stands{0};  // what the shim did
@@ -83,6 +84,8 @@
   void hideArrivals() { page_->hidesArrivals = true; }
   // In so many of its turns with something to write to a socket, the process stands still for 200 to 300 ms.
   void standInPoll(std::uint32_t perMille) { page_->standsPerMille = perMille; }
+  // Its process has been killed: whatever held it up is over.
+  void forgetHold() { page_->holdingSinceMs = 0; }
   const FaultPage& page() const { return *page_; }
 
   // What a process needs in its environment to run with the shim at that path.
--- a/lab/fault_shim_state.cpp
+++ b/lab/fault_shim_state.cpp
@@ -28,12 +28,14 @@
 // Holds the process up, and notes when.
 void holdUp(std::uint64_t ms) {
   const std::int64_t fromMs = monotonicMs();
+  page()->holdingSinceMs = fromMs;
   pauseMs(ms);
   const std::uint64_t number = page()->holdCount;
   FaultHold& hold = page()->holds.at(number % kFaultHolds);
   hold.fromMs = fromMs;
   hold.toMs = monotonicMs();
   page()->holdCount = number + 1;
+  page()->holdingSinceMs = 0;
 }
 std::array<std::atomic<FdKind>, kMostFds> fdKinds;
 
--- a/lab/fleet_machines.cpp
+++ b/lab/fleet_machines.cpp
@@ -205,6 +205,14 @@
   }
 }
 
+void FleetOfProcesses::seeUnfinishedHold(Relay& relay) {
+  if (!relay.shim) return;
+  seeHolds(relay);
+  const auto sinceMs = static_cast<double>(relay.shim->page().holdingSinceMs);
+  if (sinceMs > 0) witness_.see({.saw = Saw::kHeldUp, .relay = relay.name, .ms = steadyMs() - sinceMs});
+  relay.shim->forgetHold();
+}
+
 void FleetOfProcesses::seeStarved(Relay& relay) {
   constexpr double kAskEveryMs = 5, kLeastMs = 1;
   const double nowMs = witness_.nowMs();
--- a/lab/fleet_of_processes.cpp
+++ b/lab/fleet_of_processes.cpp
@@ -124,6 +124,7 @@
 }
 
 void FleetOfProcesses::end(Relay& relay) {
+  seeUnfinishedHold(relay);
   witness_.see({.saw = Saw::kDown, .relay = relay.name, .status = kEnds});
   relay.program->kill();
   relay.phase = Phase::kAway;
--- a/lab/fleet_of_processes.h
+++ b/lab/fleet_of_processes.h
@@ -132,6 +132,8 @@
   void sendDueSignals(Relay& relay);
   // Notes when the shim held its process up since the last turn.
   void seeHolds(Relay& relay);
+  // Notes a hold of its process that lasts as it is killed.
+  void seeUnfinishedHold(Relay& relay);
   // Notes for how long its process had no processor.
   void seeStarved(Relay& relay);
   void crowd(const Relay& relay, int messages);
