Let the client that is to give way stand half-way clearly longer than the others

Cause: the test's. The time of an arrival is known to 4 ms (TCP_INFO counts in ticks). Of eight clients that lie unread together each is read a little later than the one before, and where a tick falls between, the later one seems to have come first. Shown with a relay that stood (SIGSTOP) while eight clients began requests: another than the first gave way in 5 of 1,050 tries; with 20 ms behind the first in 0 of 900. Which of clients within 4 ms gives way does not matter to anyone; the test asked for the first.

--- a/tests/integration/player.cpp
+++ b/tests/integration/player.cpp
@@ -13,10 +13,12 @@
 #include <map>
 #include <sstream>
 #include <stdexcept>
+#include <thread>
 #include <vector>
 
 #include "lab/site.h"
 #include "net/socket.h"
+#include "tests/integration/player_text.h"
 
 namespace myrtleloft::testing {
 namespace {
@@ -26,34 +28,6 @@
 
 constexpr int kPatienceMs = 7000;  // a step that takes longer has failed
 
-// Whether the text fits a pattern in which each * stands for any bytes.
-bool fits(std::string_view pattern, std::string_view text) {
-  const std::size_t star = pattern.find('*');
-  if (star == std::string_view::npos) return pattern == text;
-  if (text.substr(0, star) != pattern.substr(0, star)) return false;
-  text.remove_prefix(star);
-  pattern.remove_prefix(star + 1);
-  for (std::size_t skip = 0; skip <= text.size(); ++skip)
-    if (fits(pattern, text.substr(skip))) return true;
-  return false;
-}
-
-std::string unescaped(const std::string& text) {
-  std::string out;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const char next = i + 1 < text.size() ? text[i + 1] : '\0';
-    if (text[i] != '\\' || std::string_view("rn0").find(next) == std::string_view::npos) {
-      out += text[i];
-      continue;
-    }
-    out += next == 'r' ? '\r' : next == 'n' ? '\n' : '\0';
-    ++i;
-  }
-  return out;
-}
-
-std::string shown(const std::string& text) { return text.size() > 600 ? text.substr(0, 600) + "..." : text; }
-
 class Player {
  public:
   Player(std::string program, std::vector<std::string> variables)
@@ -89,6 +63,7 @@
     if (verb == "log") return expectLog(filled(line.substr(line.find(' ') + 1)));
     if (verb == "connect") return connect(name);
     if (verb == "accept") return accept(name, rest);
+    if (verb == "pause") return std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(name)));
     if (verb == "shut") return void(::shutdown(peers_.at(name).fd.get(), SHUT_WR));
     if (verb == "refuse") return void(listeners_.erase(name));
     if (verb == "close") return void(peers_.erase(name));
