--- a/review/support/agent.cpp
+++ b/review/support/agent.cpp
@@ -48,12 +48,6 @@
   return "HTTP/1.1 " + status + "\r\n" + headers + length + "\r\n\r\n" + body;
 }
 
-void Agent::setDiscoveryDown(bool down) {
-  discoveryDown_ = down;
-  if (down) watches_.clear();
-  record_.write(down ? "discovery: down" : "discovery: back");
-}
-
 Agent::Agent(lab::Hub& hub, Record& record) : hub_(hub), record_(record) {
   address_ = hub.listen({[this](lab::Hub::Id from, const lab::Message& message) { onMessage(from, message); },
                          [this](lab::Hub::Id from) { watches_.erase(from); },
@@ -87,7 +81,6 @@
 }
 
 void Agent::turn() {
-  if (discoveryDown_) return;
   for (auto at = watches_.begin(); at != watches_.end();) {
     const auto& [from, watch] = *at;
     if (watch.after >= revision_ && steadyMs() < watch.untilMs) {
@@ -101,8 +94,7 @@
 
 void Agent::onMessage(lab::Hub::Id from, const lab::Message& message) {
   if (message.start.starts_with("GET /discovery/hosts")) {
-    record_.write("discovery: " + message.start + (discoveryDown_ ? ", down: silent" : ""));
-    if (discoveryDown_) return;
+    record_.write("discovery: " + message.start);
     const double waitMs = std::min(queryNumber(message.start, "wait_ms", 0), kMaxWaitMs);
     watches_[from] = {static_cast<std::int64_t>(queryNumber(message.start, "after", -1)),
                       steadyMs() + waitMs};
--- a/review/support/agent.h
+++ b/review/support/agent.h
@@ -38,9 +38,6 @@
   const std::string& address() const { return address_; }
   // Replaces the list; watches are answered with what changed.
   void setEndpoints(std::vector<EndpointEntry> entries);
-  // While discovery is down, the agent stays silent: watches that are open then and polls that come then get
-  // no answer, also later. Notices are still answered.
-  void setDiscoveryDown(bool down);
   // The whole list, in the form of discovery and of `known`.
   std::string wholeList() const;
   // Answers watches that are due; to be called with each turn of the hub.
@@ -66,7 +63,6 @@
   Record& record_;
   std::string address_;
   std::int64_t revision_ = 1;
-  bool discoveryDown_ = false;
   std::vector<EndpointEntry> entries_;
   std::vector<Change> changes_;
   std::map<lab::Hub::Id, Watch> watches_;
--- a/review/support/relay.cpp
+++ b/review/support/relay.cpp
@@ -92,7 +92,8 @@
   const std::string scratch = folder_ + "/tmp-" + std::to_string(starts_);
   std::filesystem::create_directories(scratch);
   const std::string log = folder_ + "/log";
-  record_.write("relay: start " + std::to_string(starts_) + " by /bin/sh -c '" + command + "'");
+  record_.write("relay " + options_.name + ": start " + std::to_string(starts_) + " by /bin/sh -c '" +
+                command + "'");
   process_ = ::fork();
   if (process_ != 0) return;
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -109,8 +110,15 @@
   ::_exit(kCouldNotRun);
 }
 
+void Relay::reconfigure(const std::string& settings) {
+  options_.settings = settings;
+  writeConfiguration();
+  record_.write("relay " + options_.name + ": its configuration file is replaced");
+  signal(SIGHUP);
+}
+
 void Relay::signal(int number) const {
-  record_.write("relay: signal " + std::to_string(number));
+  record_.write("relay " + options_.name + ": signal " + std::to_string(number));
   if (process_ > 0) ::kill(process_, number);
 }
 
@@ -121,29 +129,37 @@
   process_ = -1;
 }
 
+void Relay::loseMachine() {
+  kill();
+  std::filesystem::remove_all(stateFolder());
+  std::filesystem::create_directories(stateFolder());
+  record_.write("relay " + options_.name + ": its machine is lost, with the state folder");
+}
+
 bool Relay::ended() {
   int status = 0;
   if (process_ <= 0) return true;
   if (::waitpid(process_, &status, WNOHANG) != process_) return false;
   process_ = -1;
-  record_.write(WIFEXITED(status) ? "relay: ended with exit code " + std::to_string(WEXITSTATUS(status))
-                                  : "relay: ended by signal " + std::to_string(WTERMSIG(status)));
+  record_.write("relay " + options_.name + ": ended " +
+                (WIFEXITED(status) ? "with exit code " + std::to_string(WEXITSTATUS(status))
+                                   : "by signal " + std::to_string(WTERMSIG(status))));
   return true;
 }
 
 bool Relay::ready() {
   if (ready_ || steadyMs() < nextCheckMs_) return ready_;
   nextCheckMs_ = steadyMs() + kReadyCheckEachMs;
-  const auto connection =
-      hub_.connect(listenAddress_, {[this](lab::Hub::Id from, const lab::Message& message) {
-                                      if (message.start.starts_with("HTTP/1.1 200") && !ready_) {
-                                        ready_ = true;
-                                        record_.write("relay: ready, GET /up is answered 200");
-                                      }
-                                      hub_.close(from);
-                                    },
-                                    {},
-                                    {}});
+  const auto connection = hub_.connect(
+      listenAddress_, {[this](lab::Hub::Id from, const lab::Message& message) {
+                         if (message.start.starts_with("HTTP/1.1 200") && !ready_) {
+                           ready_ = true;
+                           record_.write("relay " + options_.name + ": ready, GET /up is answered 200");
+                         }
+                         hub_.close(from);
+                       },
+                       {},
+                       {}});
   hub_.send(connection, "GET /up HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n");
   return ready_;
 }
--- a/review/support/relay.h
+++ b/review/support/relay.h
@@ -35,13 +35,15 @@
   void signal(int number) const;
   // SIGKILL, and waits for the end.
   void kill();
+  // SIGKILL; the state folder is lost as well.
+  void loseMachine();
   // Whether the process has ended by itself; records how.
   bool ended();
   // Whether GET /up was answered 200 since the last start; asks again each 20 ms. To be called with each
   // turn.
   bool ready();
-  // Lets the next start have another configuration.
-  RelayOptions& options() { return options_; }
+  // Replaces the configuration file by one with these settings (JSON) and sends SIGHUP.
+  void reconfigure(const std::string& settings);
   const std::string& listenAddress() const { return listenAddress_; }
   std::string stateFolder() const { return folder_ + "/state"; }
   pid_t pid() const { return process_; }
