Review, case 2: a keyed message runs again after its window when a relay's machine is lost

Cause: X-Retried: again is not read, so the second relay counts no earlier attempt and no window. Change: two relays, one lost machine, one wait of a usual length; settings of quilpue-campus.

--- /dev/null
+++ b/review/2/case.cpp
@@ -0,0 +1,136 @@
+// A keyed message runs at an endpoint, and its relay's machine is lost before
+// the endpoint's answer. The client hands the message in again at another
+// relay, inside the window of its class and marked as held by a relay that
+// died. The endpoint tells that relay to wait. No call with the key may be made
+// after the window, since the endpoint has forgotten the key then and runs the
+// message again. TROUBLE=0: the machine is not lost.
+#include <string>
+#include <vector>
+
+#include "review/support/endpoint.h"
+#include "review/support/scene.h"
+
+namespace {
+
+using namespace myrtleloft::review;
+
+constexpr int kDestination = 7;
+constexpr const char *kClass = "aviso-corto";  // by_key, memorySpanMs 2000, hardLimitMs 10000
+constexpr const char *kTenant = "liceo-puerto";
+constexpr const char *kKey = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+constexpr const char *kFirstId = "9b1f03aa5c7e2d41";
+constexpr const char *kSecondId = "9b1f03aa5c7e2d42";
+constexpr double kWindowMs = 2000;     // memorySpanMs of the class
+constexpr double kLifetimeMs = 10000;  // hardLimitMs of the class
+constexpr double kTimeSlackMs = 50;    // the pages' slack on every time limit
+
+// Milliseconds after the first call. The work takes less than the class's mean
+// of 120 to 200 ms; a message of a dead relay comes again after 340 to 1900 ms;
+// a destination's limit counts calls in spans of 2 s.
+constexpr double kWorkMs = 180;
+constexpr double kMachineLostMs = 100;
+constexpr double kHandedInAgainMs = 1300;
+constexpr double kSpanEndMs = 2600;
+
+// An endpoint that drops repeats of a key for the window. Its limit counts calls in spans of 2 s; in the span
+// that begins 600 ms after the first call, other relays have used it up.
+class PartnerSystem {
+ public:
+  PartnerSystem(myrtleloft::lab::Hub &hub, Record &record)
+      : endpoint(hub, record, "s-1", kDestination), record_(record) {
+    endpoint.onCall = [this](const Endpoint::Call &call) { handle(call); };
+  }
+
+  // Answers the calls whose work is done.
+  void turn() {
+    if (working_.empty() || steadyMs() < working_.front().atMs + kWorkMs) return;
+    endpoint.accept(working_.front());
+    working_.erase(working_.begin());
+  }
+  bool called() const { return firstCallMs_ > 0; }
+  double firstCallMs() const { return firstCallMs_; }
+  int runs() const { return runs_; }
+
+  Endpoint endpoint;
+
+ private:
+  void handle(const Endpoint::Call &call) {
+    if (!called()) firstCallMs_ = call.atMs;
+    const double sinceFirstMs = call.atMs - firstCallMs_;
+    if (sinceFirstMs > 0 && sinceFirstMs < kSpanEndMs) {
+      turnAway(call, kSpanEndMs - sinceFirstMs);
+      return;
+    }
+    if (sinceFirstMs == 0 || sinceFirstMs > kWindowMs + kTimeSlackMs) {
+      ++runs_;
+      record_.write("endpoint s-1: the message of key " + call.message.header("idempotency-key") + " RUNS, " +
+                    std::to_string(static_cast<int>(sinceFirstMs)) + " ms after the first call with the key");
+    }
+    working_.push_back(call);
+  }
+
+  void turnAway(const Endpoint::Call &call, double waitMs) {
+    constexpr double kMsPerSecond = 1000;
+    std::string header = "Retry-After: " + std::to_string(waitMs / kMsPerSecond) + "\r\n";
+    endpoint.answer(call, "429 Too Many Requests", header);
+  }
+
+  Record &record_;
+  std::vector<Endpoint::Call> working_;
+  double firstCallMs_ = 0;
+  int runs_ = 0;
+};
+
+Submission submission(const std::string &id, double leftMs, const std::string &headers) {
+  constexpr double kMsPerSecond = 1000;
+  return {.id = id,
+          .requestClass = kClass,
+          .tenant = kTenant,
+          .timeoutS = leftMs / kMsPerSecond,
+          .destination = kDestination,
+          .idempotencyKey = kKey,
+          .extraHeaders = headers};
+}
+
+}  // namespace
+
+int main(int argumentCount, char **arguments) {
+  if (argumentCount != 3) return kCouldNotRun;
+  Scene scene(arguments[1]);
+  PartnerSystem partner(scene.hub, scene.record);
+  Agent secondAgent(scene.hub, scene.record);
+  EndpointEntry entry = partner.endpoint.entry();
+  entry.zone = "edificio-sur";
+  entry.kind = "large-platforms";
+  entry.capacityHint = 4;  // the site: least_rate 2.3 to 4.9 calls a second
+  scene.agent.setEndpoints({entry});
+  secondAgent.setEndpoints({entry});
+  scene.eachTurn = [&] {
+    secondAgent.turn();
+    partner.turn();
+  };
+  const std::string settings = fileText(arguments[2]);
+  Relay second(scene.hub, scene.record,
+               {.agentAddress = secondAgent.address(),
+                .known = secondAgent.wholeList(),
+                .settings = replaced(settings, R"("me":0)", R"("me":1)"),
+                .name = "n2"});
+  second.start();
+  if (!scene.startRelay(settings)) return kCouldNotRun;
+  if (!scene.runUntil([&] { return second.ready(); }, Scene::kReadyWithinMs)) return kCouldNotRun;
+  scene.runFor(1000);
+  const double handedInMs = steadyMs();
+  scene.client.submit(scene.relay().listenAddress(), submission(kFirstId, kLifetimeMs, ""));
+  const auto accepted = [&] { return partner.called() && scene.client.status(kFirstId) == 202; };
+  if (!scene.runUntil(accepted, Client::kAnswerTimeoutMs)) return kCouldNotRun;
+  if (disruptionWanted()) {
+    scene.runFor(partner.firstCallMs() + kMachineLostMs - steadyMs());
+    scene.relay().loseMachine();
+    scene.runFor(partner.firstCallMs() + kHandedInAgainMs - steadyMs());
+    const double leftMs = kLifetimeMs - (steadyMs() - handedInMs);
+    scene.client.submit(second.listenAddress(), submission(kSecondId, leftMs, "X-Retried: again\r\n"));
+  }
+  scene.runFor(5000);
+  scene.record.write("runs of the message: " + std::to_string(partner.runs()));
+  return partner.runs() > 1 ? kRuleBroken : kRuleHeld;
+}
