--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -20,8 +20,9 @@
 // it.
 constexpr double kReplacedMs = 3500;
 constexpr double kStartedAgainMs = 6300;
-// The address is given to another endpoint only after drainGraceMs of the settings and the slack of 50 ms.
-constexpr double kAddressReusedMs = kReplacedMs + 2000 + 50;
+// The address is given to another endpoint only after drainGraceMs of the settings (2000), the slack of 50 ms
+// and a margin of 50 ms for this script's own delays.
+constexpr double kAddressReusedMs = kReplacedMs + 2000 + 50 + 50;
 
 constexpr double kObservedMs = 8000;  // after the next start
 
