Hold requests after a start until discovery has confirmed the cached list

What callers saw: after a restart, accepted messages went to an endpoint of another destination, which answered 200. Cause: RelayProcess::recover gave the pending requests and the cached list to the decision module in one batch, and the module sent at once. The list of the state folder names addresses that others may have got while no process ran. Discovery was asked afterwards, for changes only and with a wait; in a large fleet the first poll is delayed besides, so new requests went astray as well. Change: CachedListHold (src/policy) holds sends until discovery's first answer, for at most PollSchedule::kPollMs and at most half of a request's time left, and asks for a poll as soon as something waits; the first poll asks for an answer at once, and an answer without a change confirms the list. Why it works: nothing leaves by a list that only an earlier process knew, where discovery can be asked. Not covered: discovery silent for longer than the hold (the cached list is used, as before); the removal guard (ROADMAP). Tests changed, as strict: a start's first poll no longer is a long poll, so two discovery tests begin with the second one; the player of recorded exchanges answers the poll that confirms a fresh list (its connections are in a file of their own now). The lab's directory held a poll with wait_ms=0 until there was a change; it answers it, as the protocol page has it.

--- a/include/myrtleloft/dispatcher.h
+++ b/include/myrtleloft/dispatcher.h
@@ -100,6 +100,7 @@
   std::vector<int> kindBatchSize;  // by kind: maximum number of requests in one call, at least 1
   std::vector<double> zoneCosts;   // by zone: cost of a request to an endpoint with its own limit
   double crossZoneCost = 0;        // additional cost of a request to another zone than the relay's
+  double listConfirmationMs = 0;   // how long requests wait for a cached list to be confirmed; 0: not at all
   double listRetryMs = 0;          // after a kError the next poll follows within half of it
   double slowStartShare = 0;       // share of its capacity that a recovered endpoint has at first, 0 to 1
   double slowStartMs = 0;          // time until it has its full capacity
@@ -207,7 +208,7 @@
   std::uint64_t token = 0;
 };
 
-// Poll discovery, and continue with long polls until one fails.
+// Poll discovery now, and continue with long polls until one fails.
 struct WatchEndpointListAction {
   bool active = true;
 };
--- a/lab/stand_ins.cpp
+++ b/lab/stand_ins.cpp
@@ -110,8 +110,8 @@
   copies_.turn(steadyMs());
   if (mode_ == Mode::kSilent) return;
   for (auto at = asked_.begin(); at != asked_.end();) {
-    // A watch whose rev is the present one waits.
-    if (steadyMs() < at->second.dueMs || at->second.after == rev_) {
+    const bool waits = at->second.after == rev_ && steadyMs() < at->second.waitsUntilMs;
+    if (steadyMs() < at->second.dueMs || waits) {
       ++at;
       continue;
     }
@@ -125,7 +125,9 @@
   copies_.onCall(from, steadyMs());
   if (m.start.starts_with("GET /discovery/hosts")) {
     heard_ = given_;
-    asked_[from] = {steadyMs() + (mode_ == Mode::kSlow ? slowMs : 0), argument(m.start, "after")};
+    const double nowMs = steadyMs();
+    const auto waitMs = static_cast<double>(std::max<std::int64_t>(0, argument(m.start, "wait_ms")));
+    asked_[from] = {nowMs + (mode_ == Mode::kSlow ? slowMs : 0), argument(m.start, "after"), nowMs + waitMs};
     return;
   }
   onPost(from, m);
--- a/lab/stand_ins.h
+++ b/lab/stand_ins.h
@@ -80,7 +80,8 @@
   explicit Directory(Hub& hub);
 
   const std::string& address() const { return address_; }
-  // The whole list from now on, with the next rev; watches out are answered with it.
+  // The whole list from now on, with the next rev; watches out are answered with it. A watch is answered with
+  // the whole list, too, at the end of its wait.
   void tell(std::vector<Entry> entries);
   // A rev of its own: backwards, too.
   void tell(std::vector<Entry> entries, std::int64_t rev);
@@ -108,8 +109,9 @@
 
  private:
   struct Asked {
-    double dueMs = 0;
+    double dueMs = 0;  // no answer before this time
     std::int64_t after = -1;
+    double waitsUntilMs = 0;  // a watch with nothing new is answered then
   };
   void onMessage(Hub::Id from, const Message& m);
   void onPost(Hub::Id from, const Message& m);
--- a/src/audit/settings_archive.h
+++ b/src/audit/settings_archive.h
@@ -9,7 +9,7 @@
 
 static_assert(sizeof(void*) != 8 || sizeof(ClassSettings) == 112,
               "add new fields of ClassSettings to serialize()");
-static_assert(sizeof(void*) != 8 || sizeof(Settings) == 256, "add new fields of Settings to serialize()");
+static_assert(sizeof(void*) != 8 || sizeof(Settings) == 264, "add new fields of Settings to serialize()");
 
 template <typename Archive>
 void serialize(Archive& ar, ClassSettings& c) {
@@ -22,8 +22,9 @@
   ar(s.seed, s.instanceIndex, s.instanceCount, s.zone, s.batchIntervalMs, s.classes, s.watchEndpointList,
      s.weightDecay, s.ratingKind, s.maxConcurrentCalls, s.maxPendingRequests, s.maxAttempts,
      s.maxRetryAfterMs, s.connectTimeoutMs, s.connectionIdleMs, s.reusesConnections, s.mayCancel,
-     s.kindHasSeparateLimits, s.kindBatchSize, s.zoneCosts, s.crossZoneCost, s.listRetryMs, s.slowStartShare,
-     s.slowStartMs, s.overloadFactor, s.overloadWindowMs, s.orderHoldAfterAmbiguityMs);
+     s.kindHasSeparateLimits, s.kindBatchSize, s.zoneCosts, s.crossZoneCost, s.listConfirmationMs,
+     s.listRetryMs, s.slowStartShare, s.slowStartMs, s.overloadFactor, s.overloadWindowMs,
+     s.orderHoldAfterAmbiguityMs);
 }
 
 }  // namespace myrtleloft
--- a/src/config/settings_section.cpp
+++ b/src/config/settings_section.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 
 #include "config/config_errors.h"
+#include "discovery/poll_schedule.h"
 #include "journal/journal.h"
 #include "simulator_adapter/settings_decoding.h"
 
@@ -161,6 +162,7 @@
   checkClasses(*settings);
   config.settings = decodeSettings(root, *settings);
   config.settings.reusesConnections = false;  // see outbound/upstream_client.h
+  config.settings.listConfirmationMs = PollSchedule::kPollMs;
   checkSettings(config.settings);
   config.classes = namesOf(*settings, "classes");
   config.tenants = namesOf(*settings, "tenants");
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -29,8 +29,26 @@
   startPolling();
 }
 
+void DiscoveryClient::requestConfirmation() {
+  if (parts_.directory.confirmed() || std::exchange(confirmationRequested_, true)) return;
+  parts_.log.write(LogLevel::kInfo, "list.awaited",
+                   "discovery: requests wait for the initial list to be confirmed");
+  if (!awaitsAnswer() && pollTimer_ != Loop::kNoTimer) poll();
+}
+
+bool DiscoveryClient::awaitsAnswer() const {
+  if (!connection_) return false;
+  return kind_ != PollKind::kLongPoll || reader_ || connection_->answerBegun();
+}
+
+bool DiscoveryClient::needsConfirmation() const {
+  return !parts_.directory.confirmed() || parts_.directory.freshness() != Freshness::kFresh;
+}
+
 void DiscoveryClient::startPolling() {
-  const double pauseMs = parts_.directory.freshness() == Freshness::kFresh ? rotation_.startDelayMs() : 0;
+  const bool isUrgent = confirmationRequested_ && !parts_.directory.confirmed();
+  const bool isFresh = parts_.directory.freshness() == Freshness::kFresh;
+  const double pauseMs = isFresh && !isUrgent ? rotation_.startDelayMs() : 0;
   if (pauseMs <= 0) return poll();
   pollTimer_ = parts_.loop.after(pauseMs, [this] { poll(); });
 }
@@ -49,10 +67,11 @@
   if (addressChanged_) moveToNewAddress();
   const EndpointTable& table = parts_.directory.endpoints();
   const bool needsCompleteList = needsCompleteList_ || parts_.directory.needsCompleteList() || table.empty();
-  // A list that is not fresh needs confirmation, because some classes are rejected until it is confirmed. A
-  // directory without changes would hold a long poll, so the poll asks for an immediate answer. If that did
-  // not make the list fresh, the next poll is a long poll again, to avoid a busy loop.
-  const bool immediate = parts_.directory.freshness() != Freshness::kFresh && !lastPollImmediate_;
+  // The initial list needs confirmation, because requests wait for it, and so does one that is not fresh,
+  // because some classes are rejected. A directory without changes would hold a long poll, so the poll asks
+  // for an immediate answer. If that did not confirm the list, the next poll is a long poll
+  // again, to avoid a busy loop.
+  const bool immediate = needsConfirmation() && !lastPollImmediate_;
   kind_ = needsCompleteList ? PollKind::kCompleteList
           : immediate       ? PollKind::kImmediate
                             : PollKind::kLongPoll;
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -54,9 +54,13 @@
   // change; see onAddressChanged.
   DiscoveryClient(const Parts& parts, const Address& discovery, Options options);
 
-  // Starts polling: immediately if the list is not fresh, otherwise after a random delay of at most the start
-  // spread, so that the relays of a fleet that starts do not all poll at the same time. Call once.
+  // Starts polling: immediately if the list is not fresh or its confirmation is requested, otherwise after a
+  // random delay of at most the start spread, so that the relays of a fleet that starts do not all poll at
+  // the same time. Call once.
   void start(ChangeCallback changed);
+  // Polls without a delay, because requests wait for the initial list to be confirmed. Does nothing once an
+  // answer has been applied. May be called before `start`.
+  void requestConfirmation();
   // Must be called after the address passed to the constructor has changed. Polls the new address for the
   // complete list, after a random delay of at most the reload spread, because the address changes for all
   // relays of a fleet at the same time. Until then the current poll continues, and its answer is used.
@@ -71,7 +75,12 @@
     kLongPoll       // requests the changes since the known revision; the directory waits until there are some
   };
 
-  // Polls immediately if the list is not fresh, otherwise after a random delay.
+  // Whether the next poll must be answered immediately: the list is the initial one or not fresh.
+  bool needsConfirmation() const;
+  // Whether an answer is being received or parsed, or the directory has been asked for an immediate one.
+  bool awaitsAnswer() const;
+  // Polls immediately if the list is not fresh or its confirmation is requested, otherwise after a random
+  // delay.
   void startPolling();
   void poll();
   // Drops what belongs to the old address, and has the complete list requested from the new one.
@@ -111,7 +120,8 @@
   ChangeCallback onChange_;
   PollKind kind_ = PollKind::kLongPoll;  // of the last poll
   double polledAtMs_ = 0;                // when the last poll started
-  bool lastPollImmediate_ = false;       // whether the last poll was immediate because the list was not fresh
+  bool confirmationRequested_ = false;   // whether requests wait for the first answer
+  bool lastPollImmediate_ = false;       // whether the last poll asked for an immediate answer
   bool needsCompleteList_ = false;       // whether the directory polled or its address has changed
   bool lastAnswerChanged_ = false;       // whether the last answer changed the known revision
   bool addressChanged_ = false;          // whether there is a new address that has not been polled yet
--- a/src/discovery/endpoint_directory.cpp
+++ b/src/discovery/endpoint_directory.cpp
@@ -107,7 +107,7 @@
   rollbackSuspected_ = false;
   const bool keepMissing = list.complete && guard_.enabled() && guardKeepsMissing(list);
   lastDirectory_ = directory;
-  answered_ = true;
+  const bool confirmsInitialList = !std::exchange(answered_, true);
   complete_ = true;
   confirmedAt_ = now();
   TableUpdate update = table_.apply(list, ListUpdateKind::kSnapshot, confirmedAt_.wallMs, keepMissing);
@@ -116,7 +116,7 @@
     cache_.markConfirmed();
   }
   logFreshness();
-  if (!list.complete && update.event.entries.empty()) return std::nullopt;
+  if (!list.complete && update.event.entries.empty() && !confirmsInitialList) return std::nullopt;
   return std::move(update.event);
 }
 
--- a/src/discovery/endpoint_directory.h
+++ b/src/discovery/endpoint_directory.h
@@ -61,8 +61,11 @@
   // the cache file are logged. Call once, before any other function.
   EndpointListEvent begin(const EndpointList& configured, double configuredWallMs);
   // Handles an answer of the discovery directory with the index `directory`. Returns std::nullopt if the
-  // answer changes nothing or is not accepted.
+  // answer is not accepted, or if it changes nothing and is not the first one since the start: that one
+  // confirms the initial list.
   std::optional<EndpointListEvent> onList(const EndpointList& list, std::size_t directory);
+  // Whether an answer of discovery has been applied since `begin`.
+  bool confirmed() const { return answered_; }
   // Whether the next poll must request the complete list.
   bool needsCompleteList() const { return needsCompleteList_; }
   // Whether the last answer was not accepted. An immediate poll would probably get the same answer again.
--- a/src/exchange/request_manager.cpp
+++ b/src/exchange/request_manager.cpp
@@ -129,7 +129,7 @@
                 parts_.loop.after(timer.delayMs,
                                   [this, token = timer.token] { scheduler_.push(TimerEvent{token}); });
               },
-              [](const WatchEndpointListAction&) {},      // the endpoint list is always watched
+              [this](const WatchEndpointListAction&) { requestList_(); },
               [](const CloseIdleConnectionsAction&) {}},  // there are none: each connection carries one call
       action);
 }
--- a/src/exchange/request_manager.h
+++ b/src/exchange/request_manager.h
@@ -25,6 +25,7 @@
 // Single-threaded, on the loop's thread; no function throws or blocks. Costs are those of the components.
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -59,6 +60,9 @@
   void onList(EndpointListEvent event);
   // The platform has confirmed the notification of that request.
   void onConfirmed(const std::string& id) { completions_.onConfirmed(id); }
+  // `request` is called when the decision module asks for a poll of discovery, because requests wait for the
+  // endpoint list to be confirmed.
+  void setListRequest(std::function<void()> request) { requestList_ = std::move(request); }
   // The journal's syncer has results to collect.
   void onSynced();
   // Stops the decision module, rejects the requests that wait for its next batch, and withdraws the calls
@@ -96,6 +100,7 @@
   void executeUnlessSend(const Action& action);
   void cancel(const std::string& id);
 
+  std::function<void()> requestList_ = [] {};
   // In the order of construction: each refers only to those above it.
   Parts parts_;
   Settings settings_;
--- a/src/policy/batch_scheduler.cpp
+++ b/src/policy/batch_scheduler.cpp
@@ -28,7 +28,8 @@
     if (sendQueue.chain.empty()) continue;
     sendQueue.order = byUrgency(batch, latency_, *destination);
     std::erase_if(sendQueue.order, [&](const QueuedRequest& queued) {
-      return !queued.request->isNextOfOrderKey(batch.nowMs());
+      return !queued.request->isNextOfOrderKey(batch.nowMs()) ||
+             cachedListHold_.holds(batch, *queued.request);
     });
     if (!sendQueue.order.empty()) sendQueues.push_back(std::move(sendQueue));
   }
--- a/src/policy/batch_scheduler.h
+++ b/src/policy/batch_scheduler.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "policy/cached_list_hold.h"
 #include "policy/connection_reuse.h"
 #include "policy/fallback_chain.h"
 #include "policy/request_priority.h"
@@ -23,8 +24,12 @@
  public:
   // All arguments must outlive the scheduler.
   BatchScheduler(RequestTable& requests, CallTable& calls, const ConnectionReuse& connections,
-                 const LatencyTracker& latency)
-      : requests_(requests), calls_(calls), connections_(connections), latency_(latency) {}
+                 const LatencyTracker& latency, const CachedListHold& cachedListHold)
+      : requests_(requests),
+        calls_(calls),
+        connections_(connections),
+        latency_(latency),
+        cachedListHold_(cachedListHold) {}
 
   // Sends the requests that may be sent now. Cancels one call if concurrency is nearly exhausted.
   void send(BatchContext& batch);
@@ -66,6 +71,7 @@
   CallTable& calls_;
   const ConnectionReuse& connections_;
   const LatencyTracker& latency_;
+  const CachedListHold& cachedListHold_;
   int suspectCalls_ = 0;  // calls in flight to suspect endpoints
 };
 
--- a/src/policy/constants.h
+++ b/src/policy/constants.h
@@ -21,6 +21,12 @@
 // call takes to arrive.
 inline constexpr double kIdempotencyWindowShare = 0.95;
 
+// Endpoint list.
+
+// Share of the time until its last attempt may start for which a request is held while the cached endpoint
+// list is not confirmed, so that a request with little time left is still attempted.
+inline constexpr double kListConfirmationShare = 0.5;
+
 // Latency.
 
 // An endpoint is unresponsive when a call has been in flight for this many typical latencies without any
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -2,6 +2,7 @@
 #include "myrtleloft/dispatcher.h"
 
 #include "policy/batch_scheduler.h"
+#include "policy/cached_list_hold.h"
 #include "policy/endpoint_list_watch.h"
 #include "policy/endpoint_registry.h"
 #include "policy/load_shedder.h"
@@ -60,6 +61,7 @@
   bool recovering_ = false;
   EndpointRegistry registry_;
   EndpointListWatch watch_;
+  CachedListHold cachedListHold_;
   RequestTable requests_;
   CallTable calls_;
   LatencyTracker latency_;
@@ -73,9 +75,10 @@
 Dispatcher::Impl::Impl(const Settings& settings)
     : batch_(withDefaults(settings)),
       watch_(settings.watchEndpointList),
+      cachedListHold_(settings.listConfirmationMs),
       recorder_(connections_, latency_),
       shedder_(requests_, latency_),
-      scheduler_(requests_, calls_, connections_, latency_) {}
+      scheduler_(requests_, calls_, connections_, latency_, cachedListHold_) {}
 
 std::vector<Action> Dispatcher::Impl::run(double nowMs, const std::vector<Event>& events) {
   batch_.begin(nowMs);
@@ -105,6 +108,7 @@
   }
   for (const AmbiguousAttempt& earlier : event.ambiguousAttempts)
     recordAmbiguousAttempt(batch_, *request, earlier.sentMs, earlier.zone);
+  cachedListHold_.admit(batch_, *request);
   requests_.enqueue(*request);
   // A request accepted before a restart may already have used up its attempts.
   if (request->attempts > 0) shedder_.giveUpIfExhausted(batch_, *request);
@@ -131,8 +135,13 @@
 
 void Dispatcher::Impl::handle(const EndpointListEvent& event) {
   if (event.kind == ListUpdateKind::kError) return watch_.recordFailure(batch_);
-  if (event.kind != ListUpdateKind::kCached) watch_.recordAnswer();
-  if (event.kind == ListUpdateKind::kCached) recovering_ = true;
+  if (event.kind == ListUpdateKind::kCached) {
+    recovering_ = true;
+    cachedListHold_.recordCachedList(batch_);
+  } else {
+    watch_.recordAnswer();
+    cachedListHold_.recordAnswer();
+  }
   removeUnused();
   registry_.apply(batch_, event);
 }
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -61,6 +61,7 @@
               clientConnections(config_), requestBytes(config_), &trace_),
       logsPhases_(startupLogging == StartupLogging::kAll) {
   upstream_.setListener(requests_);
+  requests_.setListRequest([this] { discovery_.requestConfirmation(); });
   notifications_.onConfirmed([this](const std::string& id) { requests_.onConfirmed(id); });
 }
 
--- a/src/state/request.h
+++ b/src/state/request.h
@@ -25,9 +25,10 @@
   OrderedQueue* orderedQueue = nullptr;  // nullptr if not ordered
   std::uint64_t arrivalBatch = 0;        // number of the batch in which it arrived; 0 if before a restart
   double deadlineMs = 0;
-  double objectiveMs = 0;      // time until which a delivery has the full weight
-  double objectiveSpanMs = 0;  // latency objective, 1 or more
-  double sendByMs = 0;         // time until which an attempt may start
+  double objectiveMs = 0;        // time until which a delivery has the full weight
+  double objectiveSpanMs = 0;    // latency objective, 1 or more
+  double sendByMs = 0;           // time until which an attempt may start
+  double heldUntilMs = -kNever;  // time until which it waits for discovery to confirm the cached list
   Destination* destination = nullptr;
   int attempts = 0;
   int timeouts = 0;
--- a/tests/audit_rules_test.cpp
+++ b/tests/audit_rules_test.cpp
@@ -88,7 +88,7 @@
 
 TEST_CASE("every field of the settings counts") {
   const std::string plain = canonicalSettings(Settings());
-  std::vector<Settings> all(25);
+  std::vector<Settings> all(26);
   std::size_t at = 0;
   all[at++].instanceCount = 2;
   all[at++].batchIntervalMs = 1;
@@ -108,6 +108,7 @@
   all[at++].kindBatchSize = {1};
   all[at++].zoneCosts = {1};
   all[at++].crossZoneCost = 1;
+  all[at++].listConfirmationMs = 1;
   all[at++].listRetryMs = 1;
   all[at++].slowStartShare = 1;
   all[at++].slowStartMs = 1;
--- a/tests/discovery/discovery_client_test.cpp
+++ b/tests/discovery/discovery_client_test.cpp
@@ -146,3 +146,30 @@
   CHECK(other.endpointDirectory.endpoints().revision() == 2);
   CHECK(other.endpointDirectory.endpoints().all().size() == 1);
 }
+
+// Guards against sends by the list of an earlier process: while requests wait for the list, nothing may delay
+// the poll that confirms it, nor its answer.
+TEST_CASE("a list that requests wait for is confirmed at once, before and during the start's delay") {
+  const EndpointList known = oneEndpoint();
+  for (const double requestedAfterMs : {0.0, 400.0}) {
+    CAPTURE(requestedAfterMs);
+    DiscoveryClient::Options options;
+    options.backoff.startSpreadMs = 5000;
+    options.seed = 3;
+    DiscoveryClientFixture fixture(options, &known, true);
+    fixture.holdsLongPolls = true;
+    fixture.list = R"({"rev":1,"all":false,"targets":[]})";
+    fixture.advance(requestedAfterMs);
+    REQUIRE(fixture.polls == 0);
+    fixture.client->requestConfirmation();
+    fixture.runLoop(20);
+    CHECK(fixture.events == 1);  // the answer has no change, and confirms the list
+    CHECK(fixture.endpointDirectory.confirmed());
+    REQUIRE(!fixture.calls.empty());
+    CHECK(fixture.calls.front() == "GET /discovery/hosts?after=1&wait_ms=0 HTTP/1.1");
+    const int polls = fixture.polls;
+    fixture.client->requestConfirmation();
+    fixture.runLoop(20);
+    CHECK(fixture.polls == polls);
+  }
+}
--- a/tests/discovery/poll_interval_paths_test.cpp
+++ b/tests/discovery/poll_interval_paths_test.cpp
@@ -48,12 +48,12 @@
   std::vector<double> calls;
   for (std::uint64_t seed = 1; seed <= kRelays; ++seed) {
     FleetRelayFixture relay({kRelays, 500}, seed, true);
-    relay.advanceUntilPolls(1);
+    relay.advanceUntilPolls(2);  // the first one confirms the initial list, the second one is a long poll
     relay.client->onAddressChanged();
     relay.advance(4000 + 500 - kFaultFreePollMs / 2);
-    REQUIRE(relay.polls >= 2);
-    CHECK(relay.calls[1] == "GET /discovery/hosts HTTP/1.1");
-    calls.push_back(relay.polledMs[1]);
+    REQUIRE(relay.polls >= 3);
+    CHECK(relay.calls[2] == "GET /discovery/hosts HTTP/1.1");
+    calls.push_back(relay.polledMs[2]);
   }
   std::sort(calls.begin(), calls.end());
   std::ptrdiff_t most = 0;
@@ -62,16 +62,16 @@
   CHECK(most <= kRelays / 2);
 
   FleetRelayFixture relay({kRelays, 500}, 3, true);
-  relay.advanceUntilPolls(1);
+  relay.advanceUntilPolls(2);
   relay.client->onAddressChanged();
   relay.runLoop(20);
-  REQUIRE(relay.polls == 1);
+  REQUIRE(relay.polls == 2);
   relay.list = drainingList(2);
   relay.hub.send(*relay.waiting.begin(), relay.answer());
   relay.runLoop(20);
   CHECK(relay.knowsDraining());
   relay.advance(5000);
-  CHECK(relay.calls[1] == "GET /discovery/hosts HTTP/1.1");
+  CHECK(relay.calls[2] == "GET /discovery/hosts HTTP/1.1");
 }
 
 TEST_CASE("a long poll whose connection is never established does not count as waiting") {
--- a/tests/discovery/poll_schedule_test.cpp
+++ b/tests/discovery/poll_schedule_test.cpp
@@ -51,8 +51,9 @@
   forEachFleet([](const FleetSize& fleet, std::uint64_t seed) {
     for (const bool isLongPoll : {false, true}) {
       FleetRelayFixture relay(fleet, seed, isLongPoll);
+      if (isLongPoll) relay.advanceUntilPolls(1);  // confirms the initial list; a long poll follows
       relay.ignoresPolls = true;
-      relay.advanceUntilPolls(1);
+      relay.advanceUntilPolls(isLongPoll ? 2 : 1);
       relay.ignoresPolls = false;
       relay.advance(isLongPoll ? 9000 : 0);
       relay.announceDraining();
--- a/tests/integration/player.cpp
+++ b/tests/integration/player.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <deque>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -18,15 +19,13 @@
 
 #include "lab/site.h"
 #include "net/socket.h"
+#include "tests/integration/player_peer.h"
 #include "tests/integration/player_text.h"
 
 namespace myrtleloft::testing {
 namespace {
 
 namespace fs = std::filesystem;
-using Failure = std::runtime_error;
-
-constexpr int kPatienceMs = 7000;  // a step that takes longer has failed
 
 class Player {
  public:
@@ -76,11 +75,6 @@
   }
 
  private:
-  struct Peer {
-    Fd fd;
-    std::string in;
-  };
-
   void listen(const std::string& name) {
     std::string error;
     listeners_[name] = listenOn(*parseAddress("127.0.0.1:0"), error);
@@ -158,6 +152,14 @@
     }
     const std::size_t at = log_.find(kListens) + kListens.size();
     addresses_["P"] = log_.substr(at, log_.find('\n', at) - at);
+    confirmList();
+  }
+  // Discovery confirms the list of a start without a change, so that no request waits for it. Where the list
+  // is not fresh or there is none, or discovery refuses connections, the file itself says what happens.
+  void confirmList() {
+    const std::size_t at = log_.find("discovery: starting with");
+    if (at == std::string::npos || !fits("*, fresh", log_.substr(at, log_.find('\n', at) - at))) return;
+    if (listeners_.count("D") > 0) early_ = confirmInitialList(listeners_.at("D"));
   }
   bool readLog(int waitMs) {
     pollfd p{output_.get(), POLLIN, 0};
@@ -194,13 +196,11 @@
     if (pendingError(peer.fd) != 0) throw Failure("connection refused");
   }
   void accept(const std::string& name, const std::string& from) {
-    wait(listeners_.at(from), POLLIN);
-    int error = 0;
-    peers_[name] = Peer{acceptFrom(listeners_.at(from), error), ""};
-  }
-  static void wait(const Fd& fd, short events) {
-    pollfd p{fd.get(), events, 0};
-    if (::poll(&p, 1, kPatienceMs) <= 0) throw Failure("nothing came in time");
+    if (from == "D" && !early_.empty()) {
+      peers_[name] = std::move(early_.front());
+      return early_.pop_front();
+    }
+    peers_[name] = acceptPeer(listeners_.at(from));
   }
 
   std::string filled(std::string text) const {
@@ -209,9 +209,9 @@
   }
   void speak(Peer& peer, const std::string& step) {
     if (step.substr(0, 2) == ">>")
-      return send(peer, unescaped(filled(step.substr(std::min<std::size_t>(3, step.size())))));
+      return sendTo(peer, unescaped(filled(step.substr(std::min<std::size_t>(3, step.size())))));
     if (step.substr(0, 1) == ">")
-      return send(peer, filled(step.substr(std::min<std::size_t>(2, step.size()))) + "\r\n");
+      return sendTo(peer, filled(step.substr(std::min<std::size_t>(2, step.size()))) + "\r\n");
     if (step == "<END") {
       while (more(peer)) {
       }
@@ -235,22 +235,6 @@
       throw Failure("came: " + shown(peer.in));
     peer.in.erase(0, line.size() + 2);
   }
-  static void send(Peer& peer, const std::string& bytes) {
-    for (std::size_t at = 0; at < bytes.size();) {
-      if (writeSome(peer.fd, bytes, at) == Io::kFailed) throw Failure("the connection broke");
-      if (at < bytes.size()) wait(peer.fd, POLLOUT);
-    }
-  }
-  static bool more(Peer& peer) {
-    wait(peer.fd, POLLIN);
-    const Io io = readSome(peer.fd, peer.in);
-    return io == Io::kProgress || io == Io::kWouldBlock;
-  }
-  static void expectMore(Peer& peer) {
-    pollfd p{peer.fd.get(), POLLIN, 0};
-    if (::poll(&p, 1, kPatienceMs) <= 0) throw Failure("nothing more came; so far: " + shown(peer.in));
-    if (!more(peer)) throw Failure("the connection ended; so far: " + shown(peer.in));
-  }
 
   std::string program_, known_, log_;
   fs::path folder_;
@@ -260,6 +244,7 @@
   std::vector<std::string> variables_;
   int writtenDaysAgo_ = 0;
   std::map<std::string, Peer> peers_;
+  std::deque<Peer> early_;  // connections to D that were accepted ahead of their step
   Fd output_;
   pid_t child_ = -1;
 };
