Keep the idempotency window of a request that another relay may have sent

Cause: readRequest dropped the mark, so the second relay opened a request without any attempt that may have been executed, and after a 429 no window applied. The simulator adapter dropped `reconnect`, which says the same. Why it works: no call of the former relay can be older than the client's first sending, so the window that is kept ends no later than the true one. Consequence: where only one zone remembers the key, such a request is answered as failed, since the zone is not known. Related, open (ROADMAP): X-Retried: 1 after a refusal of what may have been executed.

--- a/include/myrtleloft/dispatcher.h
+++ b/include/myrtleloft/dispatcher.h
@@ -111,12 +111,17 @@
 
 // ---- events ----
 
-// An attempt that may have been executed, made before this relay's process began.
+// An attempt that may have been executed, made before this relay's process began or by another relay.
 struct AmbiguousAttempt {
-  int zone = 0;       // zone of its endpoint
+  static constexpr int kUnknownZone = -2;
+  int zone = 0;       // zone of its endpoint, or kUnknownZone
   double sentMs = 0;  // on the clock of the batches; may be before the first batch
 };
 
+// The attempt that a relay which has died may have made of a request that its client sends again, at the
+// earliest possible time: `deadlineMs` less maxLifetimeMs. Empty for classes without an idempotency key.
+std::optional<AmbiguousAttempt> attemptByAnotherRelay(const ClassSettings& settings, double deadlineMs);
+
 // A request was accepted. Ignored if its id is already known.
 struct RequestEvent {
   std::string id;         // unique among the requests that are not completed
--- a/simulator_adapter/event_reader.cpp
+++ b/simulator_adapter/event_reader.cpp
@@ -33,7 +33,7 @@
   throw WireError("unknown list kind " + quoted(text));
 }
 
-RequestEvent readRequest(const Fields& fields) {
+RequestEvent readRequest(const Fields& fields, const std::vector<ClassSettings>& classes) {
   RequestEvent event;
   event.id = fields.text(kRequestId);
   event.classIndex = static_cast<int>(fields.integerOr("type", 0));
@@ -43,6 +43,10 @@
   event.effortMs = fields.numberOr("effortMs", 0);
   event.destination = fields.integerOr("destination", 0);
   event.isRetry = fields.flag("isRetry");
+  const auto classIndex = static_cast<std::size_t>(event.classIndex);
+  if (fields.flag("reconnect") && classIndex < classes.size())
+    if (const auto attempt = attemptByAnotherRelay(classes[classIndex], event.deadlineMs))
+      event.ambiguousAttempts.push_back(*attempt);
   return event;
 }
 
@@ -112,7 +116,7 @@
                InstanceTable& instances) {
   if (name == "QUERY") {
     Instance& instance = instances.select(fields);
-    instance.events.emplace_back(readRequest(fields));
+    instance.events.emplace_back(readRequest(fields, instance.classes));
   } else if (name == "RETURNED") {
     Instance& instance = instances.select(fields);
     instance.events.emplace_back(readAttemptOutcome(fields, instance.reportColumns));
--- a/simulator_adapter/instance_table.cpp
+++ b/simulator_adapter/instance_table.cpp
@@ -10,7 +10,9 @@
 
 void InstanceTable::start(const Fields& fields) {
   Instance instance;
-  instance.dispatcher = std::make_unique<Dispatcher>(decodeSettings(fields));
+  Settings settings = decodeSettings(fields);
+  instance.dispatcher = std::make_unique<Dispatcher>(settings);
+  instance.classes = std::move(settings.classes);
   for (const std::string_view column : commaList(fields.textOr("reporting.columns", "")))
     instance.reportColumns.emplace_back(column);
   instance.selected = true;
--- a/simulator_adapter/instance_table.h
+++ b/simulator_adapter/instance_table.h
@@ -24,6 +24,7 @@
 // One instance of the decision module.
 struct Instance {
   std::unique_ptr<Dispatcher> dispatcher;
+  std::vector<ClassSettings> classes;      // by RequestEvent::classIndex
   std::vector<std::string> reportColumns;  // names of the columns of a load report
   std::vector<Event> events;               // events since its last decision
   bool selected = false;                   // whether any line has named it since its last decision
--- a/src/exchange/admission.cpp
+++ b/src/exchange/admission.cpp
@@ -91,10 +91,24 @@
   pending.tenant = request.tenant;
   pending.destination = request.destination;
   pending.isRetry = request.isRetry;
+  if (request.heldByAnotherRelay) recordAttemptByAnotherRelay(added, event);
   newRequests_.push_back(added.handle());
   parts_.scheduler.push(std::move(event));
 }
 
+// The attempt goes to the module, and into the request's record: it also binds a later process of this relay.
+void Admission::recordAttemptByAnotherRelay(OpenRequest& request, RequestEvent& event) const {
+  const ClassSettings& settings = parts_.settings.classes.at(static_cast<std::size_t>(event.classIndex));
+  const std::optional<AmbiguousAttempt> attempt = attemptByAnotherRelay(settings, event.deadlineMs);
+  if (!attempt) return;
+  event.ambiguousAttempts.push_back(*attempt);
+  request.firstAmbiguousMs = attempt->sentMs;
+  PendingRequest& pending = request.pending;
+  const double sentWallMs = pending.deadlineWallMs - settings.maxLifetimeMs;
+  pending.ambiguousAttempts.push_back(
+      {"", RecordedAttempt::kLostZone, sentWallMs, RecordedAttempt::kLostAttempt});
+}
+
 bool Admission::recordAccepted(const RequestHandle& handle) {
   OpenRequest* const request = parts_.requests.find(handle);
   if (request == nullptr) return false;
--- a/src/exchange/admission.h
+++ b/src/exchange/admission.h
@@ -65,6 +65,8 @@
   void open(IncomingRequest request, RequestSink::AnswerCallback callback, double timeLeftMs,
             const QuotaCharge& charge);
 
+  void recordAttemptByAnotherRelay(OpenRequest& request, RequestEvent& event) const;
+
   Parts parts_;
   std::vector<RequestHandle> newRequests_;
 };
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -21,6 +21,8 @@
   double arrivedMs = 0;   // when its last byte arrived, on the loop's clock; it may have been read later
   double timeLeftMs = 0;  // time from `arrivedMs` until the deadline
   bool isRetry = false;   // the client states that it has sent the request before
+  // The client states that another relay had the request, which died or gave no answer.
+  bool heldByAnotherRelay = false;
 };
 
 struct Answer {
--- a/src/inbound/read_request.cpp
+++ b/src/inbound/read_request.cpp
@@ -101,7 +101,9 @@
   request.classIndex = *cls;
   request.destination = *to;
   request.timeLeftMs = *seconds * 1000;
-  request.isRetry = text(message, "X-Retried") == "1";
+  const std::string retried = text(message, "X-Retried");
+  request.isRetry = retried == "1";
+  request.heldByAnotherRelay = retried == "again";
   if (!names.unitHeader.empty()) request.unit = text(message, names.unitHeader);
   request.body = message.body;
   return request;
--- a/src/journal/records.h
+++ b/src/journal/records.h
@@ -25,9 +25,10 @@
 // An attempt that is not known not executed, and so may have had an effect.
 struct RecordedAttempt {
   // Stand-ins for the numbers of an attempt and its zone if the attempt's record may have been in a damaged
-  // part of the journal, so that neither its number nor its zone nor its time is known.
+  // part of the journal, or if another relay may have made it. Neither its number nor its zone is known, and
+  // its time is the earliest possible one.
   static constexpr int kLostAttempt = -1;
-  static constexpr int kLostZone = -2;
+  static constexpr int kLostZone = AmbiguousAttempt::kUnknownZone;
 
   std::string endpoint;
   int zone = 0;
@@ -47,7 +48,7 @@
   int tenant = 0;
   std::int64_t destination = 0;
   double deadlineWallMs = 0;
-  double acceptedWallMs = 0;  // no attempt was made before this time; 0 if unknown
+  double acceptedWallMs = 0;  // this relay made no attempt before this time; 0 if unknown
   bool isRetry = false;
   int attempts = 0;  // number made so far
   std::vector<RecordedAttempt> ambiguousAttempts;
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -110,8 +110,8 @@
     recordAmbiguousAttempt(batch_, *request, earlier.sentMs, earlier.zone);
   cachedListHold_.admit(batch_, *request);
   requests_.enqueue(*request);
-  // A request accepted before a restart may already have used up its attempts.
-  if (request->attempts > 0) shedder_.giveUpIfExhausted(batch_, *request);
+  // A request from before a restart, or from another relay, may already have used up its attempts.
+  if (request->attempts > 0 || request->mayHaveExecuted()) shedder_.giveUpIfExhausted(batch_, *request);
 }
 
 void Dispatcher::Impl::handle(const OutcomeEvent& event) {
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -43,3 +43,12 @@
 }
 
 }  // namespace myrtleloft::policy
+
+namespace myrtleloft {
+
+std::optional<AmbiguousAttempt> attemptByAnotherRelay(const ClassSettings& settings, double deadlineMs) {
+  if (settings.idempotency != Idempotency::kIdempotentWithKey) return std::nullopt;
+  return AmbiguousAttempt{AmbiguousAttempt::kUnknownZone, deadlineMs - settings.maxLifetimeMs};
+}
+
+}  // namespace myrtleloft
--- a/tests/policy/retry_policy_test.cpp
+++ b/tests/policy/retry_policy_test.cpp
@@ -24,6 +24,17 @@
   bool mayBeRejected;   // instead of failed, if it is not sent again
 };
 
+// Guards against a second execution after the loss of a relay; tests/exchange/held_by_another_relay_test.cpp
+// has the situation.
+TEST(AttemptByAnotherRelay, IsAssumedAtTheEarliestTimeForClassesWithAKeyOnly) {
+  const auto attempt = attemptByAnotherRelay(classOf(Idempotency::kIdempotentWithKey), 50000);
+  ASSERT_TRUE(attempt);
+  EXPECT_EQ(attempt->sentMs, 30000);
+  EXPECT_EQ(attempt->zone, AmbiguousAttempt::kUnknownZone);
+  EXPECT_FALSE(attemptByAnotherRelay(classOf(Idempotency::kIdempotent), 50000));
+  EXPECT_FALSE(attemptByAnotherRelay(classOf(Idempotency::kNonIdempotent), 50000));
+}
+
 class RetryPolicyTable : public ::testing::TestWithParam<RetryCase> {};
 
 TEST_P(RetryPolicyTable, RetriesAndRejectionsFollowTheClass) {
--- a/tests/simulator_adapter/wire_test.cpp
+++ b/tests/simulator_adapter/wire_test.cpp
@@ -36,6 +36,24 @@
       << out;
 }
 
+// Guards against a second execution outside the idempotency window: `reconnect` says that a relay that had
+// the message has died, which may have sent it at any time since the client first handed it in.
+TEST(Wire, AMessageOfADeadRelayIsRoutedInTheWindowOfItsFirstSendingOnly) {
+  std::string up = kUp;
+  up.replace(up.find("repeatable"), std::string("repeatable").size(),
+             "by_key\tclasses.0.group=all\tclasses.0.memorySpanMs=5000.0");
+  const auto routes = [&up](const std::string& notAfterMs, const std::string& reconnect) {
+    const std::string out = play(up +
+                                 "BATCH\ttsMs=105.0\nQUERY\tforwarderId=forwarder_0\tcorr=00000000000000aa\t"
+                                 "type=0\tdestination=5\tnotAfterMs=" +
+                                 notAfterMs + reconnect + "\nEOF_BATCH\n");
+    return out.find("ROUTE") != std::string::npos;
+  };
+  EXPECT_TRUE(routes("19000.0", "\treconnect=1"));   // first handed in 1.1 s before
+  EXPECT_FALSE(routes("14000.0", "\treconnect=1"));  // 6.1 s before
+  EXPECT_TRUE(routes("14000.0", ""));
+}
+
 TEST(Wire, RetireFollowedByUpStartsEmpty) {
   const std::string again = std::string("RETIRE\tforwarderId=forwarder_0\n") +
                             "UP\tforwarderId=forwarder_0\trandomSeed=8\n" + kQuery;
