--- a/tests/integration/player_peer.cpp
+++ b/tests/integration/player_peer.cpp
@@ -10,7 +10,8 @@
 namespace myrtleloft::testing {
 namespace {
 
-constexpr std::string_view kPoll = "GET /discovery/hosts?after=";
+constexpr std::string_view kPoll = "GET /discovery/hosts";
+constexpr std::string_view kPollForChanges = "GET /discovery/hosts?after=";
 
 // Accepts connections up to the next poll of discovery, and puts the others into `others`.
 Peer acceptPoll(const Fd& listener, std::deque<Peer>& others) {
@@ -57,7 +58,12 @@
 std::deque<Peer> confirmInitialList(const Fd& listener) {
   std::deque<Peer> others;
   Peer poll = acceptPoll(listener, others);
-  const std::string revision = poll.in.substr(kPoll.size(), poll.in.find('&') - kPoll.size());
+  if (!poll.in.starts_with(kPollForChanges)) {  // it wants the complete list, as there is none
+    others.push_front(std::move(poll));
+    return others;
+  }
+  const std::size_t revisionEnd = poll.in.find('&');
+  const std::string revision = poll.in.substr(kPollForChanges.size(), revisionEnd - kPollForChanges.size());
   const std::string body = R"({"rev":)" + revision + R"(,"all":false,"targets":[]})";
   sendTo(poll, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   Peer longPoll = acceptPoll(listener, others);
--- a/tests/integration/player_peer.h
+++ b/tests/integration/player_peer.h
@@ -27,7 +27,8 @@
 bool more(Peer& peer);
 void expectMore(Peer& peer);
 // Answers the poll of discovery that confirms the list of a start, without a change. Returns the connections
-// that came with it: the long poll that follows, then any notifications.
+// that came with it: the long poll that follows, then any notifications. A poll for the complete list is
+// returned in place of the long poll, without an answer.
 std::deque<Peer> confirmInitialList(const Fd& listener);
 
 }  // namespace myrtleloft::testing
