--- a/src/inbound/http_server.h
+++ b/src/inbound/http_server.h
@@ -97,6 +97,7 @@
   // limit.
   void accountMemory(ConnectionId id);
   void closeExpired();
+  void scheduleExpiry();
 
   Loop& loop_;
   RequestSink& sink_;
