Eviction: leave a request whose rest is unread, answer a stalled one with 503

Cause: evictOne looked for unread input only on new and idle connections. One whose request had been incomplete for 250 ms was closed at once, although the rest could lie in its socket; the close over unread bytes resets it. A request held complete, until the bytes behind it decide whether it is truncated, counts as incomplete and was dropped in the same way.

Now no connection with unread input is evicted, nor one with a partially written answer.

--- a/src/inbound/http_server.h
+++ b/src/inbound/http_server.h
@@ -47,7 +47,7 @@
     kIdle,            // between requests
     kNew,             // nothing received yet
     kReadingRequest,  // a request is incomplete
-    kWritingAnswer,   // an answer is partially written
+    kWritingAnswer,   // an answer is partially written; never evicted
     kAwaitingAnswer,  // a request is unanswered; never evicted
   };
   struct Connection {
@@ -76,6 +76,8 @@
 
   void onAccept();
   void evictOne();
+  std::optional<ConnectionId> findEvictable() const;
+  static double minimumAgeMs(Stage stage);  // before a connection is evicted
   void onEvents(ConnectionId id, short revents);
   void readAndServe(ConnectionId id);
   ArrivalTimes::Observation observe(const Fd& fd) const;
@@ -88,6 +90,8 @@
   void onHalfClose(ConnectionId id);
   void onReset(ConnectionId id);
   void rejectAndClose(ConnectionId id, int status, const Headers& headers = {});
+  // Rejects a request that there is no room for, and tells the client when to retry.
+  void rejectOverloaded(ConnectionId id);
   void reply(ConnectionId id, int status, const Headers& headers = {}, std::string_view body = {});
   void flush(ConnectionId id);
   // Shuts down the sending side. Later input is discarded.
--- a/src/inbound/http_server_answers.cpp
+++ b/src/inbound/http_server_answers.cpp
@@ -7,6 +7,11 @@
 #include "inbound/http_server.h"
 
 namespace myrtleloft {
+namespace {
+
+constexpr const char* kOverloadRetryAfterS = "1.000";  // if the limit of memory or connections is reached
+
+}  // namespace
 
 void HttpServer::onAnswer(ConnectionId id, const Answer& answer) {
   const auto at = connections_.find(id);
@@ -31,6 +36,10 @@
   reply(id, status, {{"Retry-After", seconds}});
 }
 
+void HttpServer::rejectOverloaded(ConnectionId id) {
+  rejectAndClose(id, 503, {{"Retry-After", kOverloadRetryAfterS}});
+}
+
 // Answers an unusable request and closes the connection, because the start of the next message is unknown.
 void HttpServer::rejectAndClose(ConnectionId id, int status, const Headers& headers) {
   if (status < 500) ++counters_.malformed;
--- a/src/inbound/http_server_closing.cpp
+++ b/src/inbound/http_server_closing.cpp
@@ -12,8 +12,8 @@
 // half-closed connection is closed.
 constexpr double kRequestMs = 2000, kIdleMs = 2000, kLingerMs = 500, kExpiryIntervalMs = 100;
 constexpr std::size_t kIdleDivisor = 8;  // at most one in kIdleDivisor connections may be idle
-// Minimum age before a connection is evicted: of one without any input, and of one with an incomplete request
-// or answer.
+// Minimum age before a connection is evicted: of one without any input, and of one with an incomplete
+// request.
 constexpr double kNewConnectionMs = 300, kStalledMs = 250;
 
 }  // namespace
@@ -21,27 +21,42 @@
 // Connections whose requests were answered are evicted first, the longest idle one before the others, because
 // their clients lose nothing. Closing a connection without any input fails the request for which a slow
 // client opened it; when hundreds of clients kept idle connections open, this lost half of all requests. Such
-// connections are evicted only if none of the first kind are left. A connection with an unanswered or unread
-// request is never evicted.
+// connections are evicted only if none of the first kind are left, and a client that stalls within a request
+// only after them: it is told that its request is rejected.
 void HttpServer::evictOne() {
-  std::optional<ConnectionId> victim;
+  const std::optional<ConnectionId> victim = findEvictable();
+  if (!victim) return;
+  ++counters_.evicted;
+  if (connections_.at(*victim).stage() == Stage::kReadingRequest) {
+    rejectOverloaded(*victim);
+    const auto at = connections_.find(*victim);
+    if (at == connections_.end() || !at->second.lingering) return;  // the answer failed or is not written yet
+  }
+  close(*victim, CloseReason::kEvicted);
+}
+
+// Returns the connection that can be evicted at the least harm. Never returned: one with an unanswered or
+// partially answered request, and one whose socket holds unread input, because that may be the rest of a
+// request, which its client has sent completely.
+std::optional<HttpServer::ConnectionId> HttpServer::findEvictable() const {
+  std::optional<ConnectionId> best;
   std::pair<int, double> lowestRank;
   const double now = loop_.nowMs();
   for (const auto& [id, client] : connections_) {
     const Stage stage = client.stage();
-    const double patience = stage == Stage::kNew ? kNewConnectionMs
-                            : stage == Stage::kReadingRequest || stage == Stage::kWritingAnswer ? kStalledMs
-                                                                                                : 0;
+    if (stage == Stage::kAwaitingAnswer || stage == Stage::kWritingAnswer) continue;
     const std::pair rank{static_cast<int>(stage), client.sinceMs};
-    if (stage == Stage::kAwaitingAnswer || now - client.sinceMs < patience || (victim && lowestRank <= rank))
-      continue;
-    if ((stage == Stage::kNew || stage == Stage::kIdle) && !client.isQuiescent()) continue;
-    victim = id;
+    if (now - client.sinceMs < minimumAgeMs(stage) || (best && lowestRank <= rank)) continue;
+    if (stage != Stage::kLingering && hasInput(client.fd)) continue;
+    best = id;
     lowestRank = rank;
   }
-  if (!victim) return;
-  ++counters_.evicted;
-  close(*victim, CloseReason::kEvicted);
+  return best;
+}
+
+double HttpServer::minimumAgeMs(Stage stage) {
+  if (stage == Stage::kNew) return kNewConnectionMs;
+  return stage == Stage::kReadingRequest ? kStalledMs : 0;
 }
 
 // Input after the last answer is discarded first: closing a socket with unread bytes resets the connection,
--- a/src/inbound/http_server_connections.cpp
+++ b/src/inbound/http_server_connections.cpp
@@ -7,7 +7,6 @@
 namespace myrtleloft {
 namespace {
 
-constexpr const char* kOverloadRetryAfterS = "1.000";  // if the memory limit is reached
 // A request that was unread for longer than this is counted as read late.
 constexpr double kReadLateMs = Loop::kMaxPollAgeMs;
 
@@ -31,7 +30,7 @@
   client.heldBytes = now;
   if (heldBytes_ <= maxBytes_ || client.stage() != Stage::kReadingRequest) return;
   ++counters_.failFastFull;
-  rejectAndClose(id, 503, {{"Retry-After", kOverloadRetryAfterS}});
+  rejectOverloaded(id);
 }
 
 void HttpServer::readAndServe(ConnectionId id) {
--- a/tests/integration/crowded_clients_test.cpp
+++ b/tests/integration/crowded_clients_test.cpp
@@ -71,6 +71,55 @@
   CHECK(site.logHas("evicted=1"));
 }
 
+// Forced: at the connection limit, the rest of the longest open request reaches its socket after the relay
+// has learned of a newcomer and before it makes room for it.
+TEST_CASE("a request whose rest lies unread as room is made is answered, and a stalled one is rejected") {
+  GatedSite site(MYRTLELOFT_GATED, R"("sockets":64,"disk_mb":1)");  // room for eight clients
+  REQUIRE(site.start());
+  const std::string& address = site.relay->address();
+  const auto halfOf = [](const std::string& request) { return request.substr(0, request.size() / 2); };
+  RawClient client(address);
+  client.send(postOf("first"));
+  REQUIRE(site.until([&] { return client.has(" 202 "); }));
+  client.in.clear();
+  const std::string request = postOf("unread");
+  client.send(halfOf(request));
+  const double halfSentMs = steadyMs();
+  REQUIRE(site.until([&] { return steadyMs() > halfSentMs + 50; }));  // so that it is surely the longest open
+  std::vector<std::unique_ptr<RawClient>> stalled;
+  for (int i = 0; i < 7; ++i) {
+    stalled.push_back(std::make_unique<RawClient>(address));
+    stalled.back()->send(halfOf(postOf("stalled" + std::to_string(i))));
+  }
+  REQUIRE(site.until([&] { return site.counts("connections=8 "); }));
+  const double openMs = steadyMs();
+  REQUIRE(site.until([&] { return steadyMs() > openMs + 400; }));  // all requests have been open for 250 ms
+  site.gate.hold({Call::kPoll, When::kBefore, Instant::kAnyPeer});
+  REQUIRE(site.until([&] { return site.gate.held(); }));
+  RawClient newcomer(address);
+  newcomer.send(postOf("newcomer"));
+  site.gate.hold({Call::kPoll, When::kAfter, Instant::kAnyPeer});
+  REQUIRE(site.until([&] { return site.gate.held(); }));
+  client.send(request.substr(halfOf(request).size()));
+  site.gate.open();
+  REQUIRE(site.until([&] { return client.take() || client.has(" 202 "); }));
+  CHECK(client.has(" 202 "));
+  REQUIRE(site.until([&] { return newcomer.has(" 202 "); }));
+  REQUIRE(site.until([&] { return site.endpoint.calls.size() == 3; }));
+  REQUIRE(site.until([&] {
+    return std::any_of(stalled.begin(), stalled.end(), [](const auto& other) { return other->take(); });
+  }));
+  std::size_t rejected = 0;
+  for (const auto& other : stalled) {
+    other->take();
+    if (other->has("HTTP/1.1 503 ") && other->has("Retry-After: ") && other->ended()) ++rejected;
+    CHECK_FALSE(other->wasReset());
+  }
+  CHECK(rejected == 1);
+  CHECK(site.counts("requests=3 malformed=0 taken=3 "));
+  CHECK(site.logHas("evicted=1"));
+}
+
 // Forced: the list is learned while clients hold every descriptor that they can get.
 TEST_CASE(
     "idle clients that fill the descriptors while discovery is down take nothing that its return needs") {
