End of the process: refuse a request that lies unread or is half read

Callers saw: a client whose first request reached its connection as a draining process ended, or whose request was half read then, got a reset and no answer.

Cause: ~HttpServer closed new connections and those within a request at once; unread bytes in the socket turn that close into a reset, and half a request that was read got no answer.

Now such a client is told 503 with Retry-After, and its connection is ended as after any last answer. The answer is made in advance, because the process may end for want of memory.

Evidence: the new case of closing_clients holds the relay behind its last poll before the end; on the text before, a connection that has asked nothing is closed and the 503 does not come; now both get it.

--- a/src/inbound/http_server.cpp
+++ b/src/inbound/http_server.cpp
@@ -19,7 +19,8 @@
       names_(std::move(names)),
       maxConnections_(maxConnections),
       maxBytes_(maxBytes),
-      trace_(trace) {}
+      trace_(trace),
+      finalRejection_(overloadRejection()) {}
 
 HttpServer::~HttpServer() {
   loop_.cancel(expiryTimer_);
@@ -29,8 +30,10 @@
     Connection& client = at->second;
     // Answers that were just given, for example because memory ran out, are written as far as possible.
     if (!client.out.empty()) writeSome(client.fd, client.out, client.written);
-    if (client.stage() != Stage::kNew && client.stage() != Stage::kReadingRequest)
-      halfClose(at->first, CloseReason::kProcessEnds);
+    // Nothing reads the rest of a request any more, and its client may have sent it completely.
+    const bool unfinished = client.mayHaveSentRequest();
+    if (unfinished) writeSome(client.fd, finalRejection_, client.written);
+    if (unfinished || client.stage() != Stage::kNew) halfClose(at->first, CloseReason::kProcessEnds);
     close(at->first, CloseReason::kProcessEnds);
   }
   if (listener_) loop_.unwatch(listener_.get());
--- a/src/inbound/http_server.h
+++ b/src/inbound/http_server.h
@@ -68,6 +68,10 @@
     bool halfClosed = false;                           // the client has shut down its sending side
     Stage stage() const;
     // Returns true if there is no request on the connection, not even an unread one.
+    // Returns true if a request is partially read, or a new connection has unread bytes.
+    bool mayHaveSentRequest() const {
+      return stage() == Stage::kReadingRequest || (stage() == Stage::kNew && hasUnreadBytes(fd));
+    }
     bool isQuiescent() const { return (stage() == Stage::kIdle || stage() == Stage::kNew) && !hasInput(fd); }
   };
   using ConnectionId = std::uint64_t;
@@ -92,6 +96,8 @@
   void rejectAndClose(ConnectionId id, int status, const Headers& headers = {});
   // Rejects a request that there is no room for, and tells the client when to retry.
   void rejectOverloaded(ConnectionId id);
+  // The same answer as text, for when the process ends.
+  static std::string overloadRejection();
   void reply(ConnectionId id, int status, const Headers& headers = {}, std::string_view body = {});
   void flush(ConnectionId id);
   // Shuts down the sending side. Later input is discarded.
@@ -109,6 +115,7 @@
   RequestNames names_;
   std::size_t maxConnections_, maxBytes_, heldBytes_ = 0;
   const RequestTrace* trace_;
+  const std::string finalRejection_;  // made in advance, because memory may have run out at the end
   Fd listener_;
   bool ready_ = false, draining_ = false;
   std::map<ConnectionId, Connection> connections_;
--- a/src/inbound/http_server_answers.cpp
+++ b/src/inbound/http_server_answers.cpp
@@ -9,7 +9,10 @@
 namespace myrtleloft {
 namespace {
 
-constexpr const char* kOverloadRetryAfterS = "1.000";  // if the limit of memory or connections is reached
+// If the limit of memory or connections is reached, or the process ends.
+constexpr const char* kOverloadRetryAfterS = "1.000";
+
+Headers overloadHeaders() { return {{"Retry-After", kOverloadRetryAfterS}}; }
 
 }  // namespace
 
@@ -36,9 +39,9 @@
   reply(id, status, {{"Retry-After", seconds}});
 }
 
-void HttpServer::rejectOverloaded(ConnectionId id) {
-  rejectAndClose(id, 503, {{"Retry-After", kOverloadRetryAfterS}});
-}
+void HttpServer::rejectOverloaded(ConnectionId id) { rejectAndClose(id, 503, overloadHeaders()); }
+
+std::string HttpServer::overloadRejection() { return writeAnswer(503, overloadHeaders(), {}, false); }
 
 // Answers an unusable request and closes the connection, because the start of the next message is unknown.
 void HttpServer::rejectAndClose(ConnectionId id, int status, const Headers& headers) {
--- a/tests/integration/closing_clients_test.cpp
+++ b/tests/integration/closing_clients_test.cpp
@@ -191,3 +191,32 @@
   }
   CHECK(site.counts("requests=8 malformed=0 taken=8 "));
 }
+
+// Forced: requests reach their sockets after the relay's last read before it ends, one of them whole on a
+// connection that has asked nothing yet, the other with its first half read.
+TEST_CASE("a request that lies unread as the process ends is refused, not reset") {
+  GatedSite site(MYRTLELOFT_GATED);
+  REQUIRE(site.start());
+  const double termMs = drain(site);
+  const RawClient keepsDrainOpen(site.relay->address());
+  REQUIRE(site.until([&] { return steadyMs() > termMs + 1500; }));
+  RawClient silent(site.relay->address()), halfway(site.relay->address());
+  const std::string request = postOf("halfway");
+  halfway.send(request.substr(0, request.size() / 2));
+  REQUIRE(site.until([&] { return site.counts("connections=3 "); }));
+  REQUIRE(site.until([&] { return steadyMs() > termMs + 3000; }));
+  site.gate.hold({Call::kPoll, When::kAfter, Instant::kAnyPeer});
+  REQUIRE(site.until([&] { return site.gate.held(); }));
+  REQUIRE(site.until([&] { return steadyMs() > termMs + 3400; }));  // the process is due to end
+  silent.send(postOf("silent"));
+  halfway.send(request.substr(request.size() / 2));
+  site.gate.open();
+  for (RawClient* client : {&silent, &halfway}) {
+    REQUIRE(site.until([&] { return client->take(); }));
+    CHECK(client->has("HTTP/1.1 503 "));
+    CHECK(client->has("Retry-After: "));
+    CHECK(client->ended());
+  }
+  REQUIRE(endsWell(site));
+  CHECK(site.endpoint.calls.empty());
+}
