Never repeat a request accepted under a stricter class than it has now

Cause: mayContinue compared the earlier and the current rules only for requests that may have been executed; all others went by the current rules alone.

Now such a request is marked non-idempotent where the earlier rules were stricter in any way. It is sent as before, and no attempt follows one that may have been executed: by the module, by the last check before a call, and in later processes. The mark is a second bit of the byte of the retry mark, so that a rewritten record, which names the current class, keeps it, and earlier folders read as before.

--- a/include/myrtleloft/dispatcher.h
+++ b/include/myrtleloft/dispatcher.h
@@ -86,15 +86,14 @@
   bool watchEndpointList = false;      // whether the caller polls discovery on a WatchEndpointListAction
   WeightDecay weightDecay = WeightDecay::kLinear;
   RatingKind ratingKind = RatingKind::kNone;
-  int maxConcurrentCalls = 0;   // calls in flight; 0 for no limit
-  int maxPendingRequests = 0;   // requests not completed; load is shed above 90% of it; 0 for no limit
-  int maxAttempts = 0;          // attempts of one request, of all outcomes; 0 for no limit
-  double maxRetryAfterMs = 0;   // upper bound of RejectAction::retryAfterMs; 0 to give no Retry-After
-  double connectTimeoutMs = 0;  // longest time that a call waits for its connection
-  double connectionIdleMs = 0;  // maximum idle age of a connection that is reused; 0 for no limit
-  // Whether the caller keeps connections open for further calls. If not, each call opens a new one.
-  bool reusesConnections = true;
-  bool mayCancel = false;  // whether the caller carries out a CancelAction
+  int maxConcurrentCalls = 0;     // calls in flight; 0 for no limit
+  int maxPendingRequests = 0;     // requests not completed; load is shed above 90% of it; 0 for no limit
+  int maxAttempts = 0;            // attempts of one request, of all outcomes; 0 for no limit
+  double maxRetryAfterMs = 0;     // upper bound of RejectAction::retryAfterMs; 0 to give no Retry-After
+  double connectTimeoutMs = 0;    // longest time that a call waits for its connection
+  double connectionIdleMs = 0;    // maximum idle age of a connection that is reused; 0 for no limit
+  bool reusesConnections = true;  // whether the caller keeps connections open for further calls
+  bool mayCancel = false;         // whether the caller carries out a CancelAction
   // By kind: whether each endpoint has a limit of its own, or all endpoints of a destination share one.
   std::vector<bool> kindHasSeparateLimits;
   std::vector<int> kindBatchSize;  // by kind: maximum number of requests in one call, at least 1
@@ -131,8 +130,9 @@
   double deadlineMs = 0;  // time by which it must be completed; if already past, it is answered in this batch
   double effortMs = 0;    // expected processing time at the endpoint
   std::int64_t destination = 0;
-  bool isRetry = false;  // whether the client was rejected before and sends it again
-  int attempts = 0;      // attempts before this process began, including those known not executed
+  bool isRetry = false;        // whether the client was rejected before and sends it again
+  bool nonIdempotent = false;  // must not be executed twice, whatever its class permits
+  int attempts = 0;            // attempts before this process began, including those known not executed
   std::vector<AmbiguousAttempt> ambiguousAttempts;  // those attempts that may have been executed
 };
 
--- a/src/exchange/recovered.cpp
+++ b/src/exchange/recovered.cpp
@@ -11,6 +11,15 @@
 // A recorded time in the future shows that the wall clock was set back.
 bool wasSetBack(const WallClock& wall) { return wall.newestMs > wall.nowMs; }
 
+// Whether a class permitted less than it does now.
+bool isStricter(const RetryPermission& permission, const ClassSettings& now) {
+  if (permission.idempotency != now.idempotency) return permission.idempotency > now.idempotency;
+  if (now.idempotency != Idempotency::kIdempotentWithKey) return false;
+  const bool wasZone = permission.deduplicationScope == DeduplicationScope::kZone;
+  const bool isZone = now.deduplicationScope == DeduplicationScope::kZone;
+  return (wasZone && !isZone) || permission.idempotencyWindowMs < now.idempotencyWindowMs;
+}
+
 }  // namespace
 
 double newestRecordedWallMs(const PendingTable& table) {
@@ -29,8 +38,12 @@
   if (static_cast<std::size_t>(pending.classIndex) >= settings.classes.size() ||
       pending.tenant == NameTranslation::kUnconfigured)
     return false;
-  if (pending.ambiguousAttempts.empty() || !permission) return true;
+  if (!permission) return true;
   const ClassSettings& classNow = settings.classes[static_cast<std::size_t>(pending.classIndex)];
+  if (pending.ambiguousAttempts.empty()) {
+    pending.nonIdempotent = pending.nonIdempotent || isStricter(*permission, classNow);
+    return true;
+  }
   if (permission->idempotency > classNow.idempotency) return false;
   // If the class is non-idempotent now, the module retries nothing. If it is idempotent now, it was
   // idempotent when the attempt was made, too.
@@ -55,6 +68,7 @@
   event.deadlineMs = nowMs + std::min(pending.deadlineWallMs - wall.nowMs, maxLifetimeMs);
   event.destination = pending.destination;
   event.isRetry = pending.isRetry;
+  event.nonIdempotent = pending.nonIdempotent;
   event.attempts = pending.attempts;
   for (const RecordedAttempt& attempt : pending.ambiguousAttempts) {
     const double ageMs = wasSetBack(wall) ? kLongAgoMs : wall.nowMs - attempt.sentWallMs + wall.setBackMs;
--- a/src/exchange/recovered.h
+++ b/src/exchange/recovered.h
@@ -51,11 +51,13 @@
 // Returns whether a recovered request may be passed to the decision module. If not, it cannot be sent and
 // must be completed as failed.
 //
-// A request that was certainly not executed can be treated like a new one: it cannot continue only if its
-// class or tenant is no longer in the settings. A request that may have been executed was sent under the
-// earlier rules of its class (`permission`), and its retries are decided under the current rules. Neither
-// alone is safe: its key is remembered as far as the earlier rules said, and the current rules may forbid a
-// retry. It therefore continues only as far as both allow:
+// A request that was certainly not executed can be sent like a new one: it cannot continue only if its class
+// or tenant is no longer in the settings. If the earlier rules were stricter in any way, it is marked as
+// non-idempotent, because it was accepted under them.
+// A request that may have been executed was sent under the earlier rules of its class (`permission`), and its
+// retries are decided under the current rules. Neither alone is safe: its key is remembered as far as the
+// earlier rules said, and the current rules may forbid a retry. It therefore continues only as far as both
+// allow:
 // - The earlier rules were stricter (non-idempotent; or idempotent with key where it is idempotent now; or a
 //   deduplication scope of one zone where it is the whole destination now): the module would apply the looser
 //   current rules, so the request does not continue.
--- a/src/exchange/rule_guard.cpp
+++ b/src/exchange/rule_guard.cpp
@@ -14,6 +14,11 @@
     "future-record"};
 constexpr double kClockToleranceMs = 1;  // two clock readings of the same moment may differ this much
 
+// The idempotency by which the request is retried.
+Idempotency idempotencyOf(const PendingRequest& pending, const ClassSettings& requestClass) {
+  return pending.nonIdempotent ? Idempotency::kNonIdempotent : requestClass.idempotency;
+}
+
 }  // namespace
 
 const char* nameOf(Violation violation) { return kNames.at(static_cast<std::size_t>(violation)); }
@@ -39,9 +44,10 @@
 
 std::optional<Violation> RuleGuard::violationOfRetry(const SendFacts& facts,
                                                      const ClassSettings& requestClass) const {
-  if (facts.pending.ambiguousAttempts.size() < 2 || requestClass.idempotency == Idempotency::kIdempotent)
+  const Idempotency idempotency = idempotencyOf(facts.pending, requestClass);
+  if (facts.pending.ambiguousAttempts.size() < 2 || idempotency == Idempotency::kIdempotent)
     return std::nullopt;
-  if (requestClass.idempotency == Idempotency::kNonIdempotent) return Violation::kNonIdempotentRepeated;
+  if (idempotency == Idempotency::kNonIdempotent) return Violation::kNonIdempotentRepeated;
   if (facts.nowMs > facts.firstAmbiguousMs + requestClass.idempotencyWindowMs)
     return Violation::kOutsideWindow;
   const auto inAnotherZone = [&](const RecordedAttempt& attempt) {
@@ -62,8 +68,9 @@
 
 bool RuleGuard::mayExecuteAgain(const PendingRequest& pending) const {
   const ClassSettings& requestClass = settings_.classes.at(static_cast<std::size_t>(pending.classIndex));
-  return requestClass.idempotency == Idempotency::kIdempotent ||
-         (requestClass.idempotency == Idempotency::kIdempotentWithKey &&
+  const Idempotency idempotency = idempotencyOf(pending, requestClass);
+  return idempotency == Idempotency::kIdempotent ||
+         (idempotency == Idempotency::kIdempotentWithKey &&
           requestClass.deduplicationScope == DeduplicationScope::kDestination);
 }
 
--- a/src/journal/records.cpp
+++ b/src/journal/records.cpp
@@ -13,11 +13,16 @@
 void serialize(Archive& archive, RecordedAttempt& attempt) {
   archive(attempt.endpoint, attempt.zone, attempt.sentWallMs, attempt.attempt);
 }
+// The flags of a request, one bit each. Programs that knew only the first wrote 0 or 1.
+enum RequestFlag : std::uint8_t { kIsRetry = 1, kNonIdempotent = 2 };
 template <typename Archive>
 void serialize(Archive& archive, PendingRequest& request) {
+  std::uint8_t flags = (request.isRetry ? kIsRetry : 0) | (request.nonIdempotent ? kNonIdempotent : 0);
   archive(request.id, request.key, request.classIndex, request.tenant, request.destination,
-          request.deadlineWallMs, request.acceptedWallMs, request.isRetry, request.attempts, request.status,
+          request.deadlineWallMs, request.acceptedWallMs, flags, request.attempts, request.status,
           request.retryAfterMs, request.ambiguousAttempts, request.body);
+  request.isRetry = (flags & kIsRetry) != 0;
+  request.nonIdempotent = (flags & kNonIdempotent) != 0;
 }
 template <typename Archive>
 void serialize(Archive& archive, AcceptedRecord& record) {
--- a/src/journal/records.h
+++ b/src/journal/records.h
@@ -50,6 +50,8 @@
   double deadlineWallMs = 0;
   double acceptedWallMs = 0;  // this relay made no attempt before this time; 0 if unknown
   bool isRetry = false;
+  // Must not be executed twice, whatever its class permits: it was accepted under stricter settings.
+  bool nonIdempotent = false;
   int attempts = 0;  // number made so far
   std::vector<RecordedAttempt> ambiguousAttempts;
   // Other than kUndecided once the request has ended and until the platform has confirmed the notification.
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -30,6 +30,11 @@
   return settings;
 }
 
+std::vector<ClassSettings> nonIdempotent(std::vector<ClassSettings> classes) {
+  for (ClassSettings& settings : classes) settings.idempotency = Idempotency::kNonIdempotent;
+  return classes;
+}
+
 }  // namespace
 
 // The components of one dispatcher, and the order of the steps of a batch.
@@ -57,6 +62,7 @@
   double nextWakeMs() const;
 
   BatchContext batch_;
+  const std::vector<ClassSettings> nonIdempotentClasses_;  // for RequestEvent::nonIdempotent
   // Whether this batch brought the cached endpoint list, so that its requests are from before a restart.
   bool recovering_ = false;
   EndpointRegistry registry_;
@@ -74,6 +80,7 @@
 
 Dispatcher::Impl::Impl(const Settings& settings)
     : batch_(withDefaults(settings)),
+      nonIdempotentClasses_(nonIdempotent(batch_.settings.classes)),
       watch_(settings.watchEndpointList),
       cachedListHold_(settings.listConfirmationMs),
       recorder_(connections_, latency_),
@@ -98,7 +105,8 @@
 void Dispatcher::Impl::handle(const RequestEvent& event) {
   const std::vector<ClassSettings>& classes = batch_.settings.classes;
   const std::size_t classIndex = std::min(static_cast<std::size_t>(event.classIndex), classes.size() - 1);
-  Request* request = requests_.add(event, classes[classIndex], batch_.nowMs());
+  const ClassSettings& settings = (event.nonIdempotent ? nonIdempotentClasses_ : classes)[classIndex];
+  Request* request = requests_.add(event, settings, batch_.nowMs());
   if (!request) return;
   requests_.setDestination(*request, registry_.destination(event.destination));
   registry_.grantProbeForArrival(batch_, *request->destination);
--- a/tests/journal/name_table_test.cpp
+++ b/tests/journal/name_table_test.cpp
@@ -166,6 +166,59 @@
   }
 }
 
+TEST_CASE("a request accepted under a stricter class stays non-idempotent, also after compaction") {
+  const auto loose = classEntry("x", Idempotency::kIdempotent),
+             once = classEntry("x", Idempotency::kNonIdempotent);
+  const auto keyed = classEntry("x", Idempotency::kIdempotentWithKey),
+             zoned = classEntry("x", Idempotency::kIdempotentWithKey, DeduplicationScope::kZone),
+             shorter =
+                 classEntry("x", Idempotency::kIdempotentWithKey, DeduplicationScope::kDestination, 1000);
+  const auto staysNonIdempotent = [](const ClassEntry& then, const ClassEntry& now) {
+    Disk disk;
+    const NameTable before{{then}, {}, {}}, after{{now}, {}, {}};
+    {
+      Opened opened(disk, before);
+      PendingRequest request = pending("x", 0);
+      REQUIRE(opened.journal->recordAccepted(request));
+    }
+    bool flagged = false;
+    for (int start = 0; start < 3; ++start) {
+      JournalOptions options{"/s", 1000000, 0, {}, "the test", 7};
+      options.names = after;
+      options.tuning.freeShare = 1;
+      options.tuning.maxSegments = 1;  // rewrites all requests at once
+      disk.locks.clear();
+      HandClock clock;
+      FaultyFiles files(disk);
+      std::ostringstream log;
+      Journal journal({files, clock, log}, options);
+      auto found = journal.open();
+      REQUIRE(found);
+      RecoveredRequest* request = found->pending.find("x");
+      REQUIRE(request);
+      CHECK(mayContinue(request->pending, request->permission, settingsOf(after), {2000, 0, 0}));
+      if (start > 0) {
+        CHECK_FALSE(request->permission.has_value());  // rewritten under the current names
+        CHECK(request->pending.nonIdempotent == flagged);
+      }
+      flagged = request->pending.nonIdempotent;
+      journal.attach(request->pending);
+      for (int i = 0; i < 10 && journal.wantsCompaction(); ++i) REQUIRE(journal.compactStep());
+    }
+    return flagged;
+  };
+  CHECK(staysNonIdempotent(once, loose));
+  CHECK(staysNonIdempotent(once, keyed));
+  CHECK(staysNonIdempotent(keyed, loose));
+  CHECK(staysNonIdempotent(zoned, keyed));
+  CHECK(staysNonIdempotent(shorter, keyed));
+  CHECK_FALSE(staysNonIdempotent(keyed, zoned));
+  CHECK_FALSE(staysNonIdempotent(keyed, shorter));
+  CHECK_FALSE(staysNonIdempotent(loose, keyed));
+  CHECK_FALSE(staysNonIdempotent(loose, once));
+  CHECK_FALSE(staysNonIdempotent(loose, loose));
+}
+
 TEST_CASE("a folder without name tables is opened with the numbers of the current settings") {
   Disk disk;
   writeRequests(disk, {});
--- a/tests/journal/planner_test.cpp
+++ b/tests/journal/planner_test.cpp
@@ -172,6 +172,7 @@
     request.destination = *rc::gen::arbitrary<std::int64_t>();
     request.deadlineWallMs = *rc::gen::arbitrary<double>();
     request.isRetry = *rc::gen::arbitrary<bool>();
+    request.nonIdempotent = *rc::gen::arbitrary<bool>();
     request.attempts = *rc::gen::inRange(0, 12);
     request.status = *rc::gen::element(FinalStatus::kUndecided, FinalStatus::kFailed, FinalStatus::kReturned);
     for (int i = 0; i < request.attempts / 3; ++i) request.ambiguousAttempts.push_back({id, i, 5.5 * i, i});
@@ -185,7 +186,7 @@
               back.classIndex == request.classIndex);
     RC_ASSERT(back.destination == request.destination && back.deadlineWallMs == request.deadlineWallMs);
     RC_ASSERT(back.status == request.status && back.attempts == request.attempts &&
-              back.isRetry == request.isRetry);
+              back.isRetry == request.isRetry && back.nonIdempotent == request.nonIdempotent);
     RC_ASSERT(back.ambiguousAttempts.size() == request.ambiguousAttempts.size());
     // A truncated record, or one followed by another byte, is invalid.
     for (std::size_t size = 0; size < bytes.size(); ++size)
--- a/tests/policy/retry_policy_test.cpp
+++ b/tests/policy/retry_policy_test.cpp
@@ -35,6 +35,21 @@
   EXPECT_FALSE(attemptByAnotherRelay(classOf(Idempotency::kNonIdempotent), 50000));
 }
 
+// Guards against a second execution of a request that was accepted under a stricter class than it has now;
+// tests/relay/settings_change_test.cpp has the situation.
+TEST(RetryPolicy, ANonIdempotentRequestOfAnIdempotentClassIsNotRetried) {
+  DispatcherFixture fixture(plainSettings(Idempotency::kIdempotent));
+  RequestEvent request = std::get<RequestEvent>(fixture.request("m"));
+  request.nonIdempotent = true;
+  fixture.at(0, {snapshot({entry("a", 1, 0), entry("b", 1, 0)}), request, fixture.request("n")});
+  ASSERT_EQ(fixture.sendsOf("m"), 1);
+  fixture.at(50, {fixture.outcome("m", Outcome::kReset), fixture.outcome("n", Outcome::kReset)});
+  fixture.advanceTo(20100);
+  EXPECT_EQ(fixture.sendsOf("m"), 1);
+  EXPECT_EQ(fixture.failed.size(), 1u);
+  EXPECT_GT(fixture.sendsOf("n"), 1);
+}
+
 class RetryPolicyTable : public ::testing::TestWithParam<RetryCase> {};
 
 TEST_P(RetryPolicyTable, RetriesAndRejectionsFollowTheClass) {
--- a/tests/relay/settings_change_test.cpp
+++ b/tests/relay/settings_change_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "lab/hand_endpoint.h"
 #include "tests/relay/settings_scenario.h"
 
 using namespace myrtleloft::lab;
@@ -104,6 +105,33 @@
   scenario.until("a new request is sent", [&] { return scenario.callsOf("new") == 1; });
 }
 
+// Guards against a request that runs twice because its class was made idempotent before its first attempt:
+// the client handed it in as one that may run only once.
+TEST_CASE(
+    "after its class is made idempotent, a request without an attempt is sent, and not again after a reset") {
+  SettingsScenario scenario;
+  HandEndpoint hand(scenario.hub);
+  scenario.directory.tell({hand.entry()});
+  scenario.start(scenario.config(kSiteSettings));
+  for (int i = 0; i < kCallSlots; ++i) scenario.submit("s" + std::to_string(i), "status-update");
+  scenario.until("all call slots are in use", [&] { return hand.calls.size() == kCallSlots; });
+  scenario.submit("m", "billing-charge");
+  scenario.relay->kill();
+  REQUIRE(hand.callsOf("m") == 0);
+  // The class of the requests in flight is removed, which frees the call slots.
+  scenario.start(
+      scenario.config(settings({{std::string(kStatus) + ",", ""}, {"\"once\"", "\"repeatable\""}})));
+  scenario.until("it is sent", [&] { return hand.callsOf("m") == 1; });
+  scenario.hub.close(hand.calls.back().from, true);
+  scenario.until("it is sent again or given up",
+                 [&] { return hand.callsOf("m") == 2 || scenario.directory.notices().count("m") == 1; });
+  CHECK(hand.callsOf("m") == 1);
+  scenario.submit("new", "billing-charge");  // a new request follows the new settings
+  scenario.until("a new request is sent", [&] { return hand.callsOf("new") == 1; });
+  scenario.hub.close(hand.calls.back().from, true);
+  scenario.until("it is sent again", [&] { return hand.callsOf("new") == 2; });
+}
+
 TEST_CASE("after the zones are renumbered, a retry stays within the deduplication scope of its key") {
   const std::pair<std::string, std::string> zoned{R"("by_key","group":"all")", R"("by_key","group":"zone")"};
   SettingsScenario scenario;
