Open the fleet's listener before the pending requests are decided about

Cause: RelayProcess::recover handed the pending requests to the module, which runs its first batch at once, before startFleet could fail.

--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -152,9 +152,13 @@
   log_.write(LogLevel::kInfo, "relay.pending",
              config_.name + ": " + std::to_string(recovered.pending.size()) + " pending requests recovered",
              {{"pending", recovered.pending.size()}});
+  // Whatever can make the start fail comes first: from here on, pending requests are decided about.
+  if (config_.operatorFile.fleet.enabled)
+    if (std::optional<StartupFailure> failure = startFleet()) return failure;
   requests_.recover(std::move(recovered), endpointDirectory_.begin(config_.known, config_.writtenWallMs));
   discovery_.start([this](EndpointListEvent event) { requests_.onList(std::move(event)); });
-  return config_.operatorFile.fleet.enabled ? startFleet() : std::nullopt;
+  observeBatches();
+  return std::nullopt;
 }
 
 std::optional<StartupFailure> RelayProcess::startFleet() {
@@ -165,12 +169,15 @@
   if (!fleet_->start(failure.text)) return failure;
   if (const std::optional<Address> bound = parseAddress(fleet_->listening()))
     liveConfig_.setFleetListenAddress(*bound);
-  if (fleet_->watchesBatches())
-    requests_.observeBatches(
-        [this](double nowMs, const std::vector<Event>& events) { fleet_->onBatch(nowMs, events); });
   return std::nullopt;
 }
 
+void RelayProcess::observeBatches() {
+  if (!fleet_ || !fleet_->watchesBatches()) return;
+  requests_.observeBatches(
+      [this](double nowMs, const std::vector<Event>& events) { fleet_->onBatch(nowMs, events); });
+}
+
 // A connected client may be sending a request, waiting for its answer or reading it. Ending the process would
 // reset its connection, so the process keeps running for it until the drain limit.
 void RelayProcess::checkDrained() {
--- a/src/relay/relay_process.h
+++ b/src/relay/relay_process.h
@@ -85,6 +85,7 @@
   void enter(Phase phase);
   std::optional<StartupFailure> recover();
   std::optional<StartupFailure> startFleet();
+  void observeBatches();  // for the fleet, if it watches them
   // Accepts clients as soon as the journal is writable.
   void awaitWritableJournal();
   // Stops if the drain is complete or its time limit has passed; otherwise checks again later.
--- a/tests/relay/settings_change_test.cpp
+++ b/tests/relay/settings_change_test.cpp
@@ -13,6 +13,21 @@
 
 using namespace myrtleloft::lab;
 
+namespace {
+
+// Leaves kCallSlots requests s0, s1, ... of the class status-update in flight.
+void fillCallSlots(SettingsScenario& scenario, HandEndpoint& endpoint) {
+  endpoint.answers = true;  // an endpoint that has answered gets more than a few calls at once
+  scenario.submit("first", "status-update");
+  scenario.until("the first request is sent", [&] { return endpoint.calls.size() == 1; });
+  endpoint.answers = false;
+  endpoint.calls.clear();
+  for (int i = 0; i < kCallSlots; ++i) scenario.submit("s" + std::to_string(i), "status-update");
+  scenario.until("all call slots are in use", [&] { return endpoint.calls.size() == kCallSlots; });
+}
+
+}  // namespace
+
 TEST_CASE("after the classes are renumbered, a non-idempotent request keeps its class and is not retried") {
   SettingsScenario scenario;
   scenario.announce({&scenario.norte});
@@ -113,8 +128,7 @@
   HandEndpoint hand(scenario.hub);
   scenario.directory.tell({hand.entry()});
   scenario.start(scenario.config(kSiteSettings));
-  for (int i = 0; i < kCallSlots; ++i) scenario.submit("s" + std::to_string(i), "status-update");
-  scenario.until("all call slots are in use", [&] { return hand.calls.size() == kCallSlots; });
+  fillCallSlots(scenario, hand);
   scenario.submit("m", "billing-charge");
   scenario.relay->kill();
   REQUIRE(hand.callsOf("m") == 0);
@@ -148,3 +162,32 @@
   CHECK(scenario.sur.calls.empty());
   CHECK(scenario.norte.calls.size() == 2);
 }
+
+// Guards against a start that decides about pending requests before it knows whether it can serve: here it
+// would give up those whose class its settings lack, and an attempt that it records may have been executed as
+// far as the next process can tell.
+TEST_CASE("a start that fails because its fleet address is in use leaves the pending requests untouched") {
+  SettingsScenario scenario;
+  HandEndpoint hand(scenario.hub);
+  scenario.directory.tell({hand.entry()});
+  scenario.start(scenario.config(kSiteSettings));
+  fillCallSlots(scenario, hand);
+  scenario.submit("m", "billing-charge");
+  scenario.relay->kill();
+  REQUIRE(hand.callsOf("m") == 0);
+  const std::size_t sent = hand.calls.size();
+  scenario.launch(scenario.config(settings({{std::string(kStatus) + ",", ""}})),
+                  "[fleet]\nname = \"vina\"\nlisten = \"" + hand.address + "\"\n");
+  int code = 0;
+  scenario.until("the start fails", [&] { return scenario.relay->ended(code); });
+  CHECK(code == 1);
+  CHECK(scenario.logged("cannot listen on " + hand.address));
+  CHECK(hand.calls.size() == sent);
+  hand.answers = true;
+  scenario.start(scenario.config(kSiteSettings));
+  scenario.until("all requests are sent or given up", [&] {
+    return hand.calls.size() - sent + scenario.directory.notices().size() >= kCallSlots + 1;
+  });
+  CHECK(hand.callsOf("m") == 1);
+  CHECK(scenario.directory.notices().empty());
+}
--- a/tests/relay/settings_scenario.h
+++ b/tests/relay/settings_scenario.h
@@ -67,12 +67,19 @@
            "}";
   }
   void start(const std::string& text) {
-    relay.reset();
-    relay = std::make_unique<Program>(hub, MYRTLELOFT_PROGRAM, folder.string(), text);
-    relay->start();
+    launch(text);
     until("the relay listens", [this] { return relay->ready(); });
     until("the endpoint list is polled", [this] { return directory.heard(); });
   }
+  // Starts the process without waiting for it. `operatorText`: content of the operator's file; empty for
+  // none.
+  void launch(const std::string& text, const std::string& operatorText = "") {
+    relay.reset();
+    const std::string operatorFile = operatorText.empty() ? "" : (folder / "operator.toml").string();
+    if (!operatorText.empty()) std::ofstream(operatorFile) << operatorText;
+    relay = std::make_unique<Program>(hub, MYRTLELOFT_PROGRAM, folder.string(), text, operatorFile);
+    relay->start();
+  }
   void announce(const std::vector<const Endpoint*>& endpoints) {
     std::vector<Entry> list;
     for (const Endpoint* endpoint : endpoints) {
