Give no request up for want of an endpoint before discovery has answered

Cause: the dispatcher counted 'no endpoint known' as 'no endpoint may get it'; and an initial list that is incomplete, or none, was told to it as a delta, that is as discovery's answer, so that requests did not wait for the answer either and went by a damaged cached list at once.

Now the initial list always counts as one from before the start. Until discovery has answered, or the bounded wait is over and some endpoint is known, only a request with no attempt left is given up; those that no endpoint may get are given up in the batch in which the endpoints are known.

Evidence: settings_change removes the cached list between two processes: bounced before, called again now.

--- a/src/discovery/endpoint_directory.cpp
+++ b/src/discovery/endpoint_directory.cpp
@@ -38,6 +38,7 @@
   if (source != InitialSource::kNothing) logInitialList(source, initial.revision);
 
   TableUpdate update = table_.apply(initial, ListUpdateKind::kCached, confirmedAt_.wallMs);
+  update.event.kind = ListUpdateKind::kCached;  // also an incomplete list or none: discovery has not answered
   // The list is cached now, because its age would be unknown after a restart before discovery's first answer.
   if (options_.cacheEnabled && source == InitialSource::kConfigured && age().known) {
     cache_.markChanged(update.changedUids);
--- a/src/policy/cached_list_hold.cpp
+++ b/src/policy/cached_list_hold.cpp
@@ -16,6 +16,12 @@
   batch.emit(WatchEndpointListAction{true});
 }
 
+bool CachedListHold::isWaiting(BatchContext& batch) const {
+  if (batch.nowMs() >= untilMs_) return false;
+  batch.wakeNoLaterThan(untilMs_);
+  return true;
+}
+
 bool CachedListHold::holds(BatchContext& batch, const Request& request) const {
   const double untilMs = std::min(untilMs_, request.heldUntilMs);
   if (batch.nowMs() >= untilMs) return false;
--- a/src/policy/cached_list_hold.h
+++ b/src/policy/cached_list_hold.h
@@ -22,6 +22,9 @@
   void recordAnswer() { untilMs_ = -kNever; }
   // Sets how long a new request may be held. On the first one, asks for a poll of discovery.
   void admit(BatchContext& batch, Request& request);
+  // Whether discovery has yet to confirm the cached list. If so, schedules the batch in which the wait is
+  // over.
+  bool isWaiting(BatchContext& batch) const;
   // Whether the request may not be sent in this batch. If so, schedules the batch in which it may be.
   bool holds(BatchContext& batch, const Request& request) const;
 
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -57,6 +57,10 @@
   // Updates the endpoint and the upstream from an outcome of a call. `call` is its state before the outcome;
   // `finished` says that all its requests now have their outcome.
   void recordCall(const Call& call, const OutcomeEvent& event, bool finished);
+  // Whether an endpoint that is not known does not exist, as far as discovery has told.
+  bool knowsEndpoints();
+  // Gives up the new requests that no endpoint may get any more, once the endpoints are known.
+  void giveUpExhausted();
   void removeUnused() { registry_.removeUnused(batch_, requests_, latency_); }
   // When the next batch is needed even without an event, in ms; kNever if none is.
   double nextWakeMs() const;
@@ -65,6 +69,8 @@
   const std::vector<ClassSettings> nonIdempotentClasses_;  // for RequestEvent::nonIdempotent
   // Whether this batch brought the cached endpoint list, so that its requests are from before a restart.
   bool recovering_ = false;
+  bool listConfirmed_ = false;         // whether discovery has answered since the start
+  bool hasUncheckedRequests_ = false;  // whether new requests may be exhausted; see giveUpExhausted
   EndpointRegistry registry_;
   EndpointListWatch watch_;
   CachedListHold cachedListHold_;
@@ -93,6 +99,7 @@
   if (nowMs - registry_.lastRemovalMs() >= batch_.settings.slowStartMs) removeUnused();
   recovering_ = false;
   for (const Event& event : events) std::visit([this](const auto& each) { handle(each); }, event);
+  giveUpExhausted();
   shedder_.expireDue(batch_);
   shedder_.shedLoad(batch_);
   scheduler_.send(batch_);
@@ -119,7 +126,22 @@
   cachedListHold_.admit(batch_, *request);
   requests_.enqueue(*request);
   // A request from before a restart, or from another relay, may already have used up its attempts.
-  if (request->attempts > 0 || request->mayHaveExecuted()) shedder_.giveUpIfExhausted(batch_, *request);
+  if (hasNoAttemptLeft(batch_, *request) || (request->mayHaveExecuted() && knowsEndpoints()))
+    return shedder_.giveUpIfExhausted(batch_, *request);
+  hasUncheckedRequests_ = hasUncheckedRequests_ || request->mayHaveExecuted();
+}
+
+bool Dispatcher::Impl::knowsEndpoints() {
+  return listConfirmed_ || (registry_.endpointCount() > 0 && !cachedListHold_.isWaiting(batch_));
+}
+
+void Dispatcher::Impl::giveUpExhausted() {
+  if (!hasUncheckedRequests_ || !knowsEndpoints()) return;
+  hasUncheckedRequests_ = false;
+  std::vector<Request*> attempted;
+  for (const auto& [key, request] : requests_.due())
+    if (request->mayHaveExecuted()) attempted.push_back(request);
+  for (Request* request : attempted) shedder_.giveUpIfExhausted(batch_, *request);
 }
 
 void Dispatcher::Impl::handle(const OutcomeEvent& event) {
@@ -149,6 +171,7 @@
   } else {
     watch_.recordAnswer();
     cachedListHold_.recordAnswer();
+    listConfirmed_ = true;
   }
   removeUnused();
   registry_.apply(batch_, event);
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -15,11 +15,15 @@
   const auto permitted = [&](const Endpoint* endpoint) {
     return endpoint->open && mayAttempt(batch, request, *endpoint);
   };
-  return request.ambiguousZones.size() >= kMaxAmbiguousAttempts ||
-         (batch.settings.maxAttempts > 0 && request.attempts >= batch.settings.maxAttempts) ||
+  return hasNoAttemptLeft(batch, request) ||
          (request.mayHaveExecuted() && std::ranges::none_of(request.destination->endpoints, permitted));
 }
 
+bool hasNoAttemptLeft(const BatchContext& batch, const Request& request) {
+  return request.ambiguousZones.size() >= kMaxAmbiguousAttempts ||
+         (batch.settings.maxAttempts > 0 && request.attempts >= batch.settings.maxAttempts);
+}
+
 void recordAmbiguousAttempt(const BatchContext& batch, Request& request, double sentMs, int zone) {
   // Further attempts must arrive within the idempotency window even if they wait for a connection as long as
   // connecting may take.
--- a/src/policy/retry_policy.h
+++ b/src/policy/retry_policy.h
@@ -34,6 +34,9 @@
 // Whether the client may safely send the request again, so that it may be rejected instead of failed.
 bool mayReject(const Request& request);
 
+// Whether the request has had all attempts that it may have, whatever endpoints there are.
+bool hasNoAttemptLeft(const BatchContext& batch, const Request& request);
+
 // Whether no further attempt of the request is permitted at any endpoint of its destination.
 bool exhausted(const BatchContext& batch, const Request& request);
 
--- a/tests/policy/cached_list_hold_test.cpp
+++ b/tests/policy/cached_list_hold_test.cpp
@@ -54,6 +54,30 @@
   EXPECT_EQ(fixture.sendsOf("n"), 1);
 }
 
+// Guards against an accepted request that is given up although it may be retried, because its process was
+// killed before the list was cached.
+TEST(CachedListHold, ARequestThatMayHaveBeenExecutedIsNotGivenUpBeforeItsEndpointsAreKnown) {
+  for (const double answerMs : {100.0, kWaitMs + 500}) {
+    DispatcherFixture fixture(waitingSettings());
+    auto request = std::get<RequestEvent>(fixture.request("m"));
+    request.ambiguousAttempts = {{0, -10}};
+    fixture.at(0, {EndpointListEvent{ListUpdateKind::kCached, {}}, request});
+    fixture.advanceTo(answerMs - 10);
+    EXPECT_TRUE(fixture.failed.empty() && fixture.rejected.empty()) << answerMs;
+    fixture.at(answerMs, {snapshot({entry("a")})});
+    EXPECT_EQ(fixture.sendsOf("m"), 1) << answerMs;
+  }
+}
+
+TEST(CachedListHold, ARequestThatNoEndpointMayGetIsGivenUpAsSoonAsTheListIsConfirmed) {
+  DispatcherFixture fixture(waitingSettings());
+  auto request = std::get<RequestEvent>(fixture.request("m"));
+  request.ambiguousAttempts = {{0, -10}};
+  fixture.at(0, {EndpointListEvent{ListUpdateKind::kCached, {}}, request});
+  fixture.at(100, {snapshot({entry("a", 2)})});  // of another destination
+  EXPECT_EQ(fixture.failed.size() + fixture.rejected.size(), 1u);
+}
+
 TEST(CachedListHold, AFailedPollIsNoConfirmation) {
   DispatcherFixture fixture(waitingSettings());
   fixture.at(0, {cachedList(), fixture.request("m")});
--- a/tests/relay/settings_change_test.cpp
+++ b/tests/relay/settings_change_test.cpp
@@ -191,3 +191,20 @@
   CHECK(hand.callsOf("m") == 1);
   CHECK(scenario.directory.notices().empty());
 }
+
+// Guards against an accepted request that is given up at the start because no endpoint is known yet.
+TEST_CASE("a request that may be retried is retried after a kill before the endpoint list was cached") {
+  SettingsScenario scenario;
+  scenario.announce({&scenario.norte});
+  scenario.start(scenario.config(kSiteSettings));
+  scenario.submit("keyed", "caption-order");
+  scenario.until("the request is in flight", [&] { return scenario.callsOf("keyed") == 1; });
+  scenario.relay->kill();
+  scenario.norte.release();
+  std::filesystem::remove(scenario.folder / "state" / "members");
+  scenario.start(scenario.config(kSiteSettings));
+  scenario.until("the request is retried or given up",
+                 [&] { return scenario.attemptedOrGivenUp("keyed", 2); });
+  CHECK(scenario.callsOf("keyed") == 2);
+  CHECK(scenario.directory.notices().empty());
+}
