--- a/tests/relay/settings_change_test.cpp
+++ b/tests/relay/settings_change_test.cpp
@@ -181,7 +181,7 @@
   int code = 0;
   scenario.until("the start fails", [&] { return scenario.relay->ended(code); });
   CHECK(code == 1);
-  CHECK(scenario.logged("cannot listen on " + hand.address));
+  scenario.until("its error is logged", [&] { return scenario.logged("cannot listen on " + hand.address); });
   CHECK(hand.calls.size() == sent);
   hand.answers = true;
   scenario.start(scenario.config(kSiteSettings));
